--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Entry points for newcomers; all of them install what is missing and build first.
+BUILD ?= build
+
+.PHONY: deps build test demo bench lint format sanitize clean
+
+deps:
+	@.ci/install_packages
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+	@cmake --build $(BUILD)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 8
+
+demo: build
+	@$(BUILD)/standin/chicoryhead-demo --programs $(BUILD)
+
+bench: build
+	@$(BUILD)/bench/chicoryhead_bench
+
+sanitize: deps
+	@cmake -S . -B build-sanitize -G Ninja -DCHICORYHEAD_SANITIZE=ON -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+	@cmake --build build-sanitize --target chicoryhead_tests
+	@build-sanitize/tests/chicoryhead_tests "[fuzz]"
+
+lint: build
+	@.ci/lint $(BUILD)
+
+format:
+	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+clean:
+	@rm -rf $(BUILD) build-sanitize
--- /dev/null
+++ b/src/core/codec_func.h
@@ -0,0 +1,88 @@
+/**
+ * @file codec_func.h
+ * Helpers for encoding with cereal's portable binary archives.
+ *
+ * cereal resizes a container to whatever count the input announces, so hostile input could make it
+ * allocate gigabytes. The helpers here check the count against a bound first.
+ */
+
+#pragma once
+
+#include "core_error.h"
+#include "core_type.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace chicoryhead {
+
+/** Writes a container with a 16-bit count. */
+template<typename Archive, typename Container>
+void saveBounded(Archive &archive, const Container &items)
+{
+    archive(static_cast<std::uint16_t>(items.size()));
+    for (const auto &item : items)
+        archive(item);
+}
+
+/**
+ * Reads a container with a 16-bit count.
+ * @throw std::length_error when the count is above the bound; decodeBinary() turns it into a code.
+ */
+template<typename Archive, typename Container>
+void loadBounded(Archive &archive, Container &items, std::size_t bound)
+{
+    std::uint16_t count = 0;
+    archive(count);
+    if (count > bound)
+        throw std::length_error("count above bound");
+    items.resize(count);
+    for (auto &item : items)
+        archive(item);
+}
+
+/** Encodes a value; its type has a cereal serialize function. */
+template<typename Value>
+std::vector<std::byte> encodeBinary(std::uint8_t format, const Value &value)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(format, value);
+    }
+    const std::string text = stream.str();
+    const auto bytes = std::as_bytes(std::span(text));
+    return {bytes.begin(), bytes.end()};
+}
+
+/**
+ * Decodes a value that encodeBinary() wrote.
+ * @return the value; error::Unsupported for another format, error::Malformed for anything else.
+ */
+template<typename Value>
+result<Value> decodeBinary(std::uint8_t format, std::span<const std::byte> bytes)
+{
+    Value value {};
+    try {
+        std::istringstream stream(
+            std::string(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
+        cereal::PortableBinaryInputArchive archive(stream);
+        std::uint8_t actualFormat = 0;
+        archive(actualFormat);
+        if (actualFormat != format)
+            return error::Unsupported;
+        archive(value);
+    } catch (const std::exception &) {
+        return error::Malformed;
+    }
+    return value;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/core/core_base.h
@@ -0,0 +1,65 @@
+/**
+ * @file core_base.h
+ * Interfaces through which the library core reaches the outside world.
+ *
+ * The core has no clock, sockets or threads of its own. A daemon implements these interfaces with
+ * Asio; tests, replays and benchmarks implement them in virtual time.
+ */
+
+#pragma once
+
+#include "core_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace chicoryhead {
+
+/** Source of monotonic and wall-clock time. */
+class clock_source
+{
+public:
+    virtual ~clock_source() = default;
+
+    /** Monotonic time; never goes back. */
+    virtual monotonic_time now() const = 0;
+
+    /** Wall-clock time; may jump. */
+    virtual wall_time wallNow() const = 0;
+};
+
+/** Source of random bits, seeded by whoever builds the core. */
+class random_source
+{
+public:
+    virtual ~random_source() = default;
+
+    /** 64 uniformly distributed bits. */
+    virtual std::uint64_t next() = 0;
+};
+
+/** Takes IP packets that the core sends on. */
+class packet_sink
+{
+public:
+    virtual ~packet_sink() = default;
+
+    /** Sends a whole IP packet to an upstream's tunnel endpoint. */
+    virtual void sendToUpstream(const endpoint &upstream, std::span<const std::byte> packet) = 0;
+
+    /** Sends a whole IP packet towards its caller. */
+    virtual void sendToCaller(std::span<const std::byte> packet) = 0;
+};
+
+/** Takes authenticated peer datagrams. */
+class peer_sink
+{
+public:
+    virtual ~peer_sink() = default;
+
+    /** Sends one datagram; it may be lost, doubled or reordered on its way. */
+    virtual void sendToPeer(const endpoint &peer, std::span<const std::byte> datagram) = 0;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/core/core_error.h
@@ -0,0 +1,38 @@
+/**
+ * @file core_error.h
+ * Error codes of the library, with their table of messages.
+ */
+
+#pragma once
+
+#include <system_error>
+
+namespace chicoryhead {
+
+/** Reasons for which an operation of the library fails. */
+enum class error {
+    Truncated = 1,    ///< input ends before a field that it announces
+    Malformed,        ///< input breaks its format
+    Unsupported,      ///< format version or protocol that is not handled
+    Unauthenticated,  ///< authentication tag does not match
+    VersionConflict,  ///< base version of a patch is not the current version
+    ValidationFailed, ///< patch breaks a rule of the configuration
+    StoreUnavailable, ///< platform's service did not answer; nothing was written
+    OutcomeUnknown,   ///< platform's service may have carried out the write
+    NotFound,         ///< no such object
+    Timeout,          ///< deadline passed
+    Full,             ///< bounded container has no room
+};
+
+/** Category of all codes of the library. */
+const std::error_category &errorCategory();
+
+/** Makes a std::error_code; found by argument-dependent lookup. */
+std::error_code make_error_code(error code); // NOLINT(readability-identifier-naming): std name
+
+} // namespace chicoryhead
+
+template<>
+struct std::is_error_code_enum<chicoryhead::error> : std::true_type
+{
+};
