--- /dev/null
+++ b/tests/support/virtual_time.h
@@ -0,0 +1,115 @@
+/**
+ * @file virtual_time.h
+ * Clock, random source and datagram network in virtual time, for tests of several instances.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace chicoryhead::test {
+
+/** Clock that a test moves. */
+class virtual_clock : public clock_source
+{
+public:
+    monotonic_time now() const override { return m_now; }
+    wall_time wallNow() const override
+    {
+        return wall_time(1'800'000'000 + m_now.count() / 1'000'000);
+    }
+
+    /** Moves the clock forward. */
+    void advance(monotonic_time step) { m_now += step; }
+
+private:
+    monotonic_time m_now = std::chrono::seconds(1);
+};
+
+/** Seeded random source. */
+class seeded_random : public random_source
+{
+public:
+    explicit seeded_random(std::uint64_t seed) : m_engine(seed) { }
+    std::uint64_t next() override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+/** Datagrams between endpoints, with delay, loss, duplication and cuts. */
+class virtual_network
+{
+public:
+    using receiver = std::function<void(std::span<const std::byte>, const endpoint &from)>;
+
+    virtual_network(const virtual_clock &clock, std::uint64_t seed) : m_clock(clock), m_random(seed)
+    {
+    }
+
+    /** Connects a receiver; an empty one disconnects it. */
+    void attach(const endpoint &address, receiver handler)
+    {
+        m_receivers[address] = std::move(handler);
+    }
+
+    /** Sends one datagram. */
+    void send(const endpoint &from, const endpoint &to, std::span<const std::byte> bytes)
+    {
+        if (isCut(from, to) || draw() < lossShare)
+            return;
+        const int copies = draw() < duplicateShare ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const auto extra = std::chrono::microseconds(m_random() % 1000);
+            m_queue.emplace(m_clock.now() + delay + extra,
+                            datagram {from, to, {bytes.begin(), bytes.end()}});
+        }
+    }
+
+    /** Delivers what is due. */
+    void deliver()
+    {
+        while (!m_queue.empty() && m_queue.begin()->first <= m_clock.now()) {
+            const datagram next = std::move(m_queue.begin()->second);
+            m_queue.erase(m_queue.begin());
+            const auto found = m_receivers.find(next.to);
+            if (found != m_receivers.end() && found->second)
+                found->second(next.bytes, next.from);
+        }
+    }
+
+    /** Assigns an endpoint to a side of a partition; different sides don't hear each other. */
+    void setSide(const endpoint &address, int side) { m_sides[address] = side; }
+
+    double lossShare = 0;
+    double duplicateShare = 0;
+    monotonic_time delay = std::chrono::microseconds(1000); ///< plus up to 1 ms
+
+private:
+    struct datagram
+    {
+        endpoint from;
+        endpoint to;
+        std::vector<std::byte> bytes;
+    };
+
+    bool isCut(const endpoint &from, const endpoint &to) { return m_sides[from] != m_sides[to]; }
+
+    double draw() { return std::uniform_real_distribution<double>()(m_random); }
+
+    const virtual_clock &m_clock;
+    std::mt19937_64 m_random;
+    std::map<endpoint, receiver> m_receivers;
+    std::map<endpoint, int> m_sides;
+    std::multimap<monotonic_time, datagram> m_queue;
+};
+
+} // namespace chicoryhead::test
