--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -102,7 +102,7 @@
     endpoint address;
     transport protocol = transport::Tcp;
 
-    auto operator<=>(const service_address &) const = default;
+    auto operator<=>(const service_address &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /**
--- a/src/core/core_type.h
+++ b/src/core/core_type.h
@@ -59,7 +59,7 @@
     std::uint32_t address = 0;
     std::uint16_t port = 0;
 
-    auto operator<=>(const endpoint &) const = default;
+    auto operator<=>(const endpoint &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /**
