--- a/src/core/codec_func.h
+++ b/src/core/codec_func.h
@@ -48,6 +48,29 @@
         archive(item);
 }
 
+/** Writes bytes with a 16-bit count, as one block. */
+template<typename Archive>
+void saveBytes(Archive &archive, const std::vector<std::uint8_t> &bytes)
+{
+    archive(static_cast<std::uint16_t>(bytes.size()));
+    archive(cereal::binary_data(bytes.data(), bytes.size()));
+}
+
+/**
+ * Reads bytes that saveBytes() wrote.
+ * @throw std::length_error when the count is above the bound.
+ */
+template<typename Archive>
+void loadBytes(Archive &archive, std::vector<std::uint8_t> &bytes, std::size_t bound)
+{
+    std::uint16_t count = 0;
+    archive(count);
+    if (count > bound)
+        throw std::length_error("count above bound");
+    bytes.resize(count);
+    archive(cereal::binary_data(bytes.data(), bytes.size()));
+}
+
 /** Encodes a value; its type has a cereal serialize function. */
 template<typename Value>
 std::vector<std::byte> encodeBinary(std::uint8_t format, const Value &value)
--- a/src/packet/frame.cpp
+++ b/src/packet/frame.cpp
@@ -34,7 +34,7 @@
 {
     std::uint8_t idempotent = frame.idempotent ? 1 : 0;
     serializeHeader(archive, frame, idempotent);
-    saveBounded(archive, frame.payload);
+    saveBytes(archive, frame.payload);
 }
 
 template<typename Archive>
@@ -44,7 +44,7 @@
     std::uint8_t idempotent = 0;
     serializeHeader(archive, frame, idempotent);
     frame.idempotent = idempotent != 0;
-    loadBounded(archive, frame.payload, maxFrameBytes);
+    loadBytes(archive, frame.payload, maxFrameBytes);
 }
 
 std::vector<std::byte> encodeFrame(const request_frame &frame)
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -13,8 +13,8 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <algorithm>
 #include <array>
-#include <cstring>
 #include <utility>
 
 namespace chicoryhead {
@@ -63,11 +63,11 @@
     };
     if (!validState(message.sender))
         return false;
-    for (const auto &update : message.updates) {
-        if (!validState(update))
-            return false;
-    }
-    return true;
+    const auto validReason = [](const upstream_notice &notice) {
+        return notice.reason <= condition_reason::Cold;
+    };
+    return std::all_of(message.updates.begin(), message.updates.end(), validState)
+        && std::all_of(message.notices.begin(), message.notices.end(), validReason);
 }
 
 } // namespace
@@ -99,14 +99,15 @@
 template<typename Archive>
 void save(Archive &archive, const upstream_notice &notice)
 {
-    archive(notice.upstream, static_cast<std::uint8_t>(notice.isDeflected), notice.incarnation);
+    archive(notice.upstream, static_cast<std::uint8_t>(notice.isDeflected), notice.incarnation,
+            notice.reason);
 }
 
 template<typename Archive>
 void load(Archive &archive, upstream_notice &notice)
 {
     std::uint8_t isDeflected = 0;
-    archive(notice.upstream, isDeflected, notice.incarnation);
+    archive(notice.upstream, isDeflected, notice.incarnation, notice.reason);
     notice.isDeflected = isDeflected != 0;
 }
 
@@ -120,14 +121,14 @@
 void save(Archive &archive, const peer_payload &payload)
 {
     archive(payload.kind);
-    saveBounded(archive, payload.bytes);
+    saveBytes(archive, payload.bytes);
 }
 
 template<typename Archive>
 void load(Archive &archive, peer_payload &payload)
 {
     archive(payload.kind);
-    loadBounded(archive, payload.bytes, maxPeerMessageBytes);
+    loadBytes(archive, payload.bytes, maxPeerMessageBytes);
 }
 
 template<typename Archive>
