Fix: key the authentication of peer datagrams once

Change: one keyed EVP_MAC context per codec, reset for each tag. Members that a joiner pulls come with the conditions of upstreams that were ever deflected.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t maxUpdatesPerMessage = 8;
 constexpr std::size_t maxNoticesPerMessage = 12;
 constexpr std::size_t maxVersionsPerMessage = 8;
-constexpr std::size_t syncPageMembers = 50;
+constexpr std::size_t syncPageMembers = 40;
+constexpr std::size_t syncPageNotices = 40;
 /// Above this number, versions are only learnt from the members themselves: passing on a report
 /// of each member for each version would cost bytes in proportion to the square of the members.
 constexpr std::size_t maxMembersForVersionGossip = 64;
@@ -291,10 +292,23 @@
     }
     if (next == m_board.members.end())
         probe.target = noInstance;
+    if (above == noInstance)
+        appendNotices(page);
     page.probe = probe;
     m_messages.send(asker, std::move(page));
 }
 
+void membership::appendNotices(peer_message &message) const
+{
+    for (const auto &[id, state] : m_board.upstreams) {
+        if (message.notices.size() == syncPageNotices)
+            return;
+        const bool isDeflected = state.condition == upstream_condition::Deflected;
+        if (state.incarnation > 0)
+            message.notices.push_back({id, isDeflected, state.incarnation, state.reason});
+    }
+}
+
 void membership::piggyback(peer_message &message)
 {
     const unsigned limit = repeatLimit();
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -116,6 +116,7 @@
     void queue(const member_update &update);
     void queueVersion(const version_report &report);
     void pushNews();
+    void appendNotices(peer_message &message) const;
     void piggyback(peer_message &message);
     void requestSync(instance_id source);
     void answerSync(instance_id asker, instance_id above);
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -11,10 +11,11 @@
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 #include <utility>
 
 namespace chicoryhead {
@@ -25,6 +26,8 @@
 constexpr std::size_t relayHeaderBytes = 12;
 constexpr std::size_t maxItems = 128;
 
+using tag_bytes = std::array<unsigned char, EVP_MAX_MD_SIZE>;
+
 constexpr std::uint8_t hasProbe = 0x01;
 constexpr std::uint8_t hasUpdates = 0x02;
 constexpr std::uint8_t hasVersions = 0x04;
@@ -33,16 +36,6 @@
 constexpr std::uint8_t hasAcks = 0x20;
 constexpr std::uint8_t hasPayloads = 0x40;
 
-std::array<unsigned char, EVP_MAX_MD_SIZE> computeTag(const std::string &key,
-                                                      std::span<const std::byte> bytes)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> tag {};
-    unsigned int length = 0;
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-         reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), tag.data(), &length);
-    return tag;
-}
-
 std::uint8_t presentParts(const peer_message &message)
 {
     std::uint8_t parts = 0;
@@ -187,11 +180,55 @@
     return kind;
 }
 
-peer_codec::peer_codec(std::string key) : m_key(std::move(key)) { }
+/** A keyed HMAC-SHA256 that is reset for each tag, which spares the key schedule. */
+struct peer_codec::authenticator
+{
+    explicit authenticator(const std::string &key)
+        : mac(EVP_MAC_fetch(nullptr, "HMAC", nullptr)), context(EVP_MAC_CTX_new(mac))
+    {
+        char digest[] = "SHA256";
+        const std::array<OSSL_PARAM, 2> parameters {
+            OSSL_PARAM_construct_utf8_string("digest", digest, 0), OSSL_PARAM_construct_end()};
+        const auto *bytes = reinterpret_cast<const unsigned char *>(key.data());
+        const int isKeyed = EVP_MAC_init(context, bytes, key.size(), parameters.data());
+        assert(isKeyed == 1);
+        (void)isKeyed;
+    }
+
+    ~authenticator()
+    {
+        EVP_MAC_CTX_free(context);
+        EVP_MAC_free(mac);
+    }
+
+    authenticator(const authenticator &) = delete;
+    authenticator &operator=(const authenticator &) = delete;
+
+    tag_bytes compute(std::span<const std::byte> bytes)
+    {
+        tag_bytes tag {};
+        std::size_t length = 0;
+        EVP_MAC_init(context, nullptr, 0, nullptr);
+        EVP_MAC_update(context, reinterpret_cast<const unsigned char *>(bytes.data()),
+                       bytes.size());
+        EVP_MAC_final(context, tag.data(), &length, tag.size());
+        return tag;
+    }
+
+    EVP_MAC *mac;
+    EVP_MAC_CTX *context;
+};
+
+peer_codec::peer_codec(const std::string &key)
+    : m_authenticator(std::make_unique<authenticator>(key))
+{
+}
+
+peer_codec::~peer_codec() = default;
 
 void peer_codec::appendTag(std::vector<std::byte> &datagram) const
 {
-    const auto tag = computeTag(m_key, datagram);
+    const auto tag = m_authenticator->compute(datagram);
     const auto bytes = std::as_bytes(std::span(tag)).first(peerTagBytes);
     datagram.insert(datagram.end(), bytes.begin(), bytes.end());
 }
@@ -201,7 +238,7 @@
     if (datagram.size() <= peerTagBytes)
         return error::Truncated;
     const auto body = datagram.first(datagram.size() - peerTagBytes);
-    const auto tag = computeTag(m_key, body);
+    const auto tag = m_authenticator->compute(body);
     // Comparison in constant time, so that answers don't reveal how much of a forged tag is right.
     if (CRYPTO_memcmp(tag.data(), datagram.data() + body.size(), peerTagBytes) != 0)
         return error::Unauthenticated;
--- a/src/peer/peer_func.h
+++ b/src/peer/peer_func.h
@@ -7,6 +7,7 @@
 
 #include "peer_type.h"
 
+#include <memory>
 #include <string>
 
 namespace chicoryhead {
@@ -20,12 +21,13 @@
 /** Kind of a datagram by its first byte; error::Truncated or error::Unsupported. */
 result<peer_datagram_kind> peerDatagramKind(std::span<const std::byte> datagram);
 
-/** Signs and verifies datagrams between instances. */
+/** Signs and verifies datagrams between instances; used by one thread. */
 class peer_codec
 {
 public:
     /** @param key shared key of all instances, from the settings. */
-    explicit peer_codec(std::string key);
+    explicit peer_codec(const std::string &key);
+    ~peer_codec();
 
     /** Encodes and signs a message. */
     std::vector<std::byte> encode(const peer_message &message) const;
@@ -48,7 +50,9 @@
     void appendTag(std::vector<std::byte> &datagram) const;
     result<std::span<const std::byte>> verify(std::span<const std::byte> datagram) const;
 
-    std::string m_key;
+    struct authenticator;
+
+    std::unique_ptr<authenticator> m_authenticator;
 };
 
 } // namespace chicoryhead
