--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -112,6 +112,8 @@
 struct configuration
 {
     config_version version = 0;
+    std::uint32_t lastServiceId = 0;  ///< highest id given out so far; ids are never reused
+    std::uint32_t lastUpstreamId = 0; ///< highest id given out so far; ids are never reused
     std::map<service_id, std::shared_ptr<const service_config>> services;
     std::map<service_address, service_id> addresses; ///< one entry per service
 
