--- a/src/balance/balance_base.h
+++ b/src/balance/balance_base.h
@@ -42,12 +42,20 @@
     virtual void probe(upstream_id upstream, const endpoint &health) = 0;
 };
 
+/** Why an upstream's condition changed last. */
+enum class condition_reason : std::uint8_t {
+    Load,        ///< overloaded, shedding or not believable
+    Unreachable, ///< neither reports nor replies arrive
+    Cold,        ///< restarted; ramps up from the bottom when it is reopened
+};
+
 /** A change of an upstream's condition that is spread to other instances. */
 struct upstream_notice
 {
     upstream_id upstream = noUpstream;
     bool isDeflected = false;
     std::uint32_t incarnation = 0;
+    condition_reason reason = condition_reason::Load;
 
     bool operator==(const upstream_notice &) const = default;
 };
--- /dev/null
+++ b/src/balance/placement.cpp
@@ -0,0 +1,389 @@
+/**
+ * @file placement.cpp
+ * Baselines and load-aware placement.
+ */
+
+#include "balance_func.h"
+#include "placement_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicoryhead {
+
+namespace {
+
+/// Separate streams of hash bits, so that decisions about one flow are independent.
+constexpr std::uint64_t uniformStream = 0x756e6966;
+constexpr std::uint64_t rampStream = 0x72616d70;
+constexpr std::uint64_t domainStream = 0x646f6d61;
+/// Weight of a new report in the smoothed load; one sample of two or three slots is mostly noise.
+constexpr double loadSmoothing = 0.2;
+/// Bounds of the factor by which reported load changes an estimate: reports lag.
+constexpr double minLoadFactor = 0.5;
+constexpr double maxLoadFactor = 2.0;
+
+double uniformOf(flow_hash hash, std::uint64_t stream)
+{
+    return (static_cast<double>(mixHash(hash, stream) >> 11) + 0.5) * 0x1.0p-53;
+}
+
+/** Weighted rendezvous score: the highest of -weight / ln(u) wins in proportion to weights. */
+double rendezvousScore(flow_hash hash, upstream_id upstream, double weight)
+{
+    return -weight / std::log(uniformOf(hash, idValue(upstream)));
+}
+
+double toSeconds(monotonic_time time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+upstream_id uniform_placement::choose(const service_config &service, const slot_entry &,
+                                      flow_hash hash)
+{
+    std::vector<upstream_id> active;
+    for (const upstream_config &upstream : service.upstreams) {
+        if (upstream.mode == upstream_mode::Active)
+            active.push_back(upstream.id);
+    }
+    if (active.empty())
+        return noUpstream;
+    return active[mixHash(hash, uniformStream) % active.size()];
+}
+
+bool uniform_placement::isDeflected(const service_config &, upstream_id) const
+{
+    return false;
+}
+
+bool uniform_placement::wasDeflected(upstream_id) const
+{
+    return false;
+}
+
+bool uniform_placement::admit(const service_config &)
+{
+    return true;
+}
+
+upstream_id weighted_hash_placement::choose(const service_config &service, const slot_entry &,
+                                            flow_hash hash)
+{
+    upstream_id best = noUpstream;
+    double bestScore = -1;
+    for (const upstream_config &upstream : service.upstreams) {
+        if (upstream.mode != upstream_mode::Active)
+            continue;
+        const double score = rendezvousScore(hash, upstream.id, upstream.weight);
+        if (score > bestScore) {
+            best = upstream.id;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+load_aware_placement::load_aware_placement(const clock_source &clock, const blackboard &board,
+                                           flow_limiter &limiter, placement_settings settings)
+    : m_clock(clock), m_board(board), m_limiter(limiter), m_settings(settings)
+{
+}
+
+upstream_id load_aware_placement::choose(const service_config &service, const slot_entry &slot,
+                                         flow_hash hash)
+{
+    const bool isFullyTracked = viewOf(service).isFullyTracked;
+    updateRecords(service);
+    const panic_scope panic = panicOf(service);
+    std::vector<const upstream_config *> accepting;
+    for (const upstream_config &upstream : service.upstreams) {
+        if (isAccepting(upstream, panic))
+            accepting.push_back(&upstream);
+    }
+    if (accepting.empty())
+        return noUpstream;
+
+    const upstream_config *chosen = nullptr;
+    if (!isFullyTracked) {
+        const auto found =
+            std::find_if(accepting.begin(), accepting.end(),
+                         [&](const upstream_config *item) { return item->id == slot.next; });
+        const bool isNextOpen = found != accepting.end();
+        if (isNextOpen && uniformOf(hash, rampStream) < rampShare(slot.next))
+            chosen = *found;
+        if (isNextOpen && !chosen && accepting.size() > 1)
+            accepting.erase(found); // the share that a ramping upstream gives up
+    }
+    if (!chosen)
+        chosen = chooseOfTwo(accepting, hash);
+    notePlaced(chosen->id);
+    return chosen->id;
+}
+
+bool load_aware_placement::isDeflected(const service_config &service, upstream_id upstream) const
+{
+    const auto found = m_board.upstreams.find(upstream);
+    if (found == m_board.upstreams.end())
+        return false;
+    const upstream_state &state = found->second;
+    return state.condition == upstream_condition::Deflected
+        && m_clock.now() - state.changedAt >= m_settings.deflectionDelay
+        && !isExempt(state, panicOf(service));
+}
+
+bool load_aware_placement::wasDeflected(upstream_id upstream) const
+{
+    const auto found = m_board.upstreams.find(upstream);
+    return found != m_board.upstreams.end() && found->second.incarnation > 0;
+}
+
+bool load_aware_placement::admit(const service_config &service)
+{
+    return m_limiter.admit(service);
+}
+
+double load_aware_placement::rampShare(upstream_id upstream) const
+{
+    const auto found = m_records.find(upstream);
+    if (found == m_records.end())
+        return 1;
+    const record &entry = found->second;
+    if (!entry.isOpen)
+        return entry.share;
+    const double slope = (1 - m_settings.rampStart) / toSeconds(m_settings.rampTime);
+    return std::min(1.0, entry.share + slope * toSeconds(m_clock.now() - entry.shareAt));
+}
+
+const load_aware_placement::service_view &
+load_aware_placement::viewOf(const service_config &service)
+{
+    service_view &view = m_views[service.id];
+    const auto version = m_board.config->version;
+    if (view.config == &service && view.version == version)
+        return view;
+    view.config = &service;
+    view.version = version;
+    view.isFullyTracked = !service.slots.empty()
+        && std::all_of(service.slots.begin(), service.slots.end(),
+                       [](const slot_entry &slot) { return slot.tracked; });
+    return view;
+}
+
+void load_aware_placement::updateRecords(const service_config &service)
+{
+    const auto now = m_clock.now();
+    if (m_firstVersion == 0)
+        m_firstVersion = m_board.config->version;
+    double sum = 0;
+    int count = 0;
+    for (const upstream_config &upstream : service.upstreams) {
+        const auto [found, isNew] = m_records.try_emplace(upstream.id);
+        record &entry = found->second;
+        if (isNew && upstream.addedIn > m_firstVersion) {
+            entry.share = m_settings.rampStart;
+            entry.shareAt = m_board.configAppliedAt;
+        }
+        updateRecord(upstream, entry, now);
+        if (entry.loadAt.count() > 0 && now - entry.loadAt <= m_settings.freshness) {
+            sum += entry.load;
+            ++count;
+        }
+    }
+    m_meanLoad = count > 0 ? sum / count : 0;
+}
+
+void load_aware_placement::updateRecord(const upstream_config &upstream, record &entry,
+                                        monotonic_time now)
+{
+    const auto found = m_board.upstreams.find(upstream.id);
+    if (found == m_board.upstreams.end())
+        return;
+    const upstream_state &state = found->second;
+    if (state.reportedAt > entry.loadAt) {
+        const double load = state.loadPermille / 1000.0;
+        entry.load += (entry.loadAt.count() > 0 ? loadSmoothing : 1.0) * (load - entry.load);
+        entry.loadAt = state.reportedAt;
+    }
+    if (state.incarnation == entry.incarnation)
+        return;
+    entry.incarnation = state.incarnation;
+    const bool isOpen = state.condition == upstream_condition::Open;
+    if (entry.isOpen) {
+        const double share = rampShare(upstream.id);
+        entry.share = std::max(m_settings.rampStart, share * m_settings.reopenShare);
+    }
+    if (state.reason == condition_reason::Cold)
+        entry.share = m_settings.rampStart;
+    entry.isOpen = isOpen;
+    entry.shareAt = isOpen ? state.changedAt : now;
+}
+
+bool load_aware_placement::isAccepting(const upstream_config &upstream, panic_scope panic) const
+{
+    if (upstream.mode != upstream_mode::Active)
+        return false;
+    const auto found = m_board.upstreams.find(upstream.id);
+    if (found == m_board.upstreams.end())
+        return true;
+    const upstream_state &state = found->second;
+    const double full = m_settings.fullShare * upstream.maxFlows;
+    if (state.openFlows >= full)
+        return false;
+    return state.condition == upstream_condition::Open || isExempt(state, panic);
+}
+
+load_aware_placement::panic_scope load_aware_placement::panicOf(const service_config &service) const
+{
+    double reachable = 0;
+    double deflected = 0;
+    for (const upstream_config &upstream : service.upstreams) {
+        if (upstream.mode != upstream_mode::Active)
+            continue;
+        const auto found = m_board.upstreams.find(upstream.id);
+        const bool isOpen =
+            found == m_board.upstreams.end() || found->second.condition == upstream_condition::Open;
+        // In a partition most upstreams may be out of reach, and must not be treated as open.
+        if (!isOpen && found->second.reason == condition_reason::Unreachable)
+            continue;
+        reachable += upstream.weight;
+        deflected += isOpen ? 0 : upstream.weight;
+    }
+    if (reachable <= 0)
+        return panic_scope::All;
+    return deflected > m_settings.panicShare * reachable ? panic_scope::Reachable
+                                                         : panic_scope::None;
+}
+
+bool load_aware_placement::isExempt(const upstream_state &state, panic_scope panic)
+{
+    if (panic == panic_scope::Reachable)
+        return state.reason != condition_reason::Unreachable;
+    return panic == panic_scope::All;
+}
+
+double load_aware_placement::effectiveWeight(const upstream_config &upstream) const
+{
+    return upstream.weight * rampShare(upstream.id);
+}
+
+domain_id load_aware_placement::chooseDomain(const std::vector<const upstream_config *> &accepting,
+                                             flow_hash hash) const
+{
+    double weight = 0;
+    std::map<domain_id, double> room; // share of weight minus share of flows, per domain
+    for (const upstream_config *upstream : accepting)
+        weight += effectiveWeight(*upstream);
+    for (const upstream_config *upstream : accepting)
+        room[upstream->domain] += effectiveWeight(*upstream) / weight;
+
+    const domain_id own = m_board.self.domain;
+    const double ownWeight = room[own];
+    double members = 0;
+    for (const auto &[id, candidate] : m_board.members)
+        members += candidate.state == member_state::Ready ? 1 : 0;
+    double ownMembers = 0;
+    for (const auto &[id, candidate] : m_board.members) {
+        if (candidate.state != member_state::Ready)
+            continue;
+        ownMembers += candidate.domain == own ? 1 : 0;
+        if (room.contains(candidate.domain))
+            room[candidate.domain] -= 1 / members;
+    }
+    const double kept = ownMembers > 0 ? ownWeight * members / ownMembers : ownWeight;
+    const double position = uniformOf(hash, domainStream);
+    if (position < kept)
+        return own;
+
+    // What exceeds the own domain's share spills over to the domains that have room left.
+    room.erase(own);
+    double total = 0;
+    for (const auto &[domain, left] : room)
+        total += std::max(left, 0.0);
+    double remaining = (position - kept) / (1 - kept) * total;
+    domain_id chosen = own;
+    for (const auto &[domain, left] : room) {
+        if (left <= 0)
+            continue;
+        chosen = domain;
+        remaining -= left;
+        if (remaining < 0)
+            break;
+    }
+    return chosen;
+}
+
+double load_aware_placement::estimate(const upstream_config &upstream) const
+{
+    const auto found = m_records.find(upstream.id);
+    const double weight = std::max(effectiveWeight(upstream), 1e-3);
+    if (found == m_records.end())
+        return 1 / weight;
+    const record &entry = found->second;
+    const auto now = m_clock.now();
+    double factor = 1;
+    const bool isFresh = entry.loadAt.count() > 0 && now - entry.loadAt <= m_settings.freshness;
+    if (isFresh && m_meanLoad > 0)
+        factor = std::clamp(entry.load / m_meanLoad, minLoadFactor, maxLoadFactor);
+    return factor * (decayedPlaced(entry, now) + 1) / weight;
+}
+
+const upstream_config *
+load_aware_placement::chooseOfTwo(const std::vector<const upstream_config *> &accepting,
+                                  flow_hash hash) const
+{
+    const domain_id domain = chooseDomain(accepting, hash);
+    const bool hasDomain =
+        std::any_of(accepting.begin(), accepting.end(),
+                    [&](const upstream_config *item) { return item->domain == domain; });
+    candidate first;
+    candidate second;
+    for (const upstream_config *upstream : accepting) {
+        if (hasDomain && upstream->domain != domain)
+            continue;
+        const double score = rendezvousScore(hash, upstream->id, effectiveWeight(*upstream));
+        if (score > first.score || !first.upstream) {
+            second = first;
+            first = {upstream, score};
+        } else if (score > second.score || !second.upstream) {
+            second = {upstream, score};
+        }
+    }
+    if (!second.upstream || estimate(*first.upstream) <= estimate(*second.upstream))
+        return first.upstream;
+    return second.upstream;
+}
+
+void load_aware_placement::notePlaced(upstream_id upstream)
+{
+    record &entry = m_records[upstream];
+    const auto now = m_clock.now();
+    entry.placed = decayedPlaced(entry, now) + 1;
+    entry.placedAt = now;
+}
+
+double load_aware_placement::decayedPlaced(const record &entry, monotonic_time now) const
+{
+    return entry.placed
+        * std::exp(-toSeconds(now - entry.placedAt) / toSeconds(m_settings.placedMemory));
+}
+
+std::unique_ptr<placement_policy>
+makeLoadAwarePlacement(const clock_source &clock, const blackboard &board, flow_limiter &limiter)
+{
+    return std::make_unique<load_aware_placement>(clock, board, limiter);
+}
+
+std::unique_ptr<placement_policy> makeUniformPlacement()
+{
+    return std::make_unique<uniform_placement>();
+}
+
+std::unique_ptr<placement_policy> makeWeightedHashPlacement()
+{
+    return std::make_unique<weighted_hash_placement>();
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/balance/placement_base.h
@@ -0,0 +1,134 @@
+/**
+ * @file placement_base.h
+ * Placement policies: which upstream a new flow goes to.
+ */
+
+#pragma once
+
+#include "blackboard/blackboard_type.h"
+#include "core/core_base.h"
+#include "limits_base.h"
+#include "steering/steering_base.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace chicoryhead {
+
+/** Baseline: every active upstream equally likely, by the flow's hash. */
+class uniform_placement : public placement_policy
+{
+public:
+    upstream_id choose(const service_config &service, const slot_entry &slot,
+                       flow_hash hash) override;
+    bool isDeflected(const service_config &service, upstream_id upstream) const override;
+    bool wasDeflected(upstream_id upstream) const override;
+    bool admit(const service_config &service) override;
+};
+
+/** Baseline: weighted rendezvous hashing over the active upstreams. */
+class weighted_hash_placement : public uniform_placement
+{
+public:
+    upstream_id choose(const service_config &service, const slot_entry &slot,
+                       flow_hash hash) override;
+};
+
+/** Times and thresholds of load-aware placement. */
+struct placement_settings
+{
+    /// Time after which every instance knows of a deflection.
+    monotonic_time deflectionDelay = std::chrono::milliseconds(2500);
+    monotonic_time rampTime = std::chrono::seconds(30); ///< from rampStart to the full weight
+    double rampStart = 0.1;                             ///< share of weight of a cold upstream
+    double reopenShare = 0.5; ///< share of the former weight that a reopened upstream gets
+    double panicShare = 0.5;  ///< deflected weight above which deflection is ignored
+    monotonic_time placedMemory = std::chrono::seconds(1); ///< decay of flows placed
+    monotonic_time freshness = std::chrono::seconds(3);    ///< age at which a report is ignored
+    double fullShare = 0.98; ///< share of max_flows at which an upstream has no room
+};
+
+/**
+ * Places new flows by estimated load.
+ *
+ * In a service whose slots are all tracked, every new flow is placed by load. Otherwise the slots
+ * of the table already carry each upstream's share, so a new flow stays with its slot's `next`
+ * except for the part that a deflected or ramping upstream gives up.
+ */
+class load_aware_placement : public placement_policy
+{
+public:
+    load_aware_placement(const clock_source &clock, const blackboard &board, flow_limiter &limiter,
+                         placement_settings settings = {});
+
+    upstream_id choose(const service_config &service, const slot_entry &slot,
+                       flow_hash hash) override;
+    bool isDeflected(const service_config &service, upstream_id upstream) const override;
+    bool wasDeflected(upstream_id upstream) const override;
+    bool admit(const service_config &service) override;
+
+    /** Share of an upstream's weight that is in use now, between 0 and 1. */
+    double rampShare(upstream_id upstream) const;
+
+private:
+    /** What is remembered about one upstream. */
+    struct record
+    {
+        double placed = 0; ///< flows placed here, decayed
+        monotonic_time placedAt {0};
+        double load = 0; ///< smoothed reported load
+        monotonic_time loadAt {0};
+        std::uint32_t incarnation = 0;
+        double share = 1; ///< ramp share at shareAt
+        monotonic_time shareAt {0};
+        bool isOpen = true; ///< condition when the share was last changed
+    };
+
+    /** What depends only on the configuration, per service. */
+    struct service_view
+    {
+        const service_config *config = nullptr;
+        config_version version = 0;
+        bool isFullyTracked = false;
+    };
+
+    /** Which deflected upstreams are treated as open. */
+    enum class panic_scope : std::uint8_t { None, Reachable, All };
+
+    /** One upstream that may take the flow. */
+    struct candidate
+    {
+        const upstream_config *upstream = nullptr;
+        double score = 0; ///< rendezvous score
+    };
+
+    const service_view &viewOf(const service_config &service);
+    void updateRecords(const service_config &service);
+    void updateRecord(const upstream_config &upstream, record &entry, monotonic_time now);
+    bool isAccepting(const upstream_config &upstream, panic_scope panic) const;
+    panic_scope panicOf(const service_config &service) const;
+    static bool isExempt(const upstream_state &state, panic_scope panic);
+    double effectiveWeight(const upstream_config &upstream) const;
+    domain_id chooseDomain(const std::vector<const upstream_config *> &accepting,
+                           flow_hash hash) const;
+    double estimate(const upstream_config &upstream) const;
+    const upstream_config *chooseOfTwo(const std::vector<const upstream_config *> &accepting,
+                                       flow_hash hash) const;
+    void notePlaced(upstream_id upstream);
+    double decayedPlaced(const record &entry, monotonic_time now) const;
+
+    const clock_source &m_clock;
+    const blackboard &m_board;
+    flow_limiter &m_limiter;
+    placement_settings m_settings;
+    std::unordered_map<upstream_id, record> m_records;
+    std::map<service_id, service_view> m_views;
+    config_version m_firstVersion = 0; ///< first version seen; its upstreams are not cold
+    double m_meanLoad = 0;             ///< mean fresh reported load of the current service
+};
+
+} // namespace chicoryhead
--- a/src/blackboard/blackboard_type.h
+++ b/src/blackboard/blackboard_type.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "balance/balance_base.h"
 #include "config/config_type.h"
 #include "core/core_type.h"
 
@@ -49,8 +50,9 @@
 struct upstream_state
 {
     upstream_condition condition = upstream_condition::Open;
-    std::uint32_t incarnation = 0;  ///< raised at each change of condition
-    monotonic_time changedAt {0};   ///< when the condition was learnt here
+    std::uint32_t incarnation = 0;                    ///< raised at each change of condition
+    condition_reason reason = condition_reason::Load; ///< of the last deflection
+    monotonic_time changedAt {0};                     ///< when the condition was learnt here
     std::uint16_t loadPermille = 0; ///< slots in use, in thousandths, as last reported
     monotonic_time reportedAt {0};  ///< when loadPermille was measured; 0 for never
     std::uint32_t openFlows = 0;    ///< flows of this upstream in the local flow table
