Feature: settings file, operators' HTTP interface and command-line client

Cause: a daemon needs validated settings, and operators need a way to read the state of instances and to submit patches.

Change: src/settings reads an INI file with inih and reports all problems at once. inih splits lines over 200 bytes without a word; the reader refuses them, and it knows the line number of each problem. One table drives parsing, validation, docs/settings.md and the example file; a test compares them. src/http serves the routes of the design page with RESTinio, included in one file. Routing and authorization do not depend on sockets. src/cli is the client "chicoryhead" on gflags and libcurl; it uses formatPatch() and parsePatch(), so that the form of a patch stands once.

--- /dev/null
+++ b/src/cli/argument.h
@@ -0,0 +1,63 @@
+/**
+ * @file argument.h
+ * Flags of the client, declared with gflags, and the split of its arguments into words and flags.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+
+#include <gflags/gflags.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+DECLARE_string(server);
+DECLARE_string(token);
+DECLARE_bool(json);
+DECLARE_uint64(base);
+DECLARE_string(reason);
+DECLARE_string(author);
+DECLARE_string(id);
+DECLARE_uint32(timeout);
+DECLARE_string(address);
+DECLARE_string(protocol);
+DECLARE_string(upstreams);
+DECLARE_string(health);
+DECLARE_uint32(domain);
+DECLARE_uint32(weight);
+DECLARE_uint32(slots);
+DECLARE_uint32(max_flows);
+DECLARE_uint32(new_flows_per_second);
+DECLARE_uint32(retry_budget_percent);
+DECLARE_uint32(retry_after_ms);
+DECLARE_string(leaving_at);
+DECLARE_string(final_time);
+
+namespace chicoryhead {
+
+/** Arguments of one call. Values of flags are in gflags' variables. */
+struct command_line
+{
+    std::vector<std::string> words;
+    std::vector<std::string> flags; ///< names of the flags given, with underscores
+    bool wantsHelp = false;
+};
+
+/**
+ * Splits arguments and sets the flags' variables. Flags may stand anywhere; dashes in their names
+ * count as underscores. All words after "--" are words.
+ * @param message gets what is wrong.
+ * @return std::errc::invalid_argument for an unknown flag or a value that its type does not allow.
+ */
+result<command_line> parseArguments(const std::vector<std::string> &arguments,
+                                    std::string &message);
+
+/** Whether a flag was given. */
+bool isFlagGiven(const char *name);
+
+/** One line of help for a flag. */
+std::string describeFlag(std::string_view name);
+
+} // namespace chicoryhead
