--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -244,6 +244,8 @@
             change(upstream, upstream_condition::Deflected, reasonOf(entry, now), now);
         return;
     }
+    if (state.reason != condition_reason::Unreachable && isUnreachable(entry, now))
+        change(upstream, upstream_condition::Deflected, condition_reason::Unreachable, now);
     // A prober that learnt of the deflection from its partner waits for its own calm time too.
     const auto calmSince = std::max(entry.troubleAt, state.changedAt);
     const bool hasEvidence = entry.hasReport || entry.aliveAt > state.changedAt;
@@ -283,16 +285,16 @@
 {
     const bool isAlive = entry.aliveAt >= monotonic_time {0} && now - entry.aliveAt < aliveMemory;
     // Only the report is missing when replies are seen.
-    return entry.failures >= m_settings.failuresOn && !isAlive;
+    if (entry.failures >= m_settings.failuresOn && !isAlive)
+        return true;
+    // Replies are spread over all instances, so unanswered SYNs count only when none is accepted.
+    return entry.unanswered >= m_settings.signalFailures && entry.accepted < 1;
 }
 
 bool health_controller::isFailing(const record &entry, monotonic_time now) const
 {
-    if (entry.hasReport && entry.failures == 0 && !entry.last.isHealthy)
-        return true;
-    // Replies are spread over all instances, so unanswered SYNs count only when none is accepted.
-    return isUnreachable(entry, now)
-        || (entry.unanswered >= m_settings.signalFailures && entry.accepted < 1);
+    const bool isUnhealthy = entry.hasReport && entry.failures == 0 && !entry.last.isHealthy;
+    return isUnhealthy || isUnreachable(entry, now);
 }
 
 condition_reason health_controller::reasonOf(const record &entry, monotonic_time now) const
@@ -380,10 +382,11 @@
                                condition_reason reason, monotonic_time now)
 {
     upstream_state &state = m_board.upstreams[upstream];
-    if (state.condition == condition)
+    if (state.condition == condition && state.reason == reason)
         return;
+    if (state.condition != condition)
+        state.changedAt = now;
     state.condition = condition;
-    state.changedAt = now;
     ++state.incarnation;
     state.reason = reason;
     logEvent(log_level::Info, "upstream_condition",
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -98,6 +98,13 @@
     const bool isFullyTracked = viewOf(service).isFullyTracked;
     updateRecords(service);
     const panic_scope panic = panicOf(service);
+    const auto next = m_board.upstreams.find(slot.next);
+    const bool isNewlyDeflected = next != m_board.upstreams.end()
+        && next->second.condition == upstream_condition::Deflected
+        && !isDeflected(service, slot.next);
+    // Until every instance tracks the slot, an exception could be missed by one that does not.
+    if (isNewlyDeflected && !slot.isTracked())
+        return slot.next;
     std::vector<const upstream_config *> accepting;
     for (const upstream_config &upstream : service.upstreams) {
         if (isAccepting(upstream, panic))
