Fix: deflection for overload no longer cascades at 70% load

Cause: one deflection raised the load of the others above the same threshold. Change: overload needs eight slots of smoothed queue and room at another probed upstream; upstreams that ramp up count as half lost. The hysteresis test reports a queue above the new threshold, otherwise unchanged.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -334,7 +334,9 @@
     }
     if (entry.busy < m_settings.overloadOn || entry.queue < m_settings.queueOn)
         return;
-    entry.isOverloaded = deflectedShare(entry.service, upstream) <= m_settings.overloadShare;
+    // Deflection only moves load; it helps no one when the other upstreams have no room.
+    entry.isOverloaded = !isLoadGeneral(entry.service, upstream)
+        && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
 void health_controller::startHoldOff(record &entry, monotonic_time now)
@@ -360,22 +362,35 @@
     entry.answered *= factor;
 }
 
-double health_controller::deflectedShare(service_id service, upstream_id except) const
+double health_controller::lostShare(service_id service, upstream_id added) const
 {
+    const auto now = m_clock.now();
     double total = 0;
-    double deflected = 0;
+    double lost = 0;
     for (const auto &[id, entry] : m_records) {
         if (entry.service != service)
             continue;
         total += entry.weight;
-        const auto state = m_board.upstreams.find(id);
-        const bool isDeflected = id == except
-            || (state != m_board.upstreams.end()
-                && state->second.condition == upstream_condition::Deflected);
-        if (isDeflected)
-            deflected += entry.weight;
+        const auto found = m_board.upstreams.find(id);
+        if (id == added) {
+            lost += entry.weight;
+        } else if (found != m_board.upstreams.end() && found->second.incarnation > 0) {
+            const upstream_state &state = found->second;
+            const bool isRamping = now - state.changedAt < m_settings.rampTime;
+            const bool isOpen = state.condition == upstream_condition::Open;
+            lost += !isOpen ? entry.weight : isRamping ? entry.weight / 2.0 : 0;
+        }
     }
-    return total > 0 ? deflected / total : 0;
+    return total > 0 ? lost / total : 0;
+}
+
+bool health_controller::isLoadGeneral(service_id service, upstream_id except) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &item) {
+        const record &entry = item.second;
+        return item.first != except && entry.service == service && entry.isProber && entry.hasReport
+            && entry.busy >= m_settings.generalLoad;
+    });
 }
 
 void health_controller::change(upstream_id upstream, upstream_condition condition,
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -39,8 +39,12 @@
     monotonic_time maxHoldOff = std::chrono::seconds(30);
     double overloadOn = 0.95;  ///< smoothed share of slots in use, with queue
     double overloadOff = 0.80; ///< smoothed share of slots in use
-    /// Smoothed queue in slots; a single queued request is normal at 70% load.
-    double queueOn = 2.0;
+    /// Smoothed queue in slots. Eight slots of queue are rare at 70% load by chance.
+    double queueOn = 8.0;
+    /// Smoothed share of slots in use of another upstream at which there is no room elsewhere.
+    double generalLoad = 0.9;
+    /// Time for which a reopened upstream counts half as deflected, because it ramps up.
+    monotonic_time rampTime = std::chrono::seconds(30);
     /// Weight that may be deflected for overload; beyond it the rest would be overloaded too.
     double overloadShare = 0.25;
     std::uint32_t failuresOn = 3; ///< consecutive probe failures
@@ -125,7 +129,8 @@
     void updateOverload(upstream_id upstream, record &entry, monotonic_time now);
     void startHoldOff(record &entry, monotonic_time now);
     void decaySignals(record &entry, monotonic_time now) const;
-    double deflectedShare(service_id service, upstream_id except) const;
+    double lostShare(service_id service, upstream_id added) const;
+    bool isLoadGeneral(service_id service, upstream_id except) const;
     void change(upstream_id upstream, upstream_condition condition, condition_reason reason,
                 monotonic_time now);
     condition_reason reasonOf(const record &entry, monotonic_time now) const;
