--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -244,6 +244,8 @@
             change(upstream, upstream_condition::Deflected, reasonOf(entry, now), now);
         return;
     }
+    if (state.reason != condition_reason::Unreachable && isUnreachable(entry, now))
+        change(upstream, upstream_condition::Deflected, condition_reason::Unreachable, now);
     // A prober that learnt of the deflection from its partner waits for its own calm time too.
     const auto calmSince = std::max(entry.troubleAt, state.changedAt);
     const bool hasEvidence = entry.hasReport || entry.aliveAt > state.changedAt;
@@ -283,16 +285,16 @@
 {
     const bool isAlive = entry.aliveAt >= monotonic_time {0} && now - entry.aliveAt < aliveMemory;
     // Only the report is missing when replies are seen.
-    return entry.failures >= m_settings.failuresOn && !isAlive;
+    if (entry.failures >= m_settings.failuresOn && !isAlive)
+        return true;
+    // Replies are spread over all instances, so unanswered SYNs count only when none is accepted.
+    return entry.unanswered >= m_settings.signalFailures && entry.accepted < 1;
 }
 
 bool health_controller::isFailing(const record &entry, monotonic_time now) const
 {
-    if (entry.hasReport && entry.failures == 0 && !entry.last.isHealthy)
-        return true;
-    // Replies are spread over all instances, so unanswered SYNs count only when none is accepted.
-    return isUnreachable(entry, now)
-        || (entry.unanswered >= m_settings.signalFailures && entry.accepted < 1);
+    const bool isUnhealthy = entry.hasReport && entry.failures == 0 && !entry.last.isHealthy;
+    return isUnhealthy || isUnreachable(entry, now);
 }
 
 condition_reason health_controller::reasonOf(const record &entry, monotonic_time now) const
@@ -332,7 +334,9 @@
     }
     if (entry.busy < m_settings.overloadOn || entry.queue < m_settings.queueOn)
         return;
-    entry.isOverloaded = deflectedShare(entry.service, upstream) <= m_settings.overloadShare;
+    // Deflection only moves load; it helps no one when the other upstreams have no room.
+    entry.isOverloaded = !isLoadGeneral(entry.service, upstream)
+        && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
 void health_controller::startHoldOff(record &entry, monotonic_time now)
@@ -358,32 +362,46 @@
     entry.answered *= factor;
 }
 
-double health_controller::deflectedShare(service_id service, upstream_id except) const
+double health_controller::lostShare(service_id service, upstream_id added) const
 {
+    const auto now = m_clock.now();
     double total = 0;
-    double deflected = 0;
+    double lost = 0;
     for (const auto &[id, entry] : m_records) {
         if (entry.service != service)
             continue;
         total += entry.weight;
-        const auto state = m_board.upstreams.find(id);
-        const bool isDeflected = id == except
-            || (state != m_board.upstreams.end()
-                && state->second.condition == upstream_condition::Deflected);
-        if (isDeflected)
-            deflected += entry.weight;
+        const auto found = m_board.upstreams.find(id);
+        if (id == added) {
+            lost += entry.weight;
+        } else if (found != m_board.upstreams.end() && found->second.incarnation > 0) {
+            const upstream_state &state = found->second;
+            const bool isRamping = now - state.changedAt < m_settings.rampTime;
+            const bool isOpen = state.condition == upstream_condition::Open;
+            lost += !isOpen ? entry.weight : isRamping ? entry.weight / 2.0 : 0;
+        }
     }
-    return total > 0 ? deflected / total : 0;
+    return total > 0 ? lost / total : 0;
+}
+
+bool health_controller::isLoadGeneral(service_id service, upstream_id except) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &item) {
+        const record &entry = item.second;
+        return item.first != except && entry.service == service && entry.isProber && entry.hasReport
+            && entry.busy >= m_settings.generalLoad;
+    });
 }
 
 void health_controller::change(upstream_id upstream, upstream_condition condition,
                                condition_reason reason, monotonic_time now)
 {
     upstream_state &state = m_board.upstreams[upstream];
-    if (state.condition == condition)
+    if (state.condition == condition && state.reason == reason)
         return;
+    if (state.condition != condition)
+        state.changedAt = now;
     state.condition = condition;
-    state.changedAt = now;
     ++state.incarnation;
     state.reason = reason;
     logEvent(log_level::Info, "upstream_condition",
