--- a/tests/support/virtual_time.h
+++ b/tests/support/virtual_time.h
@@ -18,7 +18,7 @@
 namespace chicoryhead::test {
 
 /** Clock that a test moves. */
-class virtual_clock : public clock_source
+class stepped_clock : public clock_source
 {
 public:
     monotonic_time now() const override { return m_now; }
@@ -35,10 +35,10 @@
 };
 
 /** Seeded random source. */
-class seeded_random : public random_source
+class stepped_random : public random_source
 {
 public:
-    explicit seeded_random(std::uint64_t seed) : m_engine(seed) { }
+    explicit stepped_random(std::uint64_t seed) : m_engine(seed) { }
     std::uint64_t next() override { return m_engine(); }
 
 private:
@@ -51,7 +51,7 @@
 public:
     using receiver = std::function<void(std::span<const std::byte>, const endpoint &from)>;
 
-    virtual_network(const virtual_clock &clock, std::uint64_t seed) : m_clock(clock), m_random(seed)
+    virtual_network(const clock_source &clock, std::uint64_t seed) : m_clock(clock), m_random(seed)
     {
     }
 
@@ -105,7 +105,7 @@
 
     double draw() { return std::uniform_real_distribution<double>()(m_random); }
 
-    const virtual_clock &m_clock;
+    const clock_source &m_clock;
     std::mt19937_64 m_random;
     std::map<endpoint, receiver> m_receivers;
     std::map<endpoint, int> m_sides;
--- a/tests/test_peer.cpp
+++ b/tests/test_peer.cpp
@@ -41,7 +41,7 @@
 class node : public peer_sink
 {
 public:
-    node(std::uint32_t id, const virtual_clock &clock, virtual_network &network,
+    node(std::uint32_t id, const stepped_clock &clock, virtual_network &network,
          const membership_settings &settings)
         : m_address {0x7f000001, static_cast<std::uint16_t>(10'000 + id)}
         , m_network(network)
@@ -85,7 +85,7 @@
     endpoint m_address;
     virtual_network &m_network;
     peer_codec m_codec;
-    seeded_random m_random;
+    stepped_random m_random;
     messenger m_messenger;
 };
 
@@ -135,7 +135,7 @@
         return true;
     }
 
-    virtual_clock clock;
+    stepped_clock clock;
     virtual_network network;
     std::map<std::uint32_t, std::unique_ptr<node>> nodes;
 };
