Fix: records survive rolling replacement and partitions

A newcomer was taken to hold all records it is a home for; a record stored by the second home's decision was not copied to joining members; of the former homes only the first sent records, even when it was leaving; homes that changed several times within seconds lost the pair that held the records. With a domain lost, retransmissions more than 5 s apart were dropped for ever, and a guess at the holder let its RST end the flow. Change: former homes that stay ready send first and go on sending until the homes are settled for 30 s; decisions of the other home are copied to joining members. While a domain is lost, and for 30 s after its return, old entries count, transmissions are counted over 60 s, the home remembers a flow that it sent to the holder, and drops an RST of a holder that was a guess.

--- a/src/steering/homes.cpp
+++ b/src/steering/homes.cpp
@@ -155,10 +155,9 @@
     m_hasRevision = true;
 }
 
-flow_homes home_table::flowHomes(flow_hash hash)
+flow_homes home_table::bucketHomes(std::size_t index)
 {
     refresh();
-    const std::size_t index = homeBucket(hash);
     bucket &homes = m_buckets[index];
     if (!homes.filled)
         fill(index);
--- a/src/steering/homes_base.h
+++ b/src/steering/homes_base.h
@@ -54,7 +54,10 @@
     home_table(const blackboard &board, const clock_source &clock, bool keepChanges = false);
 
     /** Homes of a flow under the members on the blackboard now. */
-    flow_homes flowHomes(flow_hash hash);
+    flow_homes flowHomes(flow_hash hash) { return bucketHomes(homeBucket(hash)); }
+
+    /** Homes of the flows of a bucket. */
+    flow_homes bucketHomes(std::size_t bucket);
 
     /** When the homes of a flow last changed, or may have changed, at this instance. */
     monotonic_time changedAt(flow_hash hash);
--- a/src/steering/tracked_slot.cpp
+++ b/src/steering/tracked_slot.cpp
@@ -45,7 +45,8 @@
 constexpr milliseconds memberScanInterval {100};
 constexpr seconds udpTimeout = minutes(5);
 constexpr std::size_t maxUnplacedFlows = 4096;
-constexpr flow_time unplacedWindow = flowDuration(seconds(10));
+/// TCP doubles its timeout; with 10 s, a caller whose timeout has passed 5 s never gets through.
+constexpr flow_time unplacedWindow = flowDuration(seconds(60));
 constexpr unsigned placingTransmission = 3;
 constexpr std::size_t expiredGroupsPerTick = 256;
 constexpr std::size_t expiredBucketsPerTick = 1024;
@@ -68,21 +69,32 @@
     std::vector<bool> slots; ///< by slot; true for those that were untracked before
 };
 
-/** Transmissions of a packet whose flow nobody reachable may know. */
+/** A flow that nobody reachable may know, at a home without a record. */
 struct unplaced_flow
 {
-    std::uint32_t sequence = 0;
-    unsigned transmissions = 0;
-    flow_time firstAt = 0;
+    std::uint32_t sequence = 0; ///< of the packet whose transmissions are counted
+    unsigned transmissions = 0; ///< at placingTransmission, the flow goes to the holder
+    flow_time seenAt = 0;
+    bool isRefuted = false; ///< the holder answered with RST: it doesn't have the flow
 };
 
-/** Change of a bucket's homes whose records are to be copied. */
+/**
+ * Change of a bucket's homes whose records are to be copied. Views differ while several members
+ * change, so the homes before the first change go on sending until the homes are settled.
+ */
 struct pending_handover
 {
-    flow_homes before;
-    monotonic_time due {0};
+    flow_homes origin;            ///< before the first change
+    flow_homes last;              ///< at the last time that records were sent
+    monotonic_time due {0};       ///< when records are to be sent; max() when they were
+    monotonic_time changedAt {0}; ///< last change
 };
 
+bool contains(const flow_homes &homes, instance_id id)
+{
+    return homes.first == id || homes.second == id;
+}
+
 std::size_t slotIndex(const service_config &service, flow_hash hash)
 {
     return static_cast<std::size_t>(hash) & (service.slots.size() - 1);
@@ -243,7 +255,7 @@
         m_flows.expire(m_flowNow, expiredGroupsPerTick);
         expireRecords();
         std::erase_if(m_unplaced, [this](const auto &one) {
-            return m_flowNow - one.second.firstAt >= unplacedWindow;
+            return m_flowNow - one.second.seenAt >= unplacedWindow;
         });
     }
 
@@ -295,9 +307,13 @@
         return entry;
     }
 
+    /**
+     * Whether an entry is certain. While a domain is lost, no home is authoritative, and an old
+     * entry is better than none: a wrong one takes a 5-tuple that was reused meanwhile.
+     */
     bool isTrusted(const flow_entry *entry) const
     {
-        return entry && m_flowNow - entry->confirmedAt < trustWindow;
+        return entry && (m_isDomainLost || m_flowNow - entry->confirmedAt < trustWindow);
     }
 
     /** Whether the upstream of an entry belongs to the packet's service. */
@@ -480,10 +496,14 @@
         if (m_unplaced.size() >= maxUnplacedFlows && !m_unplaced.contains(input.hash))
             return false;
         unplaced_flow &flow = m_unplaced[input.hash];
-        const bool isAgain = flow.transmissions > 0 && flow.sequence == input.packet.sequence
-            && m_flowNow - flow.firstAt < unplacedWindow;
-        if (!isAgain)
-            flow = {input.packet.sequence, 0, m_flowNow};
+        flow.seenAt = m_flowNow;
+        if (flow.isRefuted)
+            return false;
+        if (flow.transmissions >= placingTransmission)
+            return true;
+        if (flow.sequence != input.packet.sequence)
+            flow.transmissions = 0;
+        flow.sequence = input.packet.sequence;
         return ++flow.transmissions >= placingTransmission;
     }
 
@@ -500,10 +520,24 @@
                               || (at->second.isClosing && input.packet.kind != packet_kind::Open)};
         } else if (!closes && m_records.size() < m_maxRecords) {
             m_records.emplace(input.hash, held_record {upstream, m_flowNow, m_flowNow, false});
+            sendToNewerHomes({input.hash, upstream});
+            copyToJoining({input.hash, upstream});
         }
         return forward(input, upstream);
     }
 
+    /** Passes on a record that arrived from a member which still takes this one for a home. */
+    void sendToNewerHomes(const flow_record &record)
+    {
+        const flow_homes homes = m_homes.flowHomes(record.hash);
+        if (homes.first == m_board.self.id || homes.second == m_board.self.id)
+            return;
+        for (const instance_id home : {homes.first, homes.second}) {
+            if (home != noInstance)
+                m_handover.sendHandover(home, record);
+        }
+    }
+
     // ---- placement of new flows
 
     /** Whether new flows of a tracked slot may leave the holder: all instances track the slot. */
@@ -604,7 +638,11 @@
 
         const flow_entry *entry = findFlow(input.hash);
         const bool isKnown = isTrusted(entry) && isUsable(entry, input);
-        if (upstream != (isKnown ? entry->upstream : slot.holder))
+        // The holder may have got a packet of a flow that only the lost side can place.
+        const bool isGuess = !isKnown && m_isDomainLost && isTrackedHere(slot);
+        if (isGuess && upstream == slot.holder && m_unplaced.contains(input.hash))
+            m_unplaced[input.hash].isRefuted = true;
+        if (isGuess || upstream != (isKnown ? entry->upstream : slot.holder))
             return dropMismatch();
         learn(input, upstream, true);
         return detail::forwardTo(upstream);
@@ -661,9 +699,13 @@
             if (!isHeard && m_now - one.since < domainLossTime)
                 lostRecently[one.domain] = true;
         }
-        m_isDomainLost = std::any_of(lost.begin(), lost.end(), [&](const auto &one) {
+        const bool isLostNow = std::any_of(lost.begin(), lost.end(), [&](const auto &one) {
             return one.second && lostRecently.contains(one.first);
         });
+        // After the return of the first member, the records of the other side are still on the way.
+        if (isLostNow)
+            m_domainLostUntil = m_now + homesSettleTime;
+        m_isDomainLost = m_now < m_domainLostUntil;
         std::erase_if(m_announcements, [&](const slot_announcement &one) {
             return lowest >= one.version || m_now - one.appliedAt >= announceDelay;
         });
@@ -691,6 +733,8 @@
         return id != noInstance && state != member_state::Suspect && state != member_state::Dead;
     }
 
+    bool isReady(instance_id id) const { return stateOf(id) == member_state::Ready; }
+
     void noteHomeChanges()
     {
         for (const home_change &change : m_homes.takeChanges()) {
@@ -699,8 +743,9 @@
             const monotonic_time due = isSuspicion ? m_now + suspicionTime : m_now;
             const auto [at, isNew] = m_handovers.try_emplace(change.bucket);
             if (isNew)
-                at->second.before = change.before;
+                at->second.origin = at->second.last = change.before;
             at->second.due = due;
+            at->second.changedAt = m_now;
         }
         m_handoverDue = m_now;
     }
@@ -713,25 +758,46 @@
         for (const auto &[hash, record] : m_records) {
             const auto at = m_handovers.find(homeBucket(hash));
             if (at != m_handovers.end() && at->second.due <= m_now && !record.isClosing)
-                handOverRecord({hash, record.upstream}, at->second.before);
+                handOverRecord({hash, record.upstream}, at->second);
+        }
+        for (auto &[bucket, pending] : m_handovers) {
+            if (pending.due > m_now)
+                continue;
+            pending.due = monotonic_time::max();
+            pending.last = m_homes.bucketHomes(bucket);
         }
-        std::erase_if(m_handovers, [this](const auto &one) { return one.second.due <= m_now; });
+        std::erase_if(m_handovers, [this](const auto &one) {
+            return one.second.due == monotonic_time::max()
+                && m_now - one.second.changedAt >= homesSettleTime;
+        });
         m_handoverDue = monotonic_time::max();
-        for (const auto &[bucket, pending] : m_handovers)
-            m_handoverDue = std::min(m_handoverDue, pending.due);
+        for (const auto &[bucket, pending] : m_handovers) {
+            m_handoverDue =
+                std::min(m_handoverDue, std::min(pending.due, pending.changedAt + homesSettleTime));
+        }
+    }
+
+    /** Whether this instance sends the records that a pair of homes holds. */
+    bool isSenderOf(const flow_homes &homes) const
+    {
+        // A former home that stays ready goes first: a leaving one may receive records after it has
+        // sent its own. When both are lost, whoever holds a copy sends it.
+        instance_id sender = isReady(homes.first) ? homes.first : homes.second;
+        if (!isReady(sender))
+            sender = isAlive(homes.first) ? homes.first : homes.second;
+        return sender == m_board.self.id || !isAlive(sender);
     }
 
-    void handOverRecord(const flow_record &record, const flow_homes &before)
+    void handOverRecord(const flow_record &record, const pending_handover &pending)
     {
-        const instance_id sender = isAlive(before.first) ? before.first : before.second;
-        // When both former homes are lost, whoever holds a copy sends it.
-        if (sender != m_board.self.id && isAlive(sender))
+        if (!isSenderOf(pending.origin) && !isSenderOf(pending.last))
             return;
         const flow_homes now = m_homes.flowHomes(record.hash);
         for (const instance_id home : {now.first, now.second}) {
-            const bool hasIt = home == before.first || home == before.second
-                || home == m_board.self.id || home == noInstance || m_populated.contains(home);
-            if (!hasIt)
+            // A newcomer that received copies while joining gets them again: records of the moment
+            // between two views would otherwise be missing.
+            const bool hasIt = contains(pending.last, home) || home == m_board.self.id;
+            if (!hasIt && home != noInstance)
                 m_handover.sendHandover(home, record);
         }
     }
@@ -815,6 +881,7 @@
     monotonic_time m_scannedAt {0};
     monotonic_time m_resumedUntil {0};
     monotonic_time m_behindSince {0};
+    monotonic_time m_domainLostUntil {0};
     bool m_isVersionBehind = false; ///< a member reports a higher version
     bool m_isVersionLate = false;   ///< behind for versionLagLimit
     bool m_isDomainLost = false;
--- a/tests/support/steering_fixture.h
+++ b/tests/support/steering_fixture.h
@@ -65,6 +65,8 @@
     std::uint64_t refused = 0;         ///< SYN answered with RST
     std::uint64_t broken = 0;          ///< flows that an RST or silence ended
     std::uint64_t strayPayload = 0;    ///< payload packets at an upstream without the flow
+    std::uint64_t earlyStray = 0;      ///< those that were sent fewer than three times
+    std::uint64_t unanswered = 0;      ///< flows that wait for an answer now
     std::uint64_t secondUpstream = 0;  ///< flows with payload at two upstreams
     std::uint64_t wrongService = 0;    ///< packets at an upstream of another service
     std::uint64_t retransmissions = 0; ///< by callers
