--- a/tests/support/steering_fixture.cpp
+++ b/tests/support/steering_fixture.cpp
@@ -152,6 +152,7 @@
 
 void steering_fixture::addService(std::uint32_t id, unsigned upstreams, service_protocol protocol)
 {
+    assert(upstreams > 0);
     service_config &one = m_services[id];
     one.id = static_cast<service_id>(id);
     one.address = {0x0a0a0000 + id, 443};
