--- a/src/steering/homes.cpp
+++ b/src/steering/homes.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <span>
 
 namespace chicoryhead {
 
@@ -17,9 +16,18 @@
 // Above this number of new members, refilling buckets on demand is cheaper than correcting them.
 constexpr std::size_t maxCorrectedMembers = 64;
 
+/**
+ * Rendezvous score. The finalizer of MurmurHash3 is inlined, because a bucket scores thousands of
+ * members.
+ */
 std::uint64_t scoreOf(std::size_t bucket, instance_id id)
 {
-    return mixHash(bucket, idValue(id));
+    std::uint64_t score = bucket * 0x9e3779b97f4a7c15 + idValue(id) * 0xd6e8feb86659fd93;
+    score ^= score >> 33;
+    score *= 0xff51afd7ed558ccd;
+    score ^= score >> 33;
+    score *= 0xc4ceb9fe1a85ec53;
+    return score ^ (score >> 33);
 }
 
 /** Whether a precedes b in the rendezvous order of a bucket. */
@@ -27,7 +35,8 @@
 {
     if (b == noInstance)
         return true;
-    return std::pair(scoreOf(bucket, a), a) > std::pair(scoreOf(bucket, b), b);
+    // Equal scores are impossible: the score is a bijection of its input, which differs by id.
+    return scoreOf(bucket, a) > scoreOf(bucket, b);
 }
 
 } // namespace
@@ -68,33 +77,25 @@
     if (m_ready.empty())
         return;
 
-    const candidate *best = &m_ready.front();
-    std::uint64_t bestScore = scoreOf(index, best->id);
-    for (const candidate &ready : std::span(m_ready).subspan(1)) {
-        const std::uint64_t score = scoreOf(index, ready.id);
-        if (score >= bestScore) {
-            best = &ready;
-            bestScore = score;
-        }
-    }
-    const candidate *second = nullptr;
-    std::uint64_t secondScore = 0;
-    for (const candidate &ready : m_ready) {
-        if (&ready == best)
-            continue;
-        const bool isOther = ready.domain != best->domain;
-        const bool hasOther = second && second->domain != best->domain;
-        if (hasOther && !isOther)
+    m_scores.resize(m_ready.size());
+    std::transform(m_ready.begin(), m_ready.end(), m_scores.begin(),
+                   [&](const candidate &ready) { return scoreOf(index, ready.id); });
+    const auto best = static_cast<std::size_t>(std::max_element(m_scores.begin(), m_scores.end())
+                                               - m_scores.begin());
+    const domain_id domain = m_ready[best].domain;
+    std::size_t second = best;
+    bool hasOther = false;
+    for (std::size_t at = 0; at < m_ready.size(); ++at) {
+        const bool isOther = m_ready[at].domain != domain;
+        if (at == best || (hasOther && !isOther))
             continue;
-        const std::uint64_t score = scoreOf(index, ready.id);
-        if (!second || (isOther && !hasOther) || score >= secondScore) {
-            second = &ready;
-            secondScore = score;
-        }
+        if (second == best || (isOther && !hasOther) || m_scores[at] > m_scores[second])
+            second = at;
+        hasOther = hasOther || isOther;
     }
-    homes.first = *best;
-    if (second)
-        homes.second = *second;
+    homes.first = m_ready[best];
+    if (second != best)
+        homes.second = m_ready[second];
 }
 
 void home_table::noteChange(std::size_t index, const bucket &before)
--- a/src/steering/homes_base.h
+++ b/src/steering/homes_base.h
@@ -102,6 +102,7 @@
     std::vector<candidate> m_ready; ///< ready members, ascending by id
     std::vector<bucket> m_buckets;  ///< homeBucketCount
     std::vector<home_change> m_changes;
+    std::vector<std::uint64_t> m_scores; ///< of m_ready, while a bucket is filled
 };
 
 } // namespace chicoryhead
