Fix: records are scanned only when a handover is due

Cause: while a handover was pending or settling (30 s), each onChange() went through all records, also for changes of configuration and upstreams. Change: handOver() returns early until the earliest due time. Figures: none measured; the work per call falls from all records to none. Conclusion: onChange() is cheap while the members are stable.

--- a/src/steering/tracked_slot.cpp
+++ b/src/steering/tracked_slot.cpp
@@ -250,8 +250,7 @@
         updateTime();
         if (now - m_scannedAt >= memberScanInterval)
             scanMembers();
-        if (!m_handovers.empty() && now >= m_handoverDue)
-            handOver();
+        handOver();
         m_flows.expire(m_flowNow, expiredGroupsPerTick);
         expireRecords();
         std::erase_if(m_unplaced, [this](const auto &one) {
@@ -746,16 +745,21 @@
                 at->second.origin = at->second.last = change.before;
             at->second.due = due;
             at->second.changedAt = m_now;
+            m_handoverDue = std::min(m_handoverDue, due);
         }
-        m_handoverDue = m_now;
     }
 
     /** Copies the records of buckets whose homes changed to the new homes. */
     void handOver()
     {
-        if (m_handovers.empty())
+        if (m_now < m_handoverDue)
             return;
+        const bool isAnyDue =
+            std::any_of(m_handovers.begin(), m_handovers.end(),
+                        [this](const auto &one) { return one.second.due <= m_now; });
         for (const auto &[hash, record] : m_records) {
+            if (!isAnyDue)
+                break;
             const auto at = m_handovers.find(homeBucket(hash));
             if (at != m_handovers.end() && at->second.due <= m_now && !record.isClosing)
                 handOverRecord({hash, record.upstream}, at->second);
