--- a/src/steering/homes_base.h
+++ b/src/steering/homes_base.h
@@ -54,7 +54,10 @@
     home_table(const blackboard &board, const clock_source &clock, bool keepChanges = false);
 
     /** Homes of a flow under the members on the blackboard now. */
-    flow_homes flowHomes(flow_hash hash);
+    flow_homes flowHomes(flow_hash hash) { return bucketHomes(homeBucket(hash)); }
+
+    /** Homes of the flows of a bucket. */
+    flow_homes bucketHomes(std::size_t bucket);
 
     /** When the homes of a flow last changed, or may have changed, at this instance. */
     monotonic_time changedAt(flow_hash hash);
@@ -99,6 +102,7 @@
     std::vector<candidate> m_ready; ///< ready members, ascending by id
     std::vector<bucket> m_buckets;  ///< homeBucketCount
     std::vector<home_change> m_changes;
+    std::vector<std::uint64_t> m_scores; ///< of m_ready, while a bucket is filled
 };
 
 } // namespace chicoryhead
