--- a/src/config/slot_plan.cpp
+++ b/src/config/slot_plan.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <bit>
+#include <cassert>
 #include <cstdint>
 #include <vector>
 
@@ -26,6 +27,12 @@
 
 constexpr std::size_t releaseClasses = 4;
 
+/** Weight of an upstream; 0 can't come from a valid patch and counts as the lowest. */
+std::uint64_t weightOf(const upstream_config &upstream)
+{
+    return std::max<std::uint64_t>(upstream.weight, 1);
+}
+
 /** Plans one table. */
 class slot_planner
 {
@@ -35,12 +42,13 @@
         std::uint64_t totalWeight = 0;
         for (const auto &upstream : service.upstreams) {
             if (upstream.mode == upstream_mode::Active)
-                totalWeight += upstream.weight;
+                totalWeight += weightOf(upstream);
         }
         for (const auto &upstream : service.upstreams) {
             if (upstream.mode != upstream_mode::Active)
                 continue;
-            const std::uint64_t exact = m_slots.size() * std::uint64_t {upstream.weight};
+            assert(totalWeight > 0);
+            const std::uint64_t exact = m_slots.size() * weightOf(upstream);
             m_shares.push_back({upstream.id, exact / totalWeight, 0, exact % totalWeight});
         }
         for (const auto &slot : m_slots) {
