--- a/src/config/config_submitter.cpp
+++ b/src/config/config_submitter.cpp
@@ -29,6 +29,17 @@
     , m_settings(settings)
     , m_caller(store, clock, random, settings.store)
 {
+    m_caller.setLateHandler([this](const key_value &value) { onLateRead(value); });
+}
+
+/** A log key never changes, so an answer after the deadline decides as well. */
+void config_submitter::onLateRead(const key_value &value)
+{
+    if (!m_isActive || value.key != logKey(m_queue.front().patch.baseVersion + 1)
+        || m_queue.front().patch.baseVersion != m_replica.version())
+        return;
+    m_caller.dropQueue();
+    onReadBack(value);
 }
 
 template<typename Handler>
@@ -56,6 +67,7 @@
     if (m_isActive && m_clock.now() >= m_queue.front().deadline) {
         const submission &item = m_queue.front();
         const bool isUnknown = item.isCreateOpen || item.mayHaveCreated;
+        m_caller.dropQueue();
         finish(isUnknown ? error::OutcomeUnknown : error::StoreUnavailable, m_replica.version());
     }
     m_caller.tick();
@@ -75,7 +87,6 @@
     m_queue.pop_front();
     ++m_sequence;
     m_isActive = false;
-    m_caller.dropQueue();
     patch_outcome outcome;
     outcome.code = code;
     outcome.version = version;
--- a/src/config/config_submitter_base.h
+++ b/src/config/config_submitter_base.h
@@ -64,6 +64,7 @@
     void onCreated(result<bool> created);
     void readBack();
     void onReadBack(const result<key_value> &read);
+    void onLateRead(const key_value &value);
     void catchUp();
     void accept();
     /** Wraps a handler so that it runs only while the same submission is active. */
--- a/src/config/distribution.cpp
+++ b/src/config/distribution.cpp
@@ -16,7 +16,9 @@
     , m_settings(settings)
     , m_replica(board, clock)
     , m_reader(m_replica, store, clock, random, settings)
+    , m_maintainer(board, m_replica, clock, m_reader.caller(), settings)
     , m_submitter(m_replica, store, clock, random, settings)
+    , m_auditReader(store, clock, random, settings)
     , m_exchange(board, m_replica, clock, random, messenger, settings)
 {
 }
@@ -24,7 +26,9 @@
 void distribution::tick()
 {
     m_reader.tick(isReader());
+    m_maintainer.tick();
     m_submitter.tick();
+    m_auditReader.tick();
     m_exchange.tick();
 }
 
@@ -48,6 +52,11 @@
     m_submitter.submit(std::move(patch), std::move(handler));
 }
 
+void distribution::readAudit(audit_handler handler)
+{
+    m_auditReader.read(std::move(handler));
+}
+
 void distribution::setAppliedHandler(config_replica::applied_handler handler)
 {
     m_replica.setAppliedHandler(std::move(handler));
@@ -79,7 +88,7 @@
 
 std::uint64_t distribution::storeCallCount() const
 {
-    return m_reader.callCount() + m_submitter.callCount();
+    return m_reader.callCount() + m_submitter.callCount() + m_auditReader.callCount();
 }
 
 } // namespace chicoryhead
--- a/src/config/distribution_base.h
+++ b/src/config/distribution_base.h
@@ -5,11 +5,13 @@
 
 #pragma once
 
+#include "audit_reader_base.h"
 #include "config_json_func.h"
 #include "config_replica_base.h"
 #include "config_submitter_base.h"
 #include "distribution_type.h"
 #include "peer_exchange_base.h"
+#include "store_maintainer_base.h"
 #include "store_reader_base.h"
 
 #include <cstdint>
@@ -23,8 +25,6 @@
 class distribution
 {
 public:
-    using audit_handler = std::function<void(result<std::vector<audit_entry>>)>;
-
     distribution(blackboard &board, const clock_source &clock, random_source &random,
                  key_value_store &store, config_messenger &messenger,
                  const distribution_settings &settings);
@@ -42,6 +42,9 @@
     /** Submits a patch; the handler runs once, within the submit deadline and one call. */
     void submit(config_patch patch, submit_handler handler);
 
+    /** Reads the newest audit entries, ascending by version; fails with the store's error. */
+    void readAudit(audit_handler handler);
+
     /** Called after a version was put in force, to tell peers. */
     void setAppliedHandler(config_replica::applied_handler handler);
 
@@ -60,7 +63,9 @@
     const distribution_settings m_settings;
     config_replica m_replica;
     store_reader m_reader;
+    store_maintainer m_maintainer;
     config_submitter m_submitter;
+    audit_reader m_auditReader;
     peer_exchange m_exchange;
     bool m_isReader = true;
     /// Revision of the members that m_isReader was computed for.
--- a/src/config/store_caller.cpp
+++ b/src/config/store_caller.cpp
@@ -7,6 +7,7 @@
 #include "store_caller_base.h"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace chicoryhead {
 
@@ -27,6 +28,25 @@
 {
 }
 
+template<typename Value>
+void store_caller::takeLate(const result<Value> &value)
+{
+    if constexpr (std::is_same_v<Value, key_value>) {
+        if (m_onLateRead && value && value.value().modifyIndex != 0)
+            m_onLateRead(value.value());
+    }
+}
+
+/** A late success shows that the service works, only slowly: a long pause would help nobody. */
+void store_caller::endBackoff(std::uint64_t token, bool isSuccess)
+{
+    if (!isSuccess || token != m_callCount)
+        return;
+    m_failures = 0;
+    m_budget = std::min(m_budget + 1, m_settings.retryBudget);
+    m_notBefore = std::min(m_notBefore, m_clock.now() + m_settings.minBackoff);
+}
+
 template<typename Value>
 void store_caller::enqueue(std::function<void(std::function<void(result<Value>)>)> start,
                            std::function<void(result<Value>)> handler, std::error_code timeoutCode,
@@ -40,8 +60,12 @@
     call.start = [this, start = std::move(start), handler](std::uint64_t token) {
         const std::weak_ptr<int> alive = m_alive;
         start([this, alive, token, handler](result<Value> value) {
-            if (alive.expired() || !finish(token, value.has_value()))
+            if (alive.expired())
                 return;
+            if (!finish(token, value.has_value())) {
+                endBackoff(token, value.has_value());
+                return takeLate(value);
+            }
             handler(std::move(value));
             if (!alive.expired())
                 startNext();
--- a/src/config/store_caller_base.h
+++ b/src/config/store_caller_base.h
@@ -47,6 +47,15 @@
     /** Lists keys; error::Timeout after the deadline. */
     void listKeys(const std::string &prefix, key_value_store::keys_handler handler);
 
+    /**
+     * Sets a function for reads that are answered after their deadline. Their handlers have run
+     * with an error already, but what was read is still true of keys that never change.
+     */
+    void setLateHandler(std::function<void(const key_value &)> handler)
+    {
+        m_onLateRead = std::move(handler);
+    }
+
     /** Ends calls that passed their deadline and starts the next one after a backoff. */
     void tick();
 
@@ -74,6 +83,9 @@
                  std::function<void(result<Value>)> handler, std::error_code timeoutCode,
                  monotonic_time deadline);
     bool finish(std::uint64_t token, bool isSuccess);
+    template<typename Value>
+    void takeLate(const result<Value> &value);
+    void endBackoff(std::uint64_t token, bool isSuccess);
     void startNext();
     monotonic_time backoff();
 
@@ -82,6 +94,7 @@
     random_source &m_random;
     const store_caller_settings m_settings;
     std::deque<queued_call> m_queue;
+    std::function<void(const key_value &)> m_onLateRead;
     std::function<void()> m_expire; ///< of the call that is carried out
     std::uint64_t m_current = 0;    ///< token of the call that is carried out, or 0
     std::uint64_t m_callCount = 0;
--- a/src/config/store_reader.cpp
+++ b/src/config/store_reader.cpp
@@ -12,6 +12,13 @@
 
 namespace chicoryhead {
 
+namespace {
+
+/// Bounds the rate if the service answers watches at once although nothing changed.
+constexpr monotonic_time minWatchInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
 store_reader::store_reader(config_replica &replica, key_value_store &store,
                            const clock_source &clock, random_source &random,
                            const distribution_settings &settings)
@@ -21,6 +28,7 @@
     , m_caller(store, clock, random, settings.store)
     , m_watcher(store, clock, random, settings.store)
 {
+    m_caller.setLateHandler([this](const key_value &value) { applyEntry(value); });
 }
 
 void store_reader::tick(bool isReader)
@@ -30,9 +38,9 @@
     m_watcher.tick();
     if (!isReader && m_isLoaded)
         return;
-    if (!m_isBusy && m_caller.isIdle() && m_clock.now() >= m_nextPoll)
+    if (!m_isBusy && m_clock.now() >= m_nextPoll)
         poll();
-    if (m_isLoaded && m_watcher.isIdle())
+    if (m_isLoaded && m_watcher.isIdle() && m_clock.now() >= m_nextWatch)
         startWatch();
 }
 
@@ -60,17 +68,28 @@
         m_isLoaded = true;
         return;
     }
-    const auto entry = decodeLogEntry(read.value().value);
-    if (!entry) {
-        logEvent(log_level::Error, "log_entry_malformed", {{"key", read.value().key}});
+    if (!applyEntry(read.value()))
         return;
-    }
-    m_replica.advance(entry.value().change, encodeChange(entry.value().change));
     // More may follow; the poll after the last one ends the loading.
     if (m_isReader || !m_isLoaded)
         poll();
 }
 
+/** Puts the next version in force if the value is its log entry. */
+bool store_reader::applyEntry(const key_value &value)
+{
+    const auto version = parseKey(value.key, logPrefix);
+    if (!version || *version > m_replica.version() + 1)
+        return false;
+    const auto entry = decodeLogEntry(value.value);
+    if (!entry) {
+        logEvent(log_level::Error, "log_entry_malformed", {{"key", value.key}});
+        return false;
+    }
+    m_replica.advance(entry.value().change, encodeChange(entry.value().change));
+    return true;
+}
+
 void store_reader::readHead()
 {
     m_isBusy = true;
@@ -135,6 +154,7 @@
 
 void store_reader::startWatch()
 {
+    m_nextWatch = m_clock.now() + minWatchInterval;
     m_watcher.watch(headKey, m_headIndex, m_settings.watchWait,
                     [this](const result<key_value> &read) {
                         if (!read)
--- a/src/config/store_reader_base.h
+++ b/src/config/store_reader_base.h
@@ -43,6 +43,7 @@
 private:
     void poll();
     void onPolled(config_version wanted, const result<key_value> &read);
+    bool applyEntry(const key_value &value);
     void readHead();
     void onHead(const result<key_value> &read);
     void readSnapshot(config_version version, std::size_t part);
@@ -60,7 +61,7 @@
     bool m_isBusy = false; ///< a poll or a load is under way
     bool m_isReader = false;
     monotonic_time m_nextPoll {0};
-    monotonic_time m_nextHeadCheck {0};
+    monotonic_time m_nextWatch {0};
     config_version m_head = 0; ///< highest value of head that was read
     std::uint64_t m_headIndex = 0;
     config_version m_headValue = 0; ///< value at m_headIndex
