--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -7,6 +7,8 @@
 #include "core/codec_func.h"
 
 #include <limits>
+#include <sstream>
+#include <utility>
 
 namespace chicoryhead {
 
@@ -136,11 +138,16 @@
 
 namespace {
 
+/** As encodeBinary(), without the copies that would count for a whole configuration. */
 template<typename Value>
 std::string encode(std::uint8_t format, const Value &value)
 {
-    const auto bytes = encodeBinary(format, value);
-    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(format, value);
+    }
+    return std::move(stream).str();
 }
 
 template<typename Value>
--- a/src/config/config_replica_base.h
+++ b/src/config/config_replica_base.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicoryhead {
@@ -58,8 +59,8 @@
     /** Encoded change that leads to a version, or nullptr if it isn't held any more. */
     const std::string *findChange(config_version version) const;
 
-    /** Configuration at the last version that is due for a snapshot, or nullptr. */
-    const std::shared_ptr<const configuration> &snapshotDue() const { return m_snapshotDue; }
+    /** The last version that is due for a snapshot, or nullptr; given out once. */
+    std::shared_ptr<const configuration> takeSnapshotDue() { return std::move(m_snapshotDue); }
 
 private:
     void publish(std::shared_ptr<const configuration> config);
--- a/src/config/config_submitter.cpp
+++ b/src/config/config_submitter.cpp
@@ -19,6 +19,9 @@
 /// paused could otherwise create a key that was trimmed meanwhile.
 constexpr monotonic_time maxHeadAge = std::chrono::seconds(60);
 
+/// Patches that wait; more are refused at once, as they would wait longer than their authors.
+constexpr std::size_t maxQueue = 100;
+
 } // namespace
 
 config_submitter::config_submitter(config_replica &replica, key_value_store &store,
@@ -56,7 +59,12 @@
     submission item;
     item.patch = std::move(patch);
     item.handler = std::move(handler);
-    item.deadline = m_clock.now() + m_settings.submitDeadline;
+    if (m_queue.size() >= maxQueue) {
+        patch_outcome outcome;
+        outcome.code = error::StoreUnavailable;
+        outcome.version = m_replica.version();
+        return item.handler(outcome);
+    }
     m_queue.push_back(std::move(item));
     if (!m_isActive)
         begin();
@@ -76,6 +84,7 @@
 void config_submitter::begin()
 {
     m_isActive = true;
+    m_queue.front().deadline = m_clock.now() + m_settings.submitDeadline;
     m_caller.resetBackoff();
     resume();
 }
@@ -155,6 +164,11 @@
         return finish(next.error(), m_replica.version(), std::move(problems));
     item.entry = makeLogEntry(item.patch, *m_replica.config(), *next.value());
     item.value = encodeLogEntry(item.entry);
+    // A patch that didn't come from JSON may hold what JSON can't, such as invalid UTF-8.
+    const auto decoded = decodeLogEntry(item.value);
+    if (!decoded || decoded.value().patch.id != item.patch.id)
+        return finish(error::ValidationFailed, m_replica.version(),
+                      {{"", "can't be expressed in JSON"}});
     if (item.value.size() > maxValueBytes)
         return finish(error::ValidationFailed, m_replica.version(),
                       {{"operations", "too large for one patch; split it"}});
--- a/src/config/distribution_base.h
+++ b/src/config/distribution_base.h
@@ -39,7 +39,10 @@
     /** A page arrives from a peer. */
     void onPage(instance_id sender, const config_page &page);
 
-    /** Submits a patch; the handler runs once, within the submit deadline and one call. */
+    /**
+     * Submits a patch; patches of one instance are submitted one after another. The handler runs
+     * once, within the submit deadline after the patch's turn has come.
+     */
     void submit(config_patch patch, submit_handler handler);
 
     /** Reads the newest audit entries, ascending by version; fails with the store's error. */
--- a/src/config/peer_exchange.cpp
+++ b/src/config/peer_exchange.cpp
@@ -28,6 +28,11 @@
     const std::size_t end = std::size_t {piece.offset} + piece.bytes.size();
     if (piece.total == 0 || piece.total > maxAssemblyBytes || end > piece.total || end <= size)
         return;
+    if (m_total != 0 && piece.total != m_total) {
+        // Two values under one version: one of them is damaged, so both are pulled again.
+        *this = {};
+        return;
+    }
     m_total = piece.total;
     if (piece.offset > size) {
         if (m_ahead.size() < maxPiecesAhead)
@@ -117,6 +122,7 @@
 
 void peer_exchange::tick()
 {
+    expireServed();
     if (m_source == noInstance || m_clock.now() < m_pullAgainAt)
         return;
     const monotonic_time timeout = std::min(m_timeout * 2, m_settings.maxPullTimeout);
@@ -134,7 +140,8 @@
 void peer_exchange::onPage(instance_id sender, const config_page &page)
 {
     const config_version before = m_replica.version();
-    const bool isUseful = page.isSnapshot ? takeSnapshotPieces(page) : takeChangePieces(page);
+    const bool isUseful =
+        page.isSnapshot ? takeSnapshotPieces(sender, page) : takeChangePieces(page);
     onPeerVersion(sender, page.newest);
     if (!isUseful || sender != m_source)
         return;
@@ -154,15 +161,16 @@
         startPull(m_source);
 }
 
-bool peer_exchange::takeSnapshotPieces(const config_page &page)
+bool peer_exchange::takeSnapshotPieces(instance_id sender, const config_page &page)
 {
     bool isUseful = false;
     for (const auto &piece : page.pieces) {
         if (piece.version <= m_replica.version())
             continue;
         if (piece.version != m_snapshotVersion) {
-            // Another snapshot replaces the one in transfer only from its beginning.
-            if (piece.offset != 0)
+            // Another snapshot replaces the one in transfer only from its beginning, and only
+            // from the peer that is being pulled from, which doesn't have the other one then.
+            if (piece.offset != 0 || (m_snapshotVersion != 0 && sender != m_source))
                 continue;
             m_snapshotVersion = piece.version;
             m_snapshot = {};
--- a/src/config/peer_exchange_base.h
+++ b/src/config/peer_exchange_base.h
@@ -52,7 +52,7 @@
     void tick();
 
 private:
-    /** A snapshot that peers are pulling. */
+    /** The snapshot that peers are pulling; changes after it bring them up to date. */
     struct served_snapshot
     {
         config_version version = 0;
@@ -63,11 +63,12 @@
     void startPull(instance_id peer);
     void stopPull();
     instance_id choosePeer();
-    bool takeSnapshotPieces(const config_page &page);
+    bool takeSnapshotPieces(instance_id sender, const config_page &page);
     bool takeChangePieces(const config_page &page);
     void continuePull(config_version before);
     bool prefersSnapshot(config_version have) const;
-    const served_snapshot &serveSnapshot(config_version wanted);
+    const served_snapshot &serveSnapshot(config_version have);
+    void expireServed();
     void sendChanges(instance_id peer, const config_pull &pull);
     void sendSnapshot(instance_id peer, const config_pull &pull);
 
@@ -86,7 +87,7 @@
     config_version m_snapshotVersion = 0; ///< snapshot being transferred, or 0
     piece_assembly m_snapshot;
     std::map<config_version, piece_assembly> m_changes;
-    std::vector<served_snapshot> m_served;
+    served_snapshot m_served; ///< version 0 for none
 };
 
 } // namespace chicoryhead
--- a/src/config/peer_pages.cpp
+++ b/src/config/peer_pages.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t serviceBytes = 80;
 constexpr std::size_t upstreamBytes = 55;
 constexpr std::size_t slotBytes = 2;
-constexpr std::size_t maxServed = 2;
 constexpr monotonic_time servedFor = std::chrono::seconds(60);
 
 std::size_t estimateSnapshot(const configuration &config)
@@ -51,9 +50,6 @@
 
 void peer_exchange::onPull(instance_id sender, const config_pull &pull)
 {
-    std::erase_if(m_served, [this](const served_snapshot &item) {
-        return item.lastUsed + servedFor < m_clock.now();
-    });
     if (pull.have >= m_replica.version())
         return;
     if (pull.snapshot > pull.have || prefersSnapshot(pull.have))
@@ -95,27 +91,30 @@
     }
 }
 
-const peer_exchange::served_snapshot &peer_exchange::serveSnapshot(config_version wanted)
+/** Encodes a snapshot, unless one is held that the changes after it can bring up to date. */
+const peer_exchange::served_snapshot &peer_exchange::serveSnapshot(config_version have)
 {
-    auto at = std::find_if(m_served.begin(), m_served.end(),
-                           [wanted](const auto &item) { return item.version == wanted; });
-    if (at == m_served.end() && !m_served.empty() && m_served.back().version == m_replica.version())
-        at = m_served.end() - 1;
-    if (at == m_served.end()) {
-        if (m_served.size() >= maxServed)
-            m_served.erase(m_served.begin());
+    const bool isCurrent = m_served.version == m_replica.version();
+    const bool leadsOn = isCurrent || m_replica.findChange(m_served.version + 1) != nullptr;
+    if (m_served.version <= have || !leadsOn) {
         // Without the accepted patches, which the joiner reads from the store when it needs them.
-        const config_snapshot snapshot {computeChange({}, *m_replica.config()), {}};
-        m_served.push_back({m_replica.version(), encodeSnapshot(snapshot), {}});
-        at = m_served.end() - 1;
+        m_served.version = m_replica.version();
+        m_served.bytes = encodeSnapshot({computeChange({}, *m_replica.config()), {}});
     }
-    at->lastUsed = m_clock.now();
-    return *at;
+    m_served.lastUsed = m_clock.now();
+    return m_served;
+}
+
+/** Frees the snapshot when no peer has pulled for a while. */
+void peer_exchange::expireServed()
+{
+    if (m_served.version != 0 && m_served.lastUsed + servedFor < m_clock.now())
+        m_served = {};
 }
 
 void peer_exchange::sendSnapshot(instance_id peer, const config_pull &pull)
 {
-    const served_snapshot &snapshot = serveSnapshot(pull.snapshot);
+    const served_snapshot &snapshot = serveSnapshot(pull.have);
     std::size_t offset = snapshot.version == pull.snapshot ? pull.offset : 0;
     for (std::size_t i = 0; i < m_settings.pagesPerPull; ++i) {
         config_page page;
--- a/src/config/store_maintainer.cpp
+++ b/src/config/store_maintainer.cpp
@@ -9,6 +9,8 @@
 #include "store_layout_func.h"
 #include "store_maintainer_base.h"
 
+#include <algorithm>
+
 namespace chicoryhead {
 
 namespace {
@@ -27,11 +29,10 @@
 
 void store_maintainer::tick()
 {
-    const auto &due = m_replica.snapshotDue();
-    if (due && due->version > m_planned && !m_isBusy)
-        plan();
     if (m_isBusy)
         return;
+    if (const auto due = m_replica.takeSnapshotDue())
+        plan(due);
     if (m_due && m_clock.now() >= m_snapshotAt)
         checkSnapshot();
     else if (!m_due && m_trimVersion != 0 && m_clock.now() >= m_trimAt)
@@ -39,10 +40,8 @@
 }
 
 /** Decides whether and when this instance writes the snapshot of a version. */
-void store_maintainer::plan()
+void store_maintainer::plan(const std::shared_ptr<const configuration> &due)
 {
-    const auto &due = m_replica.snapshotDue();
-    m_planned = due->version;
     const std::uint64_t own = mixHash(due->version, idValue(m_board.self.id));
     std::uint64_t rank = 0;
     for (const auto &[id, other] : m_board.members) {
@@ -62,7 +61,9 @@
 void store_maintainer::fail()
 {
     m_isBusy = false;
-    m_snapshotAt = m_trimAt = m_clock.now() + retryPause;
+    m_snapshotAt = m_clock.now() + retryPause;
+    // A snapshot that fails must not shorten the delay of trimming.
+    m_trimAt = std::max(m_trimAt, m_snapshotAt);
 }
 
 void store_maintainer::checkSnapshot()
--- a/src/config/store_maintainer_base.h
+++ b/src/config/store_maintainer_base.h
@@ -34,7 +34,7 @@
     void tick();
 
 private:
-    void plan();
+    void plan(const std::shared_ptr<const configuration> &due);
     void checkSnapshot();
     void fillAccepted(config_version missing);
     void fillFromSnapshot(config_version version, std::size_t part);
@@ -61,7 +61,6 @@
     store_caller &m_caller;
     const distribution_settings m_settings;
 
-    config_version m_planned = 0;               ///< version of the last snapshot that was planned
     bool m_isBusy = false;                      ///< a call is under way
     std::shared_ptr<const configuration> m_due; ///< to be written, or nullptr
     monotonic_time m_snapshotAt {0};
--- a/src/config/store_reader.cpp
+++ b/src/config/store_reader.cpp
@@ -63,15 +63,16 @@
         return;
     if (read.value().modifyIndex == 0) {
         // Head says that there is more, so the entry was trimmed and a snapshot is needed.
-        if (m_head >= wanted && m_replica.version() < wanted)
-            return readHead();
-        m_isLoaded = true;
+        if (m_head < wanted || m_replica.version() >= wanted)
+            m_isLoaded = true;
+        else if (m_clock.now() >= m_nextReload)
+            readHead();
         return;
     }
     if (!applyEntry(read.value()))
         return;
     // More may follow; the poll after the last one ends the loading.
-    if (m_isReader || !m_isLoaded)
+    if (m_replica.version() >= wanted && (m_isReader || !m_isLoaded))
         poll();
 }
 
@@ -93,6 +94,8 @@
 void store_reader::readHead()
 {
     m_isBusy = true;
+    // Where neither the log nor a snapshot leads on, this is tried once per poll interval.
+    m_nextReload = m_clock.now() + m_settings.pollInterval;
     m_caller.get(headKey, [this](const result<key_value> &read) { onHead(read); });
 }
 
--- a/src/config/store_reader_base.h
+++ b/src/config/store_reader_base.h
@@ -62,6 +62,7 @@
     bool m_isReader = false;
     monotonic_time m_nextPoll {0};
     monotonic_time m_nextWatch {0};
+    monotonic_time m_nextReload {0};
     config_version m_head = 0; ///< highest value of head that was read
     std::uint64_t m_headIndex = 0;
     config_version m_headValue = 0; ///< value at m_headIndex
--- a/tests/support/fake_store_fleet.cpp
+++ b/tests/support/fake_store_fleet.cpp
@@ -23,6 +23,7 @@
 
 void instance_under_test::sendPull(instance_id to, const config_pull &pull)
 {
+    owner.bytes += encodeBinary(1, pull).size();
     owner.carry(*this, to, [sender = id, pull](instance_under_test &target) {
         target.core->onPull(sender, pull);
     });
@@ -31,6 +32,7 @@
 void instance_under_test::sendPage(instance_id to, const config_page &page)
 {
     const auto bytes = encodeBinary(1, page);
+    owner.bytes += bytes.size();
     owner.largestPage = std::max(owner.largestPage, bytes.size());
     owner.carry(*this, to, [sender = id, bytes](instance_under_test &target) {
         const auto decoded = decodeBinary<config_page>(1, bytes);
@@ -54,6 +56,7 @@
     std::set<std::string> logged;
     for (config_version version = 1; version <= newest(); ++version) {
         const auto entry = decodeLogEntry(store.read(logKey(version)).value);
+        INFO("version " << version);
         REQUIRE(entry);
         CHECK(store.creations[logKey(version)] == 1);
         const std::string id = entry.value().patch.id;
--- a/tests/support/fake_store_fleet.h
+++ b/tests/support/fake_store_fleet.h
@@ -176,6 +176,7 @@
     unsigned doubled = 0;                               ///< percent of messages
     unsigned decreases = 0;
     std::size_t largestPage = 0;
+    std::uint64_t bytes = 0; ///< of pulls and pages
     domain_id cutDomain {99};
 
 private:
--- a/tests/test_distribution.cpp
+++ b/tests/test_distribution.cpp
@@ -79,14 +79,16 @@
     fleet all(3);
     start(all, 15);
     const std::uint64_t before = storeCalls(all);
+    const std::uint64_t bytesBefore = all.bytes;
     const auto spreads = measureSpread(all, 60);
     const double calls = static_cast<double>(storeCalls(all) - before) / 15 / 300;
+    const double bytes = static_cast<double>(all.bytes - bytesBefore) / 15 / 300;
     const std::uint64_t idleBefore = storeCalls(all);
     all.run(seconds(300));
     const double idleCalls = static_cast<double>(storeCalls(all) - idleBefore) / 15 / 300;
     report("15 instances", spreads);
     std::cout << "store calls per second and instance: " << idleCalls << " idle, " << calls
-              << " at one change each 5 s\n";
+              << " at one change each 5 s; bytes of pulls and pages: " << bytes << '\n';
     CHECK(spreads.back() < 7);
     CHECK(idleCalls < 0.5);
     all.checkHistory();
--- a/tests/test_distribution_log.cpp
+++ b/tests/test_distribution_log.cpp
@@ -159,3 +159,31 @@
     all.run(seconds(5));
     CHECK(hasFailed);
 }
+
+TEST_CASE("a snapshot of many pages arrives although pages are lost, doubled and reordered",
+          "[distribution]")
+{
+    fleet all(16);
+    start(all, 3);
+    config_patch patch {"many", "ama", "many services", 1, wall_time(1), {}};
+    for (std::uint32_t i = 1; i <= 100; ++i) {
+        patch_operation operation = createDesk().operations[0];
+        operation.service = "service " + std::to_string(i);
+        operation.newService.address.address += i;
+        patch.operations.push_back(operation);
+    }
+    all.submit(0, patch);
+    all.run(seconds(20));
+    REQUIRE(all.haveAll(2));
+    // More changes than are held one by one, so that only a snapshot leads to the last version.
+    advanceTo(all, 0, 600);
+    all.lost = all.doubled = 10;
+    all.store.isReachable = false;
+    all.add(1);
+    all.run(seconds(120));
+    REQUIRE(all.haveAll(600));
+    CHECK(all.largestPage <= maxPageBytes);
+    all.store.isReachable = true;
+    all.run(seconds(40));
+    all.checkHistory();
+}
