--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -9,6 +9,8 @@
 #include "command.h"
 #include "table/command_table.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace chicoryhead {
@@ -101,7 +103,12 @@
     const command_call call {environment, {first, line.words.end()}};
     if (call.operands.size() < entry.minOperands || call.operands.size() > entry.maxOperands)
         return failUsage(environment, "usage: chicoryhead " + usageLine(entry));
-    return entry.run(call);
+    try {
+        return entry.run(call);
+    } catch (const nlohmann::json::exception &problem) {
+        return fail(call, exit_code::Unavailable,
+                    std::string("the answer has an unexpected form: ") + problem.what());
+    }
 }
 
 } // namespace
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -51,9 +51,12 @@
 exit_code readDocument(const command_call &call, const std::string &path,
                        nlohmann::ordered_json &document);
 
-/** Reads a JSON document from one instance. */
-exit_code readDocumentFrom(const command_call &call, const std::string &server,
-                           const std::string &path, nlohmann::ordered_json &document);
+/**
+ * Reads a JSON document from one instance.
+ * @return what went wrong, for people; empty when document was set.
+ */
+std::string tryReadDocument(const command_call &call, const std::string &url,
+                            nlohmann::ordered_json &document);
 
 /** Reads a whole file, "-" for standard input. Errors: std::errc::no_such_file_or_directory. */
 result<std::string> readTextFile(const std::string &path);
--- a/src/cli/command_change.cpp
+++ b/src/cli/command_change.cpp
@@ -42,7 +42,7 @@
     json document;
     const auto code = readDocument(call, "/v1/instances", document);
     if (code == exit_code::Done)
-        version = document.value("version", config_version {0});
+        version = document.at("version").get<config_version>();
     return code;
 }
 
@@ -80,6 +80,13 @@
         call.environment.err << "  " << (path.empty() ? "patch" : path) << ": " << message << '\n';
 }
 
+/** A text in an answer, or "-" when it is missing. */
+std::string textOf(const json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : "-";
+}
+
 /** Prints the outcome for people. */
 void printOutcome(const command_call &call, exit_code code, const std::string &id,
                   config_version base, const json &outcome)
@@ -90,7 +97,7 @@
         call.environment.out << "accepted as version " << version << ", patch " << id << '\n';
         return;
     }
-    err << "chicoryhead: " << outcome.value("error", std::string("no reason given")) << '\n';
+    err << "chicoryhead: " << textOf(outcome, "error") << '\n';
     if (code == exit_code::Refused) {
         err << "  based on version " << base << ", current version " << version << '\n';
         for (const auto &line : outcome.value("changed_since", json::array()))
@@ -98,8 +105,7 @@
                 << '\n';
     }
     for (const auto &problem : outcome.value("problems", json::array()))
-        err << "  " << problem.value("path", std::string()) << ": "
-            << problem.value("message", std::string()) << '\n';
+        err << "  " << textOf(problem, "path") << ": " << textOf(problem, "message") << '\n';
     if (code == exit_code::Unknown)
         err << "  send it again with --id " << id << " --base " << base
             << " to learn the outcome\n";
@@ -137,6 +143,9 @@
         outcome = json::object();
     if (!response)
         outcome["error"] = response.error().message();
+    // Something that is not an instance may answer with status 200.
+    if (code == exit_code::Done && !outcome.contains("version"))
+        code = exit_code::Unknown;
     if (FLAGS_json) {
         outcome["id"] = id;
         outcome["base_version"] = base;
--- a/src/cli/command_local.cpp
+++ b/src/cli/command_local.cpp
@@ -59,28 +59,27 @@
     return code;
 }
 
-exit_code readDocumentFrom(const command_call &call, const std::string &server,
-                           const std::string &path, nlohmann::ordered_json &document)
+std::string tryReadDocument(const command_call &call, const std::string &url,
+                            nlohmann::ordered_json &document)
 {
-    const auto response = call.environment.client.get(server + path);
+    const auto response = call.environment.client.get(url);
     if (!response)
-        return fail(call, exit_code::Unavailable, server + ": " + response.error().message());
+        return url + ": " + response.error().message();
     const auto &[status, body] = response.value();
     if (status != 200)
-        return fail(call, exit_code::Unavailable,
-                    server + path + ": status " + std::to_string(status) + ": " + errorText(body));
+        return url + ": status " + std::to_string(status) + ": " + errorText(body);
     document = nlohmann::ordered_json::parse(body, nullptr, false);
-    if (document.is_discarded())
-        return fail(call, exit_code::Unavailable, server + path + ": the answer is not JSON");
-    return exit_code::Done;
+    return document.is_discarded() ? url + ": the answer is not JSON" : std::string();
 }
 
 exit_code readDocument(const command_call &call, const std::string &path,
                        nlohmann::ordered_json &document)
 {
     for (const auto &server : serverUrls(call)) {
-        if (readDocumentFrom(call, server, path, document) == exit_code::Done)
+        const std::string problem = tryReadDocument(call, server + path, document);
+        if (problem.empty())
             return exit_code::Done;
+        fail(call, exit_code::Unavailable, problem);
     }
     return exit_code::Unavailable;
 }
--- a/src/cli/command_read.cpp
+++ b/src/cli/command_read.cpp
@@ -101,14 +101,21 @@
     }
 }
 
-/** Asks all servers; those that do not answer are skipped. */
-std::map<std::uint64_t, instance_view> readViews(const command_call &call)
+/**
+ * Asks all servers; those that do not answer are skipped.
+ * @param problems gets one line for each of them.
+ */
+std::map<std::uint64_t, instance_view> readViews(const command_call &call,
+                                                 std::vector<std::string> &problems)
 {
     std::map<std::uint64_t, instance_view> views;
     for (const auto &server : serverUrls(call)) {
         json document;
-        if (readDocumentFrom(call, server, "/v1/instances", document) == exit_code::Done)
+        const std::string problem = tryReadDocument(call, server + "/v1/instances", document);
+        if (problem.empty())
             addViews(document, views);
+        else
+            problems.push_back(problem);
     }
     std::erase_if(views, [](const auto &entry) { return entry.second.state == "dead"; });
     return views;
@@ -168,8 +175,9 @@
     const auto code = readDocument(call, "/v1/instances", document);
     if (code != exit_code::Done)
         return code;
-    if (!printJson(call, {{"version", document.value("version", config_version {0})}}))
-        call.environment.out << cell(document, "version") << '\n';
+    const auto version = document.at("version").get<config_version>();
+    if (!printJson(call, {{"version", version}}))
+        call.environment.out << version << '\n';
     return exit_code::Done;
 }
 
@@ -183,12 +191,15 @@
 
     const auto deadline = call.environment.now() + std::chrono::seconds(FLAGS_timeout);
     while (true) {
-        const auto views = readViews(call);
+        std::vector<std::string> problems;
+        const auto views = readViews(call, problems);
         auto lagging = views;
         std::erase_if(lagging,
                       [version](const auto &entry) { return entry.second.version >= version; });
         const bool isDone = !views.empty() && lagging.empty();
         if (isDone || call.environment.now() >= deadline) {
+            for (const auto &problem : problems)
+                fail(call, exit_code::Unavailable, problem);
             if (!views.empty())
                 printWait(call, version, lagging, views.size());
             if (isDone)
@@ -239,9 +250,9 @@
     text_table table({"INSTANCE", "SERVICE", "UPSTREAM", "MODE", "FLOWS"});
     for (const auto &server : serverUrls(call)) {
         json document;
-        const auto read = readDocumentFrom(call, server, "/v1/flows", document);
-        if (read != exit_code::Done) {
-            code = read;
+        const std::string problem = tryReadDocument(call, server + "/v1/flows", document);
+        if (!problem.empty()) {
+            code = fail(call, exit_code::Unavailable, problem);
             continue;
         }
         document["upstreams"] = filterService(call, rowsOf(document, "upstreams"));
--- a/src/cli/curl_client.cpp
+++ b/src/cli/curl_client.cpp
@@ -33,6 +33,8 @@
     curl_handle handle(curl_easy_init(), curl_easy_cleanup);
     curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle.get(), CURLOPT_PROTOCOLS_STR, "http,https");
+    // A proxy from the environment would see the operator's token.
+    curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
     curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle.get(), CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
     curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, requestTimeoutMs);
--- a/src/cli/text_table.cpp
+++ b/src/cli/text_table.cpp
@@ -33,11 +33,9 @@
         std::string line;
         for (std::size_t i = 0; i < row.size(); ++i) {
             line += row[i];
-            // The last column is not padded, so that lines have no spaces at their end.
-            if (i + 1 < row.size())
-                line += std::string(widths[i] - row[i].size() + 2, ' ');
+            line += std::string(widths[i] - row[i].size() + 2, ' ');
         }
-        out << line << '\n';
+        out << line.substr(0, line.find_last_not_of(' ') + 1) << '\n';
     }
 }
 
--- a/src/metrics/metrics_type.h
+++ b/src/metrics/metrics_type.h
@@ -42,7 +42,10 @@
     std::chrono::nanoseconds m_sum {0};
 };
 
-/** The histograms of one instance; the bounds are in src/metrics/table. */
+/**
+ * The histograms of one instance; the bounds are in src/metrics/table. Recording a duration takes
+ * about 20 ns to 30 ns and reading the clock about 40 ns, so an instance samples its decisions.
+ */
 struct instance_histograms
 {
     instance_histograms();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -67,6 +67,13 @@
                        [&section](const auto &d) { return d.section == section; });
 }
 
+/** Text of a value for problems. A misspelt key or section may belong to a secret. */
+std::string shownValue(const setting_description *description, const std::string &value)
+{
+    const bool mayBeShown = description != nullptr && description->kind != setting_kind::Secret;
+    return mayBeShown || value.empty() ? value : hiddenValue;
+}
+
 /** Passes one line to inih. A line that does not fit its buffer would be split silently. */
 char *readLine(char *buffer, int size, void *user)
 {
@@ -97,7 +104,7 @@
     const auto *description = findDescription(name);
     if (description == nullptr) {
         const bool known = isKnownSection(name.first);
-        reader.report(reader.line, name, value,
+        reader.report(reader.line, name, shownValue(nullptr, value),
                       known ? "unknown key; docs/settings.md lists the keys of this section"
                             : "unknown section; docs/settings.md lists the sections");
         return 1;
@@ -112,8 +119,7 @@
         entry->second.text += value;
         return 1;
     }
-    const bool isSecret = description->kind == setting_kind::Secret;
-    reader.report(reader.line, name, isSecret ? hiddenValue : value,
+    reader.report(reader.line, name, shownValue(description, value),
                   "given before in line " + std::to_string(entry->second.line)
                       + "; a key is allowed once");
     return 1;
@@ -124,23 +130,22 @@
     for (const auto &description : settingDescriptions()) {
         const setting_name name {description.section, description.key};
         const auto found = reader.values.find(name);
-        const bool isGiven = found != reader.values.end() && !found->second.text.empty();
+        const bool isGiven = found != reader.values.end();
         if (!isGiven && description.isRequired) {
-            const int line = found == reader.values.end() ? 0 : found->second.line;
-            reader.report(line, name, {}, "missing; allowed: " + allowedValues(description));
+            reader.report(0, name, {}, "missing; allowed: " + allowedValues(description));
             continue;
         }
         const std::string text =
             isGiven ? found->second.text : std::string(description.defaultValue);
-        if (!isGiven && text.empty())
+        // "token =" is the same as no token; a number or an address must not be empty.
+        if (text.empty() && description.defaultValue.empty() && !description.isRequired)
             continue;
         const auto value = parseSettingValue(description, text);
         if (value) {
             description.assign(settings, value.value());
             continue;
         }
-        const bool isSecret = description.kind == setting_kind::Secret;
-        reader.report(found->second.line, name, isSecret ? hiddenValue : text,
+        reader.report(found->second.line, name, shownValue(&description, text),
                       "not allowed; allowed: " + allowedValues(description));
     }
 }
@@ -192,6 +197,8 @@
     convertValues(reader, settings);
     if (problems.size() == before)
         checkTogether(reader, settings);
+    std::stable_sort(problems.begin() + static_cast<std::ptrdiff_t>(before), problems.end(),
+                     [](const auto &a, const auto &b) { return a.line < b.line; });
     if (problems.size() != before)
         return error::ValidationFailed;
     return settings;
--- a/src/settings/settings_document.cpp
+++ b/src/settings/settings_document.cpp
@@ -19,11 +19,12 @@
 `chicoryheadd` reads its settings from one INI file when it starts, and refuses to start when the
 file has a problem. It then prints every problem with file, line, section, key, value and what is
 allowed; `chicoryhead settings check FILE` does the same without starting anything. Unknown keys and
-sections, a key given twice and malformed lines are problems too. Values of secrets are not printed.
+sections, a key given twice and malformed lines are problems too. Values of secrets and of unknown
+keys are not printed.
 
 A comment starts with `;` or `#` at the start of a line, or with `;` after a space behind a value. A
-line has at most 198 characters. A list goes on in the next line if that line is indented. A key
-without a value counts as not given.
+line has at most 198 characters. A list goes on in the next line if that line is indented. Only a
+key whose default is "none" may have an empty value.
 
 This page and [chicoryheadd.example.ini](chicoryheadd.example.ini) are written by
 `chicoryhead settings page` and `chicoryhead settings example` from `src/settings/table`; a test
@@ -96,8 +97,8 @@
             note += " Unit: " + std::string(description.unit) + ".";
         writeComment(out, note);
         const bool isDefault = description.example == description.defaultValue;
-        out << (isDefault && !description.isRequired ? "# " : "") << description.key << " = "
-            << description.example << '\n';
+        out << (isDefault && !description.isRequired ? "# " : "") << description.key << " ="
+            << (description.example.empty() ? "" : " ") << description.example << '\n';
     }
     return out.str();
 }
--- a/src/settings/settings_func.h
+++ b/src/settings/settings_func.h
@@ -14,7 +14,7 @@
 
 /**
  * Reads and validates a settings file as a whole.
- * @param problems gets every problem found, in the order of the file.
+ * @param problems gets every problem found, in the order of the file; missing keys first.
  * @return the settings; error::NotFound when the file cannot be read, error::ValidationFailed when
  * there are problems.
  */
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -49,7 +49,7 @@
     int line = 0; ///< counted from 1; 0 when the problem is not in one line
     std::string section;
     std::string key;
-    std::string value;   ///< as written; hidden for secrets
+    std::string value;   ///< as written; hidden for secrets and unknown keys
     std::string message; ///< what is wrong and what is allowed
 };
 
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -122,7 +122,7 @@
     for (const char *line :
          {"[limits]\nflows = 2000x\n", "[limits]\nflows = -1\n", "[listen]\nhttp = 1.2.3.4:0\n",
           "[listen]\nhttp = localhost:80\n", "seeds = 10.0.0.1:1,,10.0.0.2:1\n",
-          "[steering]\npolicy = Tracked\n", "[operator]\ntoken = short\n",
+          "[steering]\npolicy = Tracked\n", "[operator]\ntoken = short\n", "[limits]\nflows =\n",
           "[drain]\nquiet_ms = 5000\nlimit_ms = 4000\n", "[log]\nlevel = debug\n"}) {
         INFO(line);
         const auto outcome = parse(minimal + line);
@@ -146,6 +146,9 @@
     const std::string text = problemsWith("[operator]\ntoken = hunter2\n");
     CHECK(text.find("hunter2") == std::string::npos);
     CHECK(text.find("16 to 128") != std::string::npos);
+    CHECK(problemsWith("[operator]\ntokn = hunter2\n").find("hunter2") == std::string::npos);
+    CHECK(problemsWith("[operater]\ntoken = hunter2\n").find("hunter2") == std::string::npos);
+    CHECK(problemsWith("key = hunter2\n").find("hunter2") == std::string::npos);
 }
 
 TEST_CASE("a file that cannot be read is reported", "[settings]")
