Feature: the client removes nothing that still holds flows

Cause: a removed upstream breaks the flows it holds, and nothing kept an operator from removing one too early. An unreachable instance was reported as "No route to host".

Clearer messages for unreachable instances and lost answers. Patch ids are 64 random bits. A fuzz test of the settings file runs with a fixed seed.

Conclusion: an early removal needs an explicit flag.

--- a/src/cli/argument.h
+++ b/src/cli/argument.h
@@ -34,6 +34,7 @@
 DECLARE_uint32(retry_after_ms);
 DECLARE_string(leaving_at);
 DECLARE_string(final_time);
+DECLARE_bool(force);
 
 namespace chicoryhead {
 
--- a/src/cli/command_change.cpp
+++ b/src/cli/command_change.cpp
@@ -142,7 +142,9 @@
     if (!outcome.is_object())
         outcome = json::object();
     if (!response)
-        outcome["error"] = response.error().message();
+        outcome["error"] = code == exit_code::Unknown
+            ? "the answer was lost; the patch may have been accepted"
+            : "no instance reachable; nothing was sent";
     // Something that is not an instance may answer with status 200.
     if (code == exit_code::Done && !outcome.contains("version"))
         code = exit_code::Unknown;
@@ -280,6 +282,38 @@
     return exit_code::Done;
 }
 
+/** Flows that one instance holds of the service or upstream that the operands name. */
+std::uint64_t countFlows(const command_call &call, const json &document)
+{
+    std::uint64_t flows = 0;
+    for (const auto &row : document.at("upstreams")) {
+        const bool isMeant = row.at("service") == call.operands[0]
+            && (call.operands.size() < 2 || row.at("name") == call.operands[1]);
+        if (isMeant)
+            flows += row.at("flows").get<std::uint64_t>();
+    }
+    return flows;
+}
+
+/** Refuses to go on when an instance asked holds flows that the change would break. */
+exit_code checkNoFlows(const command_call &call)
+{
+    if (FLAGS_force)
+        return exit_code::Done;
+    for (const auto &server : serverUrls(call)) {
+        json document;
+        const std::string problem = tryReadDocument(call, server + "/v1/flows", document);
+        if (!problem.empty())
+            return fail(call, exit_code::Unavailable, problem);
+        const auto flows = countFlows(call, document);
+        if (flows != 0)
+            return fail(call, exit_code::Invalid,
+                        server + " holds " + std::to_string(flows)
+                            + " flows that this would break; nothing was sent, see --force");
+    }
+    return exit_code::Done;
+}
+
 template<typename Number>
 void setIfGiven(const char *flag, std::uint32_t value, Number &target)
 {
@@ -340,6 +374,9 @@
 
 exit_code runServiceRemove(const command_call &call)
 {
+    const auto code = checkNoFlows(call);
+    if (code != exit_code::Done)
+        return code;
     return submitOperation(call, makeOperation(call, patch_operation_kind::RemoveService));
 }
 
@@ -387,6 +424,9 @@
 
 exit_code runUpstreamRemove(const command_call &call)
 {
+    const auto code = checkNoFlows(call);
+    if (code != exit_code::Done)
+        return code;
     return submitOperation(call, makeOperation(call, patch_operation_kind::RemoveUpstream));
 }
 
--- a/src/cli/command_local.cpp
+++ b/src/cli/command_local.cpp
@@ -64,7 +64,7 @@
 {
     const auto response = call.environment.client.get(url);
     if (!response)
-        return url + ": " + response.error().message();
+        return url + ": not reachable";
     const auto &[status, body] = response.value();
     if (status != 200)
         return url + ": status " + std::to_string(status) + ": " + errorText(body);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <iomanip>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -27,9 +28,9 @@
 {
     std::random_device device;
     std::ostringstream id;
-    id << std::hex << "patch-";
-    for (int i = 0; i < 4; ++i)
-        id << (device() & 0xffffU) + 0x10000U;
+    id << "patch-" << std::hex << std::setfill('0');
+    for (int i = 0; i < 2; ++i)
+        id << std::setw(8) << device();
     return id.str();
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -38,7 +38,8 @@
 
     /**
      * Stops to listen. Requests that arrive on connections still open get status 503; calls to the
-     * api that are under way are answered. Must be called from the thread of the io_context, or
+     * api that are under way are answered. An idle connection keeps the io_context at work, so the
+     * caller ends it with io_context::stop(). Must be called from the thread of the io_context, or
      * when it does not run.
      */
     void stop();
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -45,11 +45,14 @@
         urls.push_back(url);
         lastToken = token;
         lastBody = body;
+        if (postError)
+            return postError;
         return postAnswer;
     }
 
     std::map<std::string, client_response> answers;
-    result<client_response> postAnswer = client_response {200, R"({"accepted":true,"version":42})"};
+    client_response postAnswer {200, R"({"accepted":true,"version":42})"};
+    std::error_code postError; ///< instead of an answer
     std::vector<std::string> urls;
     std::string lastToken;
     std::string lastBody;
@@ -213,6 +216,7 @@
     CHECK(toString(fixture.posted().operations[0].newUpstream.health) == "10.0.0.8:80");
     REQUIRE(fixture.run("upstream weight desk d2 250" + common) == exit_code::Done);
     CHECK(fixture.posted().operations[0].weight == 250);
+    fixture.client.answers[server + "/v1/flows"] = {200, R"({"self":1,"upstreams":[]})"};
     REQUIRE(fixture.run("upstream remove desk d2" + common) == exit_code::Done);
     CHECK(fixture.posted().operations[0].kind == patch_operation_kind::RemoveUpstream);
     REQUIRE(fixture.run("service settle desk" + common) == exit_code::Done);
@@ -221,6 +225,24 @@
     CHECK(fixture.posted().operations[0].kind == patch_operation_kind::RemoveService);
 }
 
+// Removing an upstream breaks the flows it still has.
+TEST_CASE("nothing is removed while an instance holds its flows", "[cli]")
+{
+    cli_fixture fixture;
+    const std::string line = "upstream remove gate g1 --reason r --server " + server + ",b:2";
+    CHECK(fixture.run(line) == exit_code::Unavailable);
+    fixture.client.answers[server + "/v1/flows"] = {
+        200, R"({"upstreams":[{"service":"gate","name":"g2","flows":5}]})"};
+    fixture.client.answers["http://b:2/v1/flows"] = {
+        200, R"({"upstreams":[{"service":"gate","name":"g1","flows":1}]})"};
+    CHECK(fixture.run(line) == exit_code::Invalid);
+    CHECK(fixture.printed("http://b:2 holds 1 flows"));
+    CHECK(fixture.run("service remove gate --reason r") == exit_code::Invalid);
+    CHECK(fixture.client.urls.empty());
+    CHECK(fixture.run(line + " --force") == exit_code::Done);
+    CHECK(fixture.client.urls.size() == 1);
+}
+
 // set_limits replaces all limits, so the client must send those it was not asked to change.
 TEST_CASE("limits without a flag stay as they are", "[cli]")
 {
@@ -246,26 +268,28 @@
 TEST_CASE("the outcome of a change decides the exit code", "[cli]")
 {
     cli_fixture fixture;
-    const auto runWith = [&fixture](result<client_response> answer) {
-        fixture.client.postAnswer = std::move(answer);
+    const auto runWith = [&fixture](const client_response &answer, std::error_code code = {}) {
+        fixture.client.postAnswer = answer;
+        fixture.client.postError = code;
         return fixture.run("service settle gate --reason r");
     };
-    CHECK(runWith(client_response {409, R"({"accepted":false,"version":44,"error":"old",
+    const auto unreachable = std::make_error_code(std::errc::host_unreachable);
+    CHECK(runWith({409, R"({"accepted":false,"version":44,"error":"old",
         "changed_since":["43: settle desk","44: set_weight gate/g1 to 5"]})"})
           == exit_code::Refused);
     CHECK(fixture.printed("based on version 41, current version 44"));
     CHECK(fixture.printed("since then: 44: set_weight gate/g1 to 5"));
-    CHECK(runWith(client_response {422, R"({"error":"bad","problems":[{"path":"operations[0]",
+    CHECK(runWith({422, R"({"error":"bad","problems":[{"path":"operations[0]",
         "message":"no such service"}]})"})
           == exit_code::Invalid);
     CHECK(fixture.printed("operations[0]: no such service"));
-    CHECK(runWith(client_response {401, R"({"error":"token"})"}) == exit_code::Invalid);
-    CHECK(runWith(client_response {503, "{}"}) == exit_code::Unavailable);
-    CHECK(runWith(std::make_error_code(std::errc::host_unreachable)) == exit_code::Unavailable);
-    CHECK(runWith(client_response {504, "{}"}) == exit_code::Unknown);
-    CHECK(runWith(client_response {500, "rubbish"}) == exit_code::Unknown);
-    CHECK(runWith(client_response {200, "<html>"}) == exit_code::Unknown);
-    CHECK(runWith(error::OutcomeUnknown) == exit_code::Unknown);
+    CHECK(runWith({401, R"({"error":"token"})"}) == exit_code::Invalid);
+    CHECK(runWith({503, "{}"}) == exit_code::Unavailable);
+    CHECK(runWith({}, unreachable) == exit_code::Unavailable);
+    CHECK(runWith({504, "{}"}) == exit_code::Unknown);
+    CHECK(runWith({500, "rubbish"}) == exit_code::Unknown);
+    CHECK(runWith({200, "<html>"}) == exit_code::Unknown);
+    CHECK(runWith({}, error::OutcomeUnknown) == exit_code::Unknown);
     CHECK(fixture.printed("--id patch-1 --base 41"));
 }
 
@@ -274,12 +298,12 @@
 {
     cli_fixture fixture;
     const std::string line = "service settle gate --reason r --base 1 --server a:1,http://b:2/";
-    fixture.client.postAnswer = std::make_error_code(std::errc::host_unreachable);
+    fixture.client.postError = std::make_error_code(std::errc::host_unreachable);
     CHECK(fixture.run(line) == exit_code::Unavailable);
     CHECK(fixture.client.urls
           == std::vector<std::string> {"http://a:1/v1/patches", "http://b:2/v1/patches"});
     fixture.client.urls.clear();
-    fixture.client.postAnswer = error::OutcomeUnknown;
+    fixture.client.postError = error::OutcomeUnknown;
     CHECK(fixture.run(line) == exit_code::Unknown);
     CHECK(fixture.client.urls.size() == 1);
 }
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -12,8 +12,10 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 
 using namespace chicoryhead;
+using namespace std::string_literals;
 
 namespace {
 
@@ -151,6 +153,22 @@
     CHECK(problemsWith("key = hunter2\n").find("hunter2") == std::string::npos);
 }
 
+// Guards against input that is neither accepted nor explained, and against reads out of bounds.
+TEST_CASE("a damaged file is accepted or explained", "[settings][fuzz]")
+{
+    std::mt19937 random(20261204);
+    const std::string alphabet = "[]=:;# \t\n\r\0,.az09\xff"s; // contains a zero byte
+    for (int round = 0; round < 5000; ++round) {
+        std::string text = minimal + "seeds = 10.0.0.1:1, 10.0.0.2:2\n";
+        for (unsigned int change = random() % 8; change > 0; --change) {
+            const std::size_t at = random() % text.size();
+            text.replace(at, random() % 3, random() % 4, alphabet[random() % alphabet.size()]);
+        }
+        const auto [settings, problems] = parse(text);
+        REQUIRE(settings.has_value() == problems.empty());
+    }
+}
+
 TEST_CASE("a file that cannot be read is reported", "[settings]")
 {
     std::vector<setting_problem> problems;
