Feature: the client settles a service only when no flow can break

Cause: settle makes next the holder. While a slot's holder is active and next is another upstream, the holder's open flows are recorded nowhere, and settling sends them to the wrong upstream; so it does with recorded flows.

"flows" also prints the version, flows and records of each instance.

Conclusion: the check is the client's; a patch sent to the HTTP interface by other means is not checked.

--- a/src/cli/argument.cpp
+++ b/src/cli/argument.cpp
@@ -32,7 +32,7 @@
 DEFINE_uint32(retry_after_ms, 500, "mean time that refused callers are told to wait, in ms");
 DEFINE_string(leaving_at, "+0", "when it starts to leave: s since 1970, or +s from now");
 DEFINE_string(final_time, "", "when remaining flows are reported: s since 1970, or +s from now");
-DEFINE_bool(force, false, "remove although instances asked hold flows; those flows break");
+DEFINE_bool(force, false, "send the change although it may break open flows");
 
 namespace chicoryhead {
 
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -71,6 +71,15 @@
 exit_code submitDocument(const command_call &call, const std::string &id, config_version base,
                          const std::string &document);
 
+/**
+ * Refuses to remove the service or upstream that the operands name while an instance asked holds
+ * flows of it.
+ */
+exit_code checkNoFlows(const command_call &call);
+
+/** Refuses to settle the service while that may break flows. */
+exit_code checkSettled(const command_call &call);
+
 // Commands; the table says what each one does.
 exit_code runConfigShow(const command_call &call);
 exit_code runConfigVersion(const command_call &call);
--- a/src/cli/command_read.cpp
+++ b/src/cli/command_read.cpp
@@ -248,6 +248,7 @@
     json documents = json::array();
     auto code = exit_code::Done;
     text_table table({"INSTANCE", "SERVICE", "UPSTREAM", "MODE", "FLOWS"});
+    text_table totals({"INSTANCE", "VERSION", "FLOWS", "RECORDS"});
     for (const auto &server : serverUrls(call)) {
         json document;
         const std::string problem = tryReadDocument(call, server + "/v1/flows", document);
@@ -259,10 +260,15 @@
         for (const auto &row : document["upstreams"])
             table.addRow({cell(document, "self"), cell(row, "service"), cell(row, "name"),
                           cell(row, "mode"), cell(row, "flows")});
+        totals.addRow({cell(document, "self"), cell(document, "version"), cell(document, "flows"),
+                       cell(document, "records")});
         documents.push_back(std::move(document));
     }
-    if (!printJson(call, documents))
-        table.print(call.environment.out);
+    if (printJson(call, documents) || documents.empty())
+        return code;
+    table.print(call.environment.out);
+    call.environment.out << '\n';
+    totals.print(call.environment.out);
     return code;
 }
 
--- a/src/cli/table/command_table.h
+++ b/src/cli/table/command_table.h
@@ -18,8 +18,9 @@
 /// Flags of every command that submits one patch.
 inline constexpr std::array<std::string_view, 4> changeFlags {"reason", "author", "id", "base"};
 
-inline constexpr std::array<std::string_view, 5> removeFlags {"force", "reason", "author", "id",
-                                                              "base"};
+/// Flags of changes that are not sent while they would break flows.
+inline constexpr std::array<std::string_view, 5> guardedFlags {"force", "reason", "author", "id",
+                                                               "base"};
 inline constexpr std::array<std::string_view, 1> waitFlags {"timeout"};
 inline constexpr std::array<std::string_view, 7> createFlags {
     "address", "protocol", "upstreams", "reason", "author", "id", "base"};
@@ -55,15 +56,15 @@
     {"service create", "NAME", 1, 1, createFlags, "creates a service", runServiceCreate},
     {"service limits", "NAME", 1, 1, limitFlags,
      "sets limits of a service; those without a flag stay", runServiceLimits},
-    {"service settle", "NAME", 1, 1, changeFlags,
+    {"service settle", "NAME", 1, 1, guardedFlags,
      "ends the tracking of slots whose exceptions have ended", runServiceSettle},
-    {"service remove", "NAME", 1, 1, removeFlags, "removes a service", runServiceRemove},
+    {"service remove", "NAME", 1, 1, guardedFlags, "removes a service", runServiceRemove},
     {"upstream add", "SERVICE NAME", 2, 2, addFlags, "adds an upstream", runUpstreamAdd},
     {"upstream leave", "SERVICE NAME", 2, 2, leaveFlags,
      "lets an upstream keep its flows and get no new ones", runUpstreamLeave},
     {"upstream weight", "SERVICE NAME WEIGHT", 3, 3, changeFlags,
      "sets the share of new flows, 1 to 1000", runUpstreamWeight},
-    {"upstream remove", "SERVICE NAME", 2, 2, removeFlags, "removes an upstream",
+    {"upstream remove", "SERVICE NAME", 2, 2, guardedFlags, "removes an upstream",
      runUpstreamRemove},
     {"instances", "", 0, 0, {}, "instances with state and version", runInstances},
     {"upstreams", "[SERVICE]", 0, 1, {}, "upstreams with mode, condition and load", runUpstreams},
