--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -51,9 +51,12 @@
 exit_code readDocument(const command_call &call, const std::string &path,
                        nlohmann::ordered_json &document);
 
-/** Reads a JSON document from one instance. */
-exit_code readDocumentFrom(const command_call &call, const std::string &server,
-                           const std::string &path, nlohmann::ordered_json &document);
+/**
+ * Reads a JSON document from one instance.
+ * @return what went wrong, for people; empty when document was set.
+ */
+std::string tryReadDocument(const command_call &call, const std::string &url,
+                            nlohmann::ordered_json &document);
 
 /** Reads a whole file, "-" for standard input. Errors: std::errc::no_such_file_or_directory. */
 result<std::string> readTextFile(const std::string &path);
@@ -68,6 +71,15 @@
 exit_code submitDocument(const command_call &call, const std::string &id, config_version base,
                          const std::string &document);
 
+/**
+ * Refuses to remove the service or upstream that the operands name while an instance asked holds
+ * flows of it.
+ */
+exit_code checkNoFlows(const command_call &call);
+
+/** Refuses to settle the service while that may break flows. */
+exit_code checkSettled(const command_call &call);
+
 // Commands; the table says what each one does.
 exit_code runConfigShow(const command_call &call);
 exit_code runConfigVersion(const command_call &call);
