Fix: overload of one upstream is told from overload of all

Cause: deflection at 95% load and in bursts moved load to upstreams without room, and hold-offs after refusals outlasted the burst. Change: probers compare an upstream that seems overloaded with four others; refusals by most upstreams start no hold-off; unanswered SYNs count when a probe confirms them.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -21,9 +21,13 @@
 constexpr monotonic_time signalMemory = 3s;
 /// A reply this recent shows that an upstream lives although its reports fail.
 constexpr monotonic_time aliveMemory = 5s;
+/// Time without a reply that confirms unanswered SYNs; they are noticed after the same time.
+constexpr monotonic_time silence = 1s;
 /// Share of a new report in smoothed figures: a memory of about three reports.
 constexpr double smoothing = 0.3;
 constexpr std::size_t probersPerUpstream = 2;
+/// Other upstreams that are probed while one seems overloaded; a prober's own may be too few.
+constexpr std::size_t comparisons = 4;
 
 double toSeconds(monotonic_time time)
 {
@@ -217,19 +221,58 @@
 void health_controller::startProbes(monotonic_time now)
 {
     for (auto &[id, entry] : m_records) {
-        if (!entry.isProber || entry.health.port == 0 || entry.probeDue > now)
+        if (!entry.isProber)
             continue;
-        entry.probeDue = now + m_settings.probeInterval;
-        m_prober.probe(id, entry.health);
+        startProbe(id, entry, now);
+        if (isSuspicious(entry))
+            probeOthers(id, entry.service, now);
     }
 }
 
+void health_controller::startProbe(upstream_id upstream, record &entry, monotonic_time now)
+{
+    if (entry.health.port == 0 || entry.probeDue > now)
+        return;
+    entry.probeDue = now + m_settings.probeInterval;
+    m_prober.probe(upstream, entry.health);
+}
+
+void health_controller::probeOthers(upstream_id upstream, service_id service, monotonic_time now)
+{
+    std::vector<std::pair<std::uint64_t, upstream_id>> others;
+    for (const auto &[id, entry] : m_records) {
+        if (id != upstream && entry.service == service)
+            others.emplace_back(mixHash(idValue(upstream), idValue(id)), id);
+    }
+    const auto count = std::min(others.size(), comparisons);
+    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
+                      others.end());
+    for (std::size_t i = 0; i < count; ++i)
+        startProbe(others[i].second, m_records.at(others[i].second), now);
+}
+
+bool health_controller::isSuspicious(const record &entry) const
+{
+    return entry.hasReport && entry.busy >= m_settings.overloadOn
+        && entry.queue >= m_settings.queueOn / 2;
+}
+
+bool health_controller::isFresh(upstream_id upstream, monotonic_time now) const
+{
+    const auto found = m_board.upstreams.find(upstream);
+    return found != m_board.upstreams.end() && found->second.reportedAt.count() > 0
+        && now - found->second.reportedAt <= m_settings.freshness;
+}
+
 void health_controller::evaluate(upstream_id upstream, record &entry, monotonic_time now)
 {
     if (!entry.isProber)
         return;
     decaySignals(entry, now);
-    if (entry.refused >= m_settings.signalFailures && entry.refused > entry.accepted)
+    const bool isRefusing =
+        entry.refused >= m_settings.signalFailures && entry.refused > entry.accepted;
+    // When most upstreams refuse, the service is overloaded and a hold-off would outlast that.
+    if (isRefusing && !isRefusalGeneral(entry.service))
         startHoldOff(entry, now);
     // Once deflected, the upstream is idle indeed; without a hold-off it would be reopened at once.
     if (m_settings.deflectOnContradiction && isContradicted(upstream, entry))
@@ -287,8 +330,10 @@
     // Only the report is missing when replies are seen.
     if (entry.failures >= m_settings.failuresOn && !isAlive)
         return true;
-    // Replies are spread over all instances, so unanswered SYNs count only when none is accepted.
-    return entry.unanswered >= m_settings.signalFailures && entry.accepted < 1;
+    // Replies are spread over all instances, so unanswered SYNs count only when no reply is seen,
+    // and a probe has to confirm them.
+    const bool isSilent = entry.aliveAt < now - silence;
+    return entry.unanswered >= m_settings.signalFailures && isSilent && entry.failures > 0;
 }
 
 bool health_controller::isFailing(const record &entry, monotonic_time now) const
@@ -335,7 +380,7 @@
     if (entry.busy < m_settings.overloadOn || entry.queue < m_settings.queueOn)
         return;
     // Deflection only moves load; it helps no one when the other upstreams have no room.
-    entry.isOverloaded = !isLoadGeneral(entry.service, upstream)
+    entry.isOverloaded = hasRoomElsewhere(entry.service, upstream)
         && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
@@ -384,13 +429,31 @@
     return total > 0 ? lost / total : 0;
 }
 
-bool health_controller::isLoadGeneral(service_id service, upstream_id except) const
+bool health_controller::hasRoomElsewhere(service_id service, upstream_id except) const
+{
+    const auto now = m_clock.now();
+    double busy = 0;
+    double queue = 0;
+    int count = 0;
+    for (const auto &[id, entry] : m_records) {
+        if (id == except || entry.service != service || !entry.hasReport || !isFresh(id, now))
+            continue;
+        busy += entry.busy;
+        queue += entry.queue;
+        ++count;
+    }
+    return count > 0 && busy < m_settings.roomBelow * count && queue < count;
+}
+
+bool health_controller::isRefusalGeneral(service_id service) const
 {
-    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &item) {
-        const record &entry = item.second;
-        return item.first != except && entry.service == service && entry.isProber && entry.hasReport
-            && entry.busy >= m_settings.generalLoad;
-    });
+    int upstreams = 0;
+    int refusing = 0;
+    for (const auto &[id, entry] : m_records) {
+        upstreams += entry.service == service ? 1 : 0;
+        refusing += entry.service == service && entry.refused >= 1 ? 1 : 0;
+    }
+    return 2 * refusing > upstreams;
 }
 
 void health_controller::change(upstream_id upstream, upstream_condition condition,
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -41,8 +41,8 @@
     double overloadOff = 0.80; ///< smoothed share of slots in use
     /// Smoothed queue in slots. Eight slots of queue are rare at 70% load by chance.
     double queueOn = 8.0;
-    /// Smoothed share of slots in use of another upstream at which there is no room elsewhere.
-    double generalLoad = 0.9;
+    /// Mean share of slots in use of the others below which there is room elsewhere.
+    double roomBelow = 0.9;
     /// Time for which a reopened upstream counts half as deflected, because it ramps up.
     monotonic_time rampTime = std::chrono::seconds(30);
     /// Weight that may be deflected for overload; beyond it the rest would be overloaded too.
@@ -121,6 +121,10 @@
     void chooseProbers();
     bool choosesSelf(upstream_id upstream, domain_id domain) const;
     void startProbes(monotonic_time now);
+    void startProbe(upstream_id upstream, record &entry, monotonic_time now);
+    void probeOthers(upstream_id upstream, service_id service, monotonic_time now);
+    bool isSuspicious(const record &entry) const;
+    bool isFresh(upstream_id upstream, monotonic_time now) const;
     void evaluate(upstream_id upstream, record &entry, monotonic_time now);
     bool isBelievable(record &entry, const load_report &report);
     bool isContradicted(upstream_id upstream, const record &entry) const;
@@ -130,7 +134,8 @@
     void startHoldOff(record &entry, monotonic_time now);
     void decaySignals(record &entry, monotonic_time now) const;
     double lostShare(service_id service, upstream_id added) const;
-    bool isLoadGeneral(service_id service, upstream_id except) const;
+    bool hasRoomElsewhere(service_id service, upstream_id except) const;
+    bool isRefusalGeneral(service_id service) const;
     void change(upstream_id upstream, upstream_condition condition, condition_reason reason,
                 monotonic_time now);
     condition_reason reasonOf(const record &entry, monotonic_time now) const;
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -74,6 +74,7 @@
     flow_limiter limiter;
     load_aware_placement placement;
     std::uint64_t sequence = 0;
+    std::uint32_t otherBusy = 0; ///< slots that reportFor() reports for upstream 2; 0 for none
 
     explicit fixture(std::uint32_t upstreams = 4, bool isTracked = true, std::uint32_t members = 1)
         : service(makeService(upstreams, isTracked))
@@ -121,6 +122,8 @@
         for (int i = 0; i < seconds; ++i) {
             clock.time += 1s;
             report(id, busy, queued);
+            if (otherBusy > 0)
+                report(upstream_id {2}, otherBusy);
             health.tick();
         }
     }
@@ -185,6 +188,7 @@
           "[balance]")
 {
     fixture f;
+    f.otherBusy = 1;
     f.reportFor(10, first, 3, 40);
     CHECK_FALSE(f.isOpen(first));
     REQUIRE(f.outlet.notices.size() == 1);
@@ -196,6 +200,35 @@
     CHECK(f.board.upstreams.at(first).incarnation == 2);
 }
 
+TEST_CASE("overload of the whole service deflects nothing, because no one has room", "[balance]")
+{
+    fixture f;
+    for (int i = 0; i < 20; ++i) {
+        f.report(upstream_id {2}, 3, 40);
+        f.reportFor(1, first, 3, 40);
+    }
+    CHECK(f.outlet.notices.empty());
+    for (int n = 0; n < 50; ++n) {
+        for (std::uint32_t id = 1; id <= 4; ++id)
+            f.health.onSignal(upstream_id {id}, passive_signal::Refused);
+    }
+    f.health.tick();
+    CHECK(f.outlet.notices.empty());
+}
+
+TEST_CASE("a prober asks other upstreams before it calls one overloaded", "[balance]")
+{
+    fixture f(7, true, 15);
+    upstream_id probed = noUpstream;
+    for (std::uint32_t id = 1; id <= 7; ++id) {
+        if (f.health.isProber(upstream_id {id}))
+            probed = upstream_id {id};
+    }
+    REQUIRE(probed != noUpstream);
+    f.reportFor(3, probed, 3, 40);
+    CHECK(f.prober.probes.size() >= 5);
+}
+
 TEST_CASE("normal queueing at moderate load does not deflect", "[balance]")
 {
     fixture f;
