Fix: bound comparison probes and compare with several upstreams

Cause: comparison probes raised control bytes at 95% load above 2048 B/s. Change: at most two a second per instance, the oldest first; a comparison needs three fresh reports of upstreams that accept flows.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -21,12 +21,14 @@
 constexpr monotonic_time signalMemory = 3s;
 /// A reply this recent shows that an upstream lives although its reports fail.
 constexpr monotonic_time aliveMemory = 5s;
+constexpr int minComparisons = 3; ///< fresh reports of others that a comparison needs
 /// Time without a reply that confirms unanswered SYNs; they are noticed after the same time.
 constexpr monotonic_time silence = 1s;
 /// Share of a new report in smoothed figures: a memory of about three reports.
 constexpr double smoothing = 0.3;
 constexpr std::size_t probersPerUpstream = 2;
 /// Other upstreams that are probed while one seems overloaded; a prober's own may be too few.
+/// One of them is probed each half interval, so that overload adds at most two probes a second.
 constexpr std::size_t comparisons = 4;
 
 double toSeconds(monotonic_time time)
@@ -169,6 +171,7 @@
             entry.domain = upstream.domain;
             entry.health = upstream.health;
             entry.weight = upstream.weight;
+            entry.isLeaving = upstream.mode == upstream_mode::Leaving;
             entry.slots = std::max<std::uint16_t>(upstream.slots, 1);
             records.emplace(upstream.id, entry);
             m_board.upstreams.try_emplace(upstream.id);
@@ -229,26 +232,34 @@
     }
 }
 
-void health_controller::startProbe(upstream_id upstream, record &entry, monotonic_time now)
+bool health_controller::startProbe(upstream_id upstream, record &entry, monotonic_time now)
 {
     if (entry.health.port == 0 || entry.probeDue > now)
-        return;
+        return false;
     entry.probeDue = now + m_settings.probeInterval;
     m_prober.probe(upstream, entry.health);
+    return true;
 }
 
 void health_controller::probeOthers(upstream_id upstream, service_id service, monotonic_time now)
 {
+    if (now < m_comparisonDue)
+        return;
     std::vector<std::pair<std::uint64_t, upstream_id>> others;
     for (const auto &[id, entry] : m_records) {
-        if (id != upstream && entry.service == service)
+        if (id != upstream && entry.service == service && !entry.isLeaving)
             others.emplace_back(mixHash(idValue(upstream), idValue(id)), id);
     }
     const auto count = std::min(others.size(), comparisons);
     std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
                       others.end());
-    for (std::size_t i = 0; i < count; ++i)
-        startProbe(others[i].second, m_records.at(others[i].second), now);
+    const auto last = others.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto oldest =
+        std::min_element(others.begin(), last, [this](const auto &a, const auto &b) {
+            return m_records.at(a.second).probeDue < m_records.at(b.second).probeDue;
+        });
+    if (oldest != last && startProbe(oldest->second, m_records.at(oldest->second), now))
+        m_comparisonDue = now + m_settings.probeInterval / 2;
 }
 
 bool health_controller::isSuspicious(const record &entry) const
@@ -257,11 +268,21 @@
         && entry.queue >= m_settings.queueOn / 2;
 }
 
-bool health_controller::isFresh(upstream_id upstream, monotonic_time now) const
+bool health_controller::isComparable(upstream_id upstream, const record &entry,
+                                     monotonic_time now) const
 {
+    if (!isAccepting(upstream, entry) || !entry.hasReport)
+        return false;
+    const upstream_state &state = m_board.upstreams.at(upstream);
+    return state.reportedAt.count() > 0 && now - state.reportedAt <= m_settings.freshness;
+}
+
+bool health_controller::isAccepting(upstream_id upstream, const record &entry) const
+{
+    // A leaving or deflected upstream is idle for want of flows.
     const auto found = m_board.upstreams.find(upstream);
-    return found != m_board.upstreams.end() && found->second.reportedAt.count() > 0
-        && now - found->second.reportedAt <= m_settings.freshness;
+    return !entry.isLeaving && found != m_board.upstreams.end()
+        && found->second.condition == upstream_condition::Open;
 }
 
 void health_controller::evaluate(upstream_id upstream, record &entry, monotonic_time now)
@@ -413,7 +434,7 @@
     double total = 0;
     double lost = 0;
     for (const auto &[id, entry] : m_records) {
-        if (entry.service != service)
+        if (entry.service != service || entry.isLeaving)
             continue;
         total += entry.weight;
         const auto found = m_board.upstreams.find(id);
@@ -435,14 +456,20 @@
     double busy = 0;
     double queue = 0;
     int count = 0;
+    int others = 0;
     for (const auto &[id, entry] : m_records) {
-        if (id == except || entry.service != service || !entry.hasReport || !isFresh(id, now))
+        if (id == except || entry.service != service)
+            continue;
+        others += isAccepting(id, entry) ? 1 : 0;
+        if (!isComparable(id, entry, now))
             continue;
         busy += entry.busy;
         queue += entry.queue;
         ++count;
     }
-    return count > 0 && busy < m_settings.roomBelow * count && queue < count;
+    // One sample of a few slots is mostly noise.
+    const bool isEnough = count > 0 && count >= std::min(others, minComparisons);
+    return isEnough && busy < m_settings.roomBelow * count && queue < count;
 }
 
 bool health_controller::isRefusalGeneral(service_id service) const
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -95,6 +95,7 @@
         endpoint health;
         std::uint16_t weight = 0;
         std::uint16_t slots = 1;
+        bool isLeaving = false;
         bool isProber = false;
         monotonic_time probeDue {0};
         monotonic_time shedUntil {0};  ///< hold-off after shedding
@@ -121,10 +122,11 @@
     void chooseProbers();
     bool choosesSelf(upstream_id upstream, domain_id domain) const;
     void startProbes(monotonic_time now);
-    void startProbe(upstream_id upstream, record &entry, monotonic_time now);
+    bool startProbe(upstream_id upstream, record &entry, monotonic_time now);
     void probeOthers(upstream_id upstream, service_id service, monotonic_time now);
     bool isSuspicious(const record &entry) const;
-    bool isFresh(upstream_id upstream, monotonic_time now) const;
+    bool isAccepting(upstream_id upstream, const record &entry) const;
+    bool isComparable(upstream_id upstream, const record &entry, monotonic_time now) const;
     void evaluate(upstream_id upstream, record &entry, monotonic_time now);
     bool isBelievable(record &entry, const load_report &report);
     bool isContradicted(upstream_id upstream, const record &entry) const;
@@ -149,7 +151,8 @@
     notice_outlet &m_outlet;
     health_settings m_settings;
     std::unordered_map<upstream_id, record> m_records; ///< one per upstream of the configuration
-    const configuration *m_config = nullptr;           ///< configuration m_records was built from
+    monotonic_time m_comparisonDue {0};      ///< earliest time of the next comparison probe
+    const configuration *m_config = nullptr; ///< configuration m_records was built from
     config_version m_version = 0;
     std::uint64_t m_membersRevision = ~std::uint64_t {0};
 };
