Fix: probers no longer undo each other's reopening

Cause: after one prober reopened an upstream, the other deflected it again from figures of before the reopening. Change: a change of condition resets the overload hysteresis; overload needs room for the whole load of the deflected upstream.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -127,6 +127,7 @@
     if (state.condition != condition) {
         state.condition = condition;
         state.changedAt = m_clock.now();
+        forgetOverload(notice.upstream);
     }
     m_outlet.spread(notice);
 }
@@ -405,6 +406,18 @@
         && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
+void health_controller::forgetOverload(upstream_id upstream)
+{
+    // Figures from before the change would make one prober undo what the other has decided.
+    const auto found = m_records.find(upstream);
+    const upstream_state &state = m_board.upstreams[upstream];
+    if (found == m_records.end() || state.condition == upstream_condition::Deflected)
+        return;
+    found->second.isOverloaded = false;
+    found->second.busy = 0;
+    found->second.queue = 0;
+}
+
 void health_controller::startHoldOff(record &entry, monotonic_time now)
 {
     if (now < entry.shedUntil)
@@ -469,7 +482,10 @@
     }
     // One sample of a few slots is mostly noise.
     const bool isEnough = count > 0 && count >= std::min(others, minComparisons);
-    return isEnough && busy < m_settings.roomBelow * count && queue < count;
+    if (!isEnough)
+        return false;
+    // The others take over the whole load of the deflected upstream.
+    return busy / count + 1.0 / others <= m_settings.overloadOn && queue < count;
 }
 
 bool health_controller::isRefusalGeneral(service_id service) const
@@ -489,9 +505,11 @@
     upstream_state &state = m_board.upstreams[upstream];
     if (state.condition == condition && state.reason == reason)
         return;
-    if (state.condition != condition)
+    if (state.condition != condition) {
         state.changedAt = now;
-    state.condition = condition;
+        state.condition = condition;
+        forgetOverload(upstream);
+    }
     ++state.incarnation;
     state.reason = reason;
     logEvent(log_level::Info, "upstream_condition",
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -41,8 +41,6 @@
     double overloadOff = 0.80; ///< smoothed share of slots in use
     /// Smoothed queue in slots. Eight slots of queue are rare at 70% load by chance.
     double queueOn = 8.0;
-    /// Mean share of slots in use of the others below which there is room elsewhere.
-    double roomBelow = 0.9;
     /// Time for which a reopened upstream counts half as deflected, because it ramps up.
     monotonic_time rampTime = std::chrono::seconds(30);
     /// Weight that may be deflected for overload; beyond it the rest would be overloaded too.
@@ -133,6 +131,7 @@
     bool isFailing(const record &entry, monotonic_time now) const;
     void takeFigures(upstream_id upstream, record &entry, const load_report &report);
     void updateOverload(upstream_id upstream, record &entry, monotonic_time now);
+    void forgetOverload(upstream_id upstream);
     void startHoldOff(record &entry, monotonic_time now);
     void decaySignals(record &entry, monotonic_time now) const;
     double lostShare(service_id service, upstream_id added) const;
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -230,6 +230,17 @@
     CHECK(f.prober.probes.size() >= 5);
 }
 
+TEST_CASE("figures from before a reopening by the other prober do not deflect again", "[balance]")
+{
+    fixture f;
+    f.otherBusy = 1;
+    f.reportFor(10, first, 3, 40);
+    REQUIRE_FALSE(f.isOpen(first));
+    f.health.onNotice({first, false, 2});
+    f.reportFor(2, first, 2, 0);
+    CHECK(f.isOpen(first));
+}
+
 TEST_CASE("normal queueing at moderate load does not deflect", "[balance]")
 {
     fixture f;
