Fix: smoothing of load starts with the first report after a change

Cause: smoothing from zero took nine reports to reach the overload threshold. Change: the first report after a change of condition is taken whole.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -373,7 +373,8 @@
 {
     const double busy = static_cast<double>(report.busySlots) / entry.slots;
     const double queue = static_cast<double>(report.queued) / entry.slots;
-    const double share = entry.hasReport ? smoothing : 1.0;
+    const double share = entry.isSmoothed ? smoothing : 1.0;
+    entry.isSmoothed = true;
     entry.busy += share * (busy - entry.busy);
     entry.queue += share * (queue - entry.queue);
     entry.idleReports = isIdle(report) ? entry.idleReports + 1 : 0;
@@ -414,6 +415,7 @@
     if (found == m_records.end() || state.condition == upstream_condition::Deflected)
         return;
     found->second.isOverloaded = false;
+    found->second.isSmoothed = false;
     found->second.busy = 0;
     found->second.queue = 0;
 }
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -112,6 +112,7 @@
         std::uint32_t repeats = 0;     ///< consecutive reports with the same sequence number
         std::uint32_t idleReports = 0; ///< consecutive idle reports
         bool hasReport = false;        ///< figures below are valid
+        bool isSmoothed = false;       ///< busy and queue hold at least one report
         bool isOverloaded = false;     ///< state of the hysteresis
         load_report last;              ///< last believable report
     };
