--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -122,6 +122,8 @@
         return;
     const auto condition =
         notice.isDeflected ? upstream_condition::Deflected : upstream_condition::Open;
+    if (state.incarnation == 0)
+        state.trackedSince = m_clock.now();
     state.incarnation = notice.incarnation;
     state.reason = notice.reason;
     if (state.condition != condition) {
@@ -512,6 +514,8 @@
         state.condition = condition;
         forgetOverload(upstream);
     }
+    if (state.incarnation == 0)
+        state.trackedSince = now;
     ++state.incarnation;
     state.reason = reason;
     logEvent(log_level::Info, "upstream_condition",
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -136,8 +136,9 @@
     if (found == m_board.upstreams.end())
         return false;
     const upstream_state &state = found->second;
+    // Only the first deflection makes the slots tracked; a later one counts at once.
     return state.condition == upstream_condition::Deflected
-        && m_clock.now() - state.changedAt >= m_settings.deflectionDelay
+        && m_clock.now() - state.trackedSince >= m_settings.deflectionDelay
         && !isExempt(state, panicOf(service));
 }
 
--- a/src/blackboard/blackboard_type.h
+++ b/src/blackboard/blackboard_type.h
@@ -53,9 +53,10 @@
     std::uint32_t incarnation = 0;                    ///< raised at each change of condition
     condition_reason reason = condition_reason::Load; ///< of the last deflection
     monotonic_time changedAt {0};                     ///< when the condition was learnt here
-    std::uint16_t loadPermille = 0; ///< slots in use, in thousandths, as last reported
-    monotonic_time reportedAt {0};  ///< when loadPermille was measured; 0 for never
-    std::uint32_t openFlows = 0;    ///< flows of this upstream in the local flow table
+    monotonic_time trackedSince {0}; ///< when the first deflection was learnt here; 0 for never
+    std::uint16_t loadPermille = 0;  ///< slots in use, in thousandths, as last reported
+    monotonic_time reportedAt {0};   ///< when loadPermille was measured; 0 for never
+    std::uint32_t openFlows = 0;     ///< flows of this upstream in the local flow table
 };
 
 /** Counters of one instance; names appear as they are in the metrics. */
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -341,6 +341,9 @@
     CHECK_FALSE(f.placement.isDeflected(*f.service, first));
     f.clock.time += 1ms;
     CHECK(f.placement.isDeflected(*f.service, first));
+    f.health.onNotice({first, false, 2});
+    f.health.onNotice({first, true, 3});
+    CHECK(f.placement.isDeflected(*f.service, first)); // the slots are tracked everywhere
 }
 
 TEST_CASE("leaving and deflected upstreams get no new flows", "[balance]")
