Feature: overloaded upstreams ramp slowly near their last share

Cause: a slow upstream was ramped into overload again every ten seconds. Change: above 80% of the share at the last overload, a quarter of the slope.

--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -162,7 +162,15 @@
     if (!entry.isOpen)
         return entry.share;
     const double slope = (1 - m_settings.rampStart) / toSeconds(m_settings.rampTime);
-    return std::min(1.0, entry.share + slope * toSeconds(m_clock.now() - entry.shareAt));
+    const double seconds = toSeconds(m_clock.now() - entry.shareAt);
+    const double known = m_settings.carefulShare * entry.ceiling;
+    const double quick = entry.share + slope * seconds;
+    if (quick <= known || entry.ceiling >= 1)
+        return std::min(1.0, quick);
+    // Close to the share at which it was overloaded last, the upstream ramps up slowly.
+    const double left = seconds - std::max(0.0, known - entry.share) / slope;
+    const double slow = std::max(known, entry.share) + slope * m_settings.carefulSlope * left;
+    return std::min(1.0, slow);
 }
 
 const load_aware_placement::service_view &
@@ -222,9 +230,12 @@
     if (entry.isOpen) {
         const double share = rampShare(upstream.id);
         entry.share = std::max(m_settings.rampStart, share * m_settings.reopenShare);
+        entry.ceiling = std::min(share, m_settings.maxCeiling);
     }
     if (state.reason == condition_reason::Cold)
         entry.share = m_settings.rampStart;
+    if (state.reason != condition_reason::Load)
+        entry.ceiling = 1;
     entry.isOpen = isOpen;
     entry.shareAt = isOpen ? state.changedAt : now;
 }
--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -45,8 +45,11 @@
     monotonic_time deflectionDelay = std::chrono::milliseconds(2500);
     monotonic_time rampTime = std::chrono::seconds(30); ///< from rampStart to the full weight
     double rampStart = 0.1;                             ///< share of weight of a cold upstream
-    double reopenShare = 0.5; ///< share of the former weight that a reopened upstream gets
-    double panicShare = 0.5;  ///< deflected weight above which deflection is ignored
+    double reopenShare = 0.5;   ///< share of the former weight that a reopened upstream gets
+    double carefulShare = 0.8;  ///< part of the last overloaded share that is reached quickly
+    double carefulSlope = 0.25; ///< slope above it, as a part of the slope below
+    double maxCeiling = 0.99;   ///< an upstream overloaded at its full share is ramped slowly too
+    double panicShare = 0.5;    ///< deflected weight above which deflection is ignored
     monotonic_time placedMemory = std::chrono::seconds(1); ///< decay of flows placed
     monotonic_time freshness = std::chrono::seconds(3);    ///< age at which a report is ignored
     double fullShare = 0.98; ///< share of max_flows at which an upstream has no room
@@ -83,7 +86,8 @@
         double load = 0; ///< smoothed reported load
         monotonic_time loadAt {0};
         std::uint32_t incarnation = 0;
-        double share = 1; ///< ramp share at shareAt
+        double share = 1;   ///< ramp share at shareAt
+        double ceiling = 1; ///< share at which it was overloaded last; 1 for never
         monotonic_time shareAt {0};
         bool isOpen = true; ///< condition when the share was last changed
     };
