Fix: placement no longer mixes lagging reports into its estimates

Cause: an upstream's reports reach only its two probers and are single samples of two or three slots, so estimates differed between instances by noise. Change: placement_settings::maxLoadFactor is 1; reports act through conditions.

--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -19,10 +19,6 @@
 constexpr std::uint64_t domainStream = 0x646f6d61;
 /// Weight of a new report in the smoothed load; one sample of two or three slots is mostly noise.
 constexpr double loadSmoothing = 0.2;
-/// Bounds of the factor by which reported load changes an estimate: reports lag.
-constexpr double minLoadFactor = 0.5;
-constexpr double maxLoadFactor = 2.0;
-
 double uniformOf(flow_hash hash, std::uint64_t stream)
 {
     return (static_cast<double>(mixHash(hash, stream) >> 11) + 0.5) * 0x1.0p-53;
@@ -345,7 +341,8 @@
     double factor = 1;
     const bool isFresh = entry.loadAt.count() > 0 && now - entry.loadAt <= m_settings.freshness;
     if (isFresh && m_meanLoad > 0)
-        factor = std::clamp(entry.load / m_meanLoad, minLoadFactor, maxLoadFactor);
+        factor = std::clamp(entry.load / m_meanLoad, 1 / m_settings.maxLoadFactor,
+                            m_settings.maxLoadFactor);
     return factor * (decayedPlaced(entry, now) + 1) / weight;
 }
 
--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -52,6 +52,10 @@
     double panicShare = 0.5;    ///< deflected weight above which deflection is ignored
     monotonic_time placedMemory = std::chrono::seconds(1); ///< decay of flows placed
     monotonic_time freshness = std::chrono::seconds(3);    ///< age at which a report is ignored
+    /// Largest factor by which the last report changes an estimate; 1 for none. Only the probers
+    /// of an upstream have its reports, and one sample of a few slots is mostly noise
+    /// (docs/balance-rounds.md, round 13), so reports act through conditions alone.
+    double maxLoadFactor = 1;
     double fullShare = 0.98; ///< share of max_flows at which an upstream has no room
 };
 
