Fix: health ticks and admission cost no longer grow with the fleet

Cause: each tick walked all upstreams, the choice of probers scored all members for each upstream, and each new flow counted the ready members. Change: ticks walk the upstreams probed here; the choice of probers stops at the second better member; counts of ready members are kept per members revision.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -21,15 +21,10 @@
 constexpr monotonic_time signalMemory = 3s;
 /// A reply this recent shows that an upstream lives although its reports fail.
 constexpr monotonic_time aliveMemory = 5s;
-constexpr int minComparisons = 3; ///< fresh reports of others that a comparison needs
 /// Time without a reply that confirms unanswered SYNs; they are noticed after the same time.
 constexpr monotonic_time silence = 1s;
 /// Share of a new report in smoothed figures: a memory of about three reports.
 constexpr double smoothing = 0.3;
-constexpr std::size_t probersPerUpstream = 2;
-/// Other upstreams that are probed while one seems overloaded; a prober's own may be too few.
-/// One of them is probed each half interval, so that overload adds at most two probes a second.
-constexpr std::size_t comparisons = 4;
 
 double toSeconds(monotonic_time time)
 {
@@ -149,8 +144,8 @@
     if (m_board.membersRevision != m_membersRevision)
         chooseProbers();
     startProbes(now);
-    for (auto &[id, entry] : m_records)
-        evaluate(id, entry, now);
+    for (const upstream_id id : m_probed)
+        evaluate(id, m_records.at(id), now);
 }
 
 bool health_controller::isProber(upstream_id upstream) const
@@ -159,135 +154,6 @@
     return found != m_records.end() && found->second.isProber;
 }
 
-void health_controller::refreshUpstreams()
-{
-    if (m_config == m_board.config.get() && m_version == m_board.config->version)
-        return;
-    m_config = m_board.config.get();
-    m_version = m_config->version;
-    std::unordered_map<upstream_id, record> records;
-    for (const auto &[id, service] : m_config->services) {
-        for (const upstream_config &upstream : service->upstreams) {
-            const auto found = m_records.find(upstream.id);
-            record entry = found != m_records.end() ? found->second : record {};
-            entry.service = id;
-            entry.domain = upstream.domain;
-            entry.health = upstream.health;
-            entry.weight = upstream.weight;
-            entry.isLeaving = upstream.mode == upstream_mode::Leaving;
-            entry.slots = std::max<std::uint16_t>(upstream.slots, 1);
-            records.emplace(upstream.id, entry);
-            m_board.upstreams.try_emplace(upstream.id);
-        }
-    }
-    m_records = std::move(records);
-    std::erase_if(m_board.upstreams,
-                  [this](const auto &item) { return !m_records.contains(item.first); });
-    chooseProbers();
-}
-
-void health_controller::chooseProbers()
-{
-    m_membersRevision = m_board.membersRevision;
-    for (auto &[id, entry] : m_records) {
-        const bool isChosen = choosesSelf(id, entry.domain);
-        if (isChosen && !entry.isProber) {
-            // A random first probe spreads the probes of all instances over the interval.
-            entry.probeDue = m_clock.now() + jitter(m_settings.probeInterval / 2);
-            entry.failures = 0;
-            entry.repeats = 0;
-        }
-        entry.isProber = isChosen;
-    }
-}
-
-bool health_controller::choosesSelf(upstream_id upstream, domain_id domain) const
-{
-    const auto isReady = [](const member &candidate) {
-        return candidate.state == member_state::Ready;
-    };
-    const bool hasLocal =
-        std::any_of(m_board.members.begin(), m_board.members.end(), [&](const auto &item) {
-            return isReady(item.second) && item.second.domain == domain;
-        });
-    const auto own = mixHash(idValue(upstream), idValue(m_board.self.id));
-    std::size_t ahead = 0;
-    bool isCandidate = false;
-    for (const auto &[id, candidate] : m_board.members) {
-        if (!isReady(candidate) || (hasLocal && candidate.domain != domain))
-            continue;
-        if (id == m_board.self.id)
-            isCandidate = true;
-        else if (mixHash(idValue(upstream), idValue(id)) > own)
-            ++ahead;
-    }
-    return isCandidate && ahead < probersPerUpstream;
-}
-
-void health_controller::startProbes(monotonic_time now)
-{
-    for (auto &[id, entry] : m_records) {
-        if (!entry.isProber)
-            continue;
-        startProbe(id, entry, now);
-        if (isSuspicious(entry))
-            probeOthers(id, entry.service, now);
-    }
-}
-
-bool health_controller::startProbe(upstream_id upstream, record &entry, monotonic_time now)
-{
-    if (entry.health.port == 0 || entry.probeDue > now)
-        return false;
-    entry.probeDue = now + m_settings.probeInterval;
-    m_prober.probe(upstream, entry.health);
-    return true;
-}
-
-void health_controller::probeOthers(upstream_id upstream, service_id service, monotonic_time now)
-{
-    if (now < m_comparisonDue)
-        return;
-    std::vector<std::pair<std::uint64_t, upstream_id>> others;
-    for (const auto &[id, entry] : m_records) {
-        if (id != upstream && entry.service == service && !entry.isLeaving)
-            others.emplace_back(mixHash(idValue(upstream), idValue(id)), id);
-    }
-    const auto count = std::min(others.size(), comparisons);
-    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
-                      others.end());
-    const auto last = others.begin() + static_cast<std::ptrdiff_t>(count);
-    const auto oldest =
-        std::min_element(others.begin(), last, [this](const auto &a, const auto &b) {
-            return m_records.at(a.second).probeDue < m_records.at(b.second).probeDue;
-        });
-    if (oldest != last && startProbe(oldest->second, m_records.at(oldest->second), now))
-        m_comparisonDue = now + m_settings.probeInterval / 2;
-}
-
-bool health_controller::isSuspicious(const record &entry) const
-{
-    return entry.hasReport && entry.busy >= m_settings.overloadOn
-        && entry.queue >= m_settings.queueOn / 2;
-}
-
-bool health_controller::isComparable(upstream_id upstream, const record &entry,
-                                     monotonic_time now) const
-{
-    if (!isAccepting(upstream, entry) || !entry.hasReport)
-        return false;
-    const upstream_state &state = m_board.upstreams.at(upstream);
-    return state.reportedAt.count() > 0 && now - state.reportedAt <= m_settings.freshness;
-}
-
-bool health_controller::isAccepting(upstream_id upstream, const record &entry) const
-{
-    // A leaving or deflected upstream is idle for want of flows.
-    const auto found = m_board.upstreams.find(upstream);
-    return !entry.isLeaving && found != m_board.upstreams.end()
-        && found->second.condition == upstream_condition::Open;
-}
-
 void health_controller::evaluate(upstream_id upstream, record &entry, monotonic_time now)
 {
     if (!entry.isProber)
@@ -445,64 +311,6 @@
     entry.answered *= factor;
 }
 
-double health_controller::lostShare(service_id service, upstream_id added) const
-{
-    const auto now = m_clock.now();
-    double total = 0;
-    double lost = 0;
-    for (const auto &[id, entry] : m_records) {
-        if (entry.service != service || entry.isLeaving)
-            continue;
-        total += entry.weight;
-        const auto found = m_board.upstreams.find(id);
-        if (id == added) {
-            lost += entry.weight;
-        } else if (found != m_board.upstreams.end() && found->second.incarnation > 0) {
-            const upstream_state &state = found->second;
-            const bool isRamping = now - state.changedAt < m_settings.rampTime;
-            const bool isOpen = state.condition == upstream_condition::Open;
-            lost += !isOpen ? entry.weight : isRamping ? entry.weight / 2.0 : 0;
-        }
-    }
-    return total > 0 ? lost / total : 0;
-}
-
-bool health_controller::hasRoomElsewhere(service_id service, upstream_id except) const
-{
-    const auto now = m_clock.now();
-    double busy = 0;
-    double queue = 0;
-    int count = 0;
-    int others = 0;
-    for (const auto &[id, entry] : m_records) {
-        if (id == except || entry.service != service)
-            continue;
-        others += isAccepting(id, entry) ? 1 : 0;
-        if (!isComparable(id, entry, now))
-            continue;
-        busy += entry.busy;
-        queue += entry.queue;
-        ++count;
-    }
-    // One sample of a few slots is mostly noise.
-    const bool isEnough = count > 0 && count >= std::min(others, minComparisons);
-    if (!isEnough)
-        return false;
-    // The others take over the whole load of the deflected upstream.
-    return busy / count + 1.0 / others <= m_settings.overloadOn && queue < count;
-}
-
-bool health_controller::isRefusalGeneral(service_id service) const
-{
-    int upstreams = 0;
-    int refusing = 0;
-    for (const auto &[id, entry] : m_records) {
-        upstreams += entry.service == service ? 1 : 0;
-        refusing += entry.service == service && entry.refused >= 1 ? 1 : 0;
-    }
-    return 2 * refusing > upstreams;
-}
-
 void health_controller::change(upstream_id upstream, upstream_condition condition,
                                condition_reason reason, monotonic_time now)
 {
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -119,7 +119,7 @@
 
     void refreshUpstreams();
     void chooseProbers();
-    bool choosesSelf(upstream_id upstream, domain_id domain) const;
+    bool choosesSelf(upstream_id upstream, const std::vector<instance_id> &candidates) const;
     void startProbes(monotonic_time now);
     bool startProbe(upstream_id upstream, record &entry, monotonic_time now);
     void probeOthers(upstream_id upstream, service_id service, monotonic_time now);
@@ -151,6 +151,8 @@
     notice_outlet &m_outlet;
     health_settings m_settings;
     std::unordered_map<upstream_id, record> m_records; ///< one per upstream of the configuration
+    std::unordered_map<service_id, std::vector<upstream_id>> m_services; ///< keys of m_records
+    std::vector<upstream_id> m_probed;       ///< upstreams of which this instance is a prober
     monotonic_time m_comparisonDue {0};      ///< earliest time of the next comparison probe
     const configuration *m_config = nullptr; ///< configuration m_records was built from
     config_version m_version = 0;
--- /dev/null
+++ b/src/balance/health_probe.cpp
@@ -0,0 +1,220 @@
+/**
+ * @file health_probe.cpp
+ * Choice of probers, probes, and comparison of an upstream with the others of its service.
+ */
+
+#include "health_base.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace chicoryhead {
+
+namespace {
+
+constexpr std::size_t probersPerUpstream = 2;
+/// Other upstreams that are probed while one seems overloaded; a prober's own may be too few.
+/// One of them is probed each half interval, so that overload adds at most two probes a second.
+constexpr std::size_t comparisons = 4;
+constexpr int minComparisons = 3; ///< fresh reports of others that a comparison needs
+
+} // namespace
+
+void health_controller::refreshUpstreams()
+{
+    if (m_config == m_board.config.get() && m_version == m_board.config->version)
+        return;
+    m_config = m_board.config.get();
+    m_version = m_config->version;
+    std::unordered_map<upstream_id, record> records;
+    m_services.clear();
+    for (const auto &[id, service] : m_config->services) {
+        for (const upstream_config &upstream : service->upstreams) {
+            const auto found = m_records.find(upstream.id);
+            record entry = found != m_records.end() ? found->second : record {};
+            entry.service = id;
+            entry.domain = upstream.domain;
+            entry.health = upstream.health;
+            entry.weight = upstream.weight;
+            entry.isLeaving = upstream.mode == upstream_mode::Leaving;
+            entry.slots = std::max<std::uint16_t>(upstream.slots, 1);
+            records.emplace(upstream.id, entry);
+            m_services[id].push_back(upstream.id);
+            m_board.upstreams.try_emplace(upstream.id);
+        }
+    }
+    m_records = std::move(records);
+    std::erase_if(m_board.upstreams,
+                  [this](const auto &item) { return !m_records.contains(item.first); });
+    chooseProbers();
+}
+
+void health_controller::chooseProbers()
+{
+    m_membersRevision = m_board.membersRevision;
+    std::map<domain_id, std::vector<instance_id>> ready;
+    std::vector<instance_id> allReady;
+    for (const auto &[id, candidate] : m_board.members) {
+        if (candidate.state != member_state::Ready)
+            continue;
+        ready[candidate.domain].push_back(id);
+        allReady.push_back(id);
+    }
+    m_probed.clear();
+    for (auto &[id, entry] : m_records) {
+        const auto local = ready.find(entry.domain);
+        const bool isChosen = choosesSelf(id, local != ready.end() ? local->second : allReady);
+        if (isChosen && !entry.isProber) {
+            // A random first probe spreads the probes of all instances over the interval.
+            entry.probeDue = m_clock.now() + jitter(m_settings.probeInterval / 2);
+            entry.failures = 0;
+            entry.repeats = 0;
+        }
+        entry.isProber = isChosen;
+        if (isChosen)
+            m_probed.push_back(id);
+    }
+}
+
+bool health_controller::choosesSelf(upstream_id upstream,
+                                    const std::vector<instance_id> &candidates) const
+{
+    const instance_id self = m_board.self.id;
+    if (!std::binary_search(candidates.begin(), candidates.end(), self))
+        return false;
+    const auto own = mixHash(idValue(upstream), idValue(self));
+    std::size_t ahead = 0;
+    for (const instance_id id : candidates) {
+        if (id != self && mixHash(idValue(upstream), idValue(id)) > own
+            && ++ahead == probersPerUpstream)
+            return false;
+    }
+    return true;
+}
+
+void health_controller::startProbes(monotonic_time now)
+{
+    for (const upstream_id id : m_probed) {
+        record &entry = m_records.at(id);
+        startProbe(id, entry, now);
+        if (isSuspicious(entry))
+            probeOthers(id, entry.service, now);
+    }
+}
+
+bool health_controller::startProbe(upstream_id upstream, record &entry, monotonic_time now)
+{
+    if (entry.health.port == 0 || entry.probeDue > now)
+        return false;
+    entry.probeDue = now + m_settings.probeInterval;
+    m_prober.probe(upstream, entry.health);
+    return true;
+}
+
+void health_controller::probeOthers(upstream_id upstream, service_id service, monotonic_time now)
+{
+    if (now < m_comparisonDue)
+        return;
+    std::vector<std::pair<std::uint64_t, upstream_id>> others;
+    for (const upstream_id id : m_services.at(service)) {
+        if (id != upstream && !m_records.at(id).isLeaving)
+            others.emplace_back(mixHash(idValue(upstream), idValue(id)), id);
+    }
+    const auto count = std::min(others.size(), comparisons);
+    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
+                      others.end());
+    const auto last = others.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto oldest =
+        std::min_element(others.begin(), last, [this](const auto &a, const auto &b) {
+            return m_records.at(a.second).probeDue < m_records.at(b.second).probeDue;
+        });
+    if (oldest != last && startProbe(oldest->second, m_records.at(oldest->second), now))
+        m_comparisonDue = now + m_settings.probeInterval / 2;
+}
+
+bool health_controller::isSuspicious(const record &entry) const
+{
+    return entry.hasReport && entry.busy >= m_settings.overloadOn
+        && entry.queue >= m_settings.queueOn / 2;
+}
+
+bool health_controller::isComparable(upstream_id upstream, const record &entry,
+                                     monotonic_time now) const
+{
+    if (!isAccepting(upstream, entry) || !entry.hasReport)
+        return false;
+    const upstream_state &state = m_board.upstreams.at(upstream);
+    return state.reportedAt.count() > 0 && now - state.reportedAt <= m_settings.freshness;
+}
+
+bool health_controller::isAccepting(upstream_id upstream, const record &entry) const
+{
+    // A leaving or deflected upstream is idle for want of flows.
+    const auto found = m_board.upstreams.find(upstream);
+    return !entry.isLeaving && found != m_board.upstreams.end()
+        && found->second.condition == upstream_condition::Open;
+}
+
+double health_controller::lostShare(service_id service, upstream_id added) const
+{
+    const auto now = m_clock.now();
+    double total = 0;
+    double lost = 0;
+    for (const upstream_id id : m_services.at(service)) {
+        const record &entry = m_records.at(id);
+        if (entry.isLeaving)
+            continue;
+        total += entry.weight;
+        const auto found = m_board.upstreams.find(id);
+        if (id == added) {
+            lost += entry.weight;
+        } else if (found != m_board.upstreams.end() && found->second.incarnation > 0) {
+            const upstream_state &state = found->second;
+            const bool isRamping = now - state.changedAt < m_settings.rampTime;
+            const bool isOpen = state.condition == upstream_condition::Open;
+            lost += !isOpen ? entry.weight : isRamping ? entry.weight / 2.0 : 0;
+        }
+    }
+    return total > 0 ? lost / total : 0;
+}
+
+bool health_controller::hasRoomElsewhere(service_id service, upstream_id except) const
+{
+    const auto now = m_clock.now();
+    double busy = 0;
+    double queue = 0;
+    int count = 0;
+    int others = 0;
+    for (const upstream_id id : m_services.at(service)) {
+        const record &entry = m_records.at(id);
+        if (id == except)
+            continue;
+        others += isAccepting(id, entry) ? 1 : 0;
+        if (!isComparable(id, entry, now))
+            continue;
+        busy += entry.busy;
+        queue += entry.queue;
+        ++count;
+    }
+    // One sample of a few slots is mostly noise.
+    const bool isEnough = count > 0 && count >= std::min(others, minComparisons);
+    if (!isEnough)
+        return false;
+    // The others take over the whole load of the deflected upstream.
+    return busy / count + 1.0 / others <= m_settings.overloadOn && queue < count;
+}
+
+bool health_controller::isRefusalGeneral(service_id service) const
+{
+    int upstreams = 0;
+    int refusing = 0;
+    for (const upstream_id id : m_services.at(service)) {
+        const record &entry = m_records.at(id);
+        ++upstreams;
+        refusing += entry.refused >= 1 ? 1 : 0;
+    }
+    return 2 * refusing > upstreams;
+}
+
+} // namespace chicoryhead
--- a/src/balance/limits.cpp
+++ b/src/balance/limits.cpp
@@ -154,12 +154,16 @@
     }
 }
 
-double flow_limiter::readyMembers() const
+double flow_limiter::readyMembers()
 {
+    if (m_ready > 0 && m_membersRevision == m_board.membersRevision)
+        return m_ready;
     const auto ready =
         std::count_if(m_board.members.begin(), m_board.members.end(),
                       [](const auto &item) { return item.second.state == member_state::Ready; });
-    return static_cast<double>(std::max<std::ptrdiff_t>(ready, 1));
+    m_membersRevision = m_board.membersRevision;
+    m_ready = static_cast<double>(std::max<std::ptrdiff_t>(ready, 1));
+    return m_ready;
 }
 
 double flow_limiter::uniform()
--- a/src/balance/limits_base.h
+++ b/src/balance/limits_base.h
@@ -93,7 +93,7 @@
     bool isUnderPressure();
     bool hasRoom(const service_config &service) const;
     void refillShares(monotonic_time now);
-    double readyMembers() const;
+    double readyMembers();
     double uniform();
 
     const clock_source &m_clock;
@@ -102,6 +102,8 @@
     limiter_settings m_settings;
     instance_pressure m_pressure;
     std::map<service_id, account> m_accounts;
+    double m_ready = 0; ///< ready members at m_membersRevision; 0 before the first count
+    std::uint64_t m_membersRevision = 0;
     token_bucket m_pool; ///< capacity that services leave unused
 };
 
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -284,8 +284,23 @@
     return upstream.weight * rampShare(upstream.id);
 }
 
+void load_aware_placement::countMembers()
+{
+    if (m_ready > 0 && m_membersRevision == m_board.membersRevision)
+        return;
+    m_membersRevision = m_board.membersRevision;
+    m_readyInDomain.clear();
+    m_ready = 0;
+    for (const auto &[id, candidate] : m_board.members) {
+        if (candidate.state != member_state::Ready)
+            continue;
+        m_readyInDomain[candidate.domain] += 1;
+        m_ready += 1;
+    }
+}
+
 domain_id load_aware_placement::chooseDomain(const std::vector<const upstream_config *> &accepting,
-                                             flow_hash hash) const
+                                             flow_hash hash)
 {
     double weight = 0;
     std::map<domain_id, double> room; // share of weight minus share of flows, per domain
@@ -296,18 +311,15 @@
 
     const domain_id own = m_board.self.domain;
     const double ownWeight = room[own];
-    double members = 0;
-    for (const auto &[id, candidate] : m_board.members)
-        members += candidate.state == member_state::Ready ? 1 : 0;
-    double ownMembers = 0;
-    for (const auto &[id, candidate] : m_board.members) {
-        if (candidate.state != member_state::Ready)
-            continue;
-        ownMembers += candidate.domain == own ? 1 : 0;
-        if (room.contains(candidate.domain))
-            room[candidate.domain] -= 1 / members;
+    countMembers();
+    for (auto &[domain, left] : room) {
+        const auto count = m_readyInDomain.find(domain);
+        if (count != m_readyInDomain.end())
+            left -= count->second / m_ready;
     }
-    const double kept = ownMembers > 0 ? ownWeight * members / ownMembers : ownWeight;
+    const auto found = m_readyInDomain.find(own);
+    const double ownMembers = found != m_readyInDomain.end() ? found->second : 0;
+    const double kept = ownMembers > 0 ? ownWeight * m_ready / ownMembers : ownWeight;
     const double position = uniformOf(hash, domainStream);
     if (position < kept)
         return own;
@@ -348,7 +360,7 @@
 
 const upstream_config *
 load_aware_placement::chooseOfTwo(const std::vector<const upstream_config *> &accepting,
-                                  flow_hash hash) const
+                                  flow_hash hash)
 {
     const domain_id domain = chooseDomain(accepting, hash);
     const bool hasDomain =
--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -121,11 +121,11 @@
     panic_scope panicOf(const service_config &service) const;
     static bool isExempt(const upstream_state &state, panic_scope panic);
     double effectiveWeight(const upstream_config &upstream) const;
-    domain_id chooseDomain(const std::vector<const upstream_config *> &accepting,
-                           flow_hash hash) const;
+    void countMembers();
+    domain_id chooseDomain(const std::vector<const upstream_config *> &accepting, flow_hash hash);
     double estimate(const upstream_config &upstream) const;
     const upstream_config *chooseOfTwo(const std::vector<const upstream_config *> &accepting,
-                                       flow_hash hash) const;
+                                       flow_hash hash);
     void notePlaced(upstream_id upstream);
     double decayedPlaced(const record &entry, monotonic_time now) const;
 
@@ -135,6 +135,9 @@
     placement_settings m_settings;
     std::unordered_map<upstream_id, record> m_records;
     std::map<service_id, service_view> m_views;
+    std::map<domain_id, double> m_readyInDomain; ///< ready members at m_membersRevision
+    double m_ready = 0;                          ///< sum of m_readyInDomain
+    std::uint64_t m_membersRevision = 0;
     config_version m_firstVersion = 0; ///< first version seen; its upstreams are not cold
     double m_meanLoad = 0;             ///< mean fresh reported load of the current service
 };
