--- a/bench/experiment_balance.cpp
+++ b/bench/experiment_balance.cpp
@@ -16,6 +16,7 @@
 
 DEFINE_bool(json, false, "print the figures as JSON");
 DEFINE_string(only, "", "run only the case with this name");
+DEFINE_uint64(seed, 42, "seed of all random choices");
 DEFINE_int32(threads, 3, "runs at a time");
 
 using namespace chicoryhead::experiment;
@@ -118,8 +119,9 @@
 run_set runPolicies(const experiment_case &what, std::uint16_t slots)
 {
     run_set runs;
-    std::transform(policies.begin(), policies.end(), runs.begin(),
-                   [&](const named_policy &item) { return runCase(what, item.which, slots); });
+    std::transform(policies.begin(), policies.end(), runs.begin(), [&](const named_policy &item) {
+        return runCase(what, item.which, slots, FLAGS_seed);
+    });
     return runs;
 }
 
--- a/bench/experiment_balance_model.cpp
+++ b/bench/experiment_balance_model.cpp
@@ -402,9 +402,10 @@
     return out;
 }
 
-run_figures runCase(const experiment_case &what, policy which, std::uint16_t slots)
+run_figures runCase(const experiment_case &what, policy which, std::uint16_t slots,
+                    std::uint64_t seed)
 {
-    return model(what, which, slots).run();
+    return model(what, which, slots, seed).run();
 }
 
 } // namespace chicoryhead::experiment
--- a/bench/experiment_balance_model.h
+++ b/bench/experiment_balance_model.h
@@ -71,6 +71,7 @@
 };
 
 /** Runs one case with one policy. @param slots slots per upstream. */
-run_figures runCase(const experiment_case &what, policy which, std::uint16_t slots);
+run_figures runCase(const experiment_case &what, policy which, std::uint16_t slots,
+                    std::uint64_t seed);
 
 } // namespace chicoryhead::experiment
--- a/bench/experiment_balance_parts.h
+++ b/bench/experiment_balance_parts.h
@@ -134,11 +134,11 @@
     monotonic_time nextAppliedAt {0}; ///< when the second configuration was applied
     std::vector<std::pair<monotonic_time, upstream_notice>> recent;
 
-    fake_instance(model &owner_, int index_)
+    fake_instance(model &owner_, int index_, std::uint64_t seed)
         : owner(owner_)
         , index(index_)
         , domain(index_ % domainCount)
-        , random(1000 + static_cast<std::uint64_t>(index_))
+        , random(seed + 1000 + static_cast<std::uint64_t>(index_))
     {
     }
 
@@ -150,7 +150,7 @@
 class model
 {
 public:
-    model(const experiment_case &what, policy which, std::uint16_t slots);
+    model(const experiment_case &what, policy which, std::uint16_t slots, std::uint64_t seed);
 
     /** Runs to the end. */
     run_figures run();
@@ -197,7 +197,7 @@
 
     experiment_case m_case;
     policy m_policy;
-    model_random m_random {42};
+    model_random m_random;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     std::uint64_t m_order = 0;
     std::array<double, 2> m_rates {};                        ///< new flows per second per service
--- a/bench/experiment_balance_setup.cpp
+++ b/bench/experiment_balance_setup.cpp
@@ -47,12 +47,12 @@
     }
 }
 
-model::model(const experiment_case &what, policy which, std::uint16_t slots)
-    : m_case(what), m_policy(which)
+model::model(const experiment_case &what, policy which, std::uint16_t slots, std::uint64_t seed)
+    : m_case(what), m_policy(which), m_random(seed)
 {
     buildConfigs(slots);
     for (int i = 0; i < instanceCount; ++i) {
-        m_instances.push_back(std::make_unique<fake_instance>(*this, i));
+        m_instances.push_back(std::make_unique<fake_instance>(*this, i, seed));
         buildInstance(i);
     }
     for (int i = 0; i < instanceCount; ++i) {
