Fix: a full upstream is not held off as if it were shedding

Cause: refusals of a full queue started a hold-off that outlasted the overload. Change: refusals cause a probe at once, and only a report with free slots, or none, starts a hold-off.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -90,6 +90,10 @@
     decaySignals(entry, now);
     switch (signal) {
     case passive_signal::Refused:
+        if (entry.refused < 1) {
+            entry.refusedSince = now;
+            entry.isRefusalProbed = false;
+        }
         entry.refused += 1;
         break;
     case passive_signal::Accepted:
@@ -159,10 +163,7 @@
     if (!entry.isProber)
         return;
     decaySignals(entry, now);
-    const bool isRefusing =
-        entry.refused >= m_settings.signalFailures && entry.refused > entry.accepted;
-    // When most upstreams refuse, the service is overloaded and a hold-off would outlast that.
-    if (isRefusing && !isRefusalGeneral(entry.service))
+    if (isShedding(entry))
         startHoldOff(entry, now);
     // Once deflected, the upstream is idle indeed; without a hold-off it would be reopened at once.
     if (m_settings.deflectOnContradiction && isContradicted(upstream, entry))
@@ -247,6 +248,7 @@
     entry.queue += share * (queue - entry.queue);
     entry.idleReports = isIdle(report) ? entry.idleReports + 1 : 0;
     entry.hasReport = true;
+    entry.takenAt = m_clock.now();
     entry.last = report;
     if (isContradicted(upstream, entry))
         return; // the figures are not used
@@ -275,6 +277,20 @@
         && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
+bool health_controller::isShedding(const record &entry) const
+{
+    if (entry.refused < m_settings.signalFailures || entry.refused <= entry.accepted)
+        return false;
+    // When most upstreams refuse, the service is overloaded and a hold-off would outlast that.
+    if (isRefusalGeneral(entry.service))
+        return false;
+    // An upstream that refuses because it is full is overloaded; the comparison with others
+    // decides.
+    const bool hasAnswer = entry.failures == 0 && entry.takenAt > entry.refusedSince;
+    return entry.failures > 0
+        || (hasAnswer && entry.last.busySlots < entry.slots && entry.last.queued == 0);
+}
+
 void health_controller::forgetOverload(upstream_id upstream)
 {
     // Figures from before the change would make one prober undo what the other has decided.
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -96,25 +96,28 @@
         bool isLeaving = false;
         bool isProber = false;
         monotonic_time probeDue {0};
-        monotonic_time shedUntil {0};  ///< hold-off after shedding
-        monotonic_time lastShed {0};   ///< last start of a hold-off
-        monotonic_time holdOff {0};    ///< length of the last hold-off before jitter
-        monotonic_time troubleAt {0};  ///< last time a reason for deflection held
-        monotonic_time aliveAt {-1};   ///< last reply seen; negative for never
-        monotonic_time signalsAt {0};  ///< time to which the signal figures are decayed
-        double refused = 0;            ///< decayed count of refused SYNs
-        double unanswered = 0;         ///< decayed count of unanswered SYNs
-        double accepted = 0;           ///< decayed count of accepted SYNs
-        double answered = 0;           ///< decayed count of answers
-        double busy = 0;               ///< smoothed share of slots in use
-        double queue = 0;              ///< smoothed queue, in slots
-        std::uint32_t failures = 0;    ///< consecutive failed probes
-        std::uint32_t repeats = 0;     ///< consecutive reports with the same sequence number
-        std::uint32_t idleReports = 0; ///< consecutive idle reports
-        bool hasReport = false;        ///< figures below are valid
-        bool isSmoothed = false;       ///< busy and queue hold at least one report
-        bool isOverloaded = false;     ///< state of the hysteresis
-        load_report last;              ///< last believable report
+        monotonic_time shedUntil {0};    ///< hold-off after shedding
+        monotonic_time lastShed {0};     ///< last start of a hold-off
+        monotonic_time holdOff {0};      ///< length of the last hold-off before jitter
+        monotonic_time troubleAt {0};    ///< last time a reason for deflection held
+        monotonic_time aliveAt {-1};     ///< last reply seen; negative for never
+        monotonic_time refusedSince {0}; ///< first of the current refusals
+        monotonic_time takenAt {0};      ///< arrival of the last believable report
+        bool isRefusalProbed = false;    ///< a probe was started for the current refusals
+        monotonic_time signalsAt {0};    ///< time to which the signal figures are decayed
+        double refused = 0;              ///< decayed count of refused SYNs
+        double unanswered = 0;           ///< decayed count of unanswered SYNs
+        double accepted = 0;             ///< decayed count of accepted SYNs
+        double answered = 0;             ///< decayed count of answers
+        double busy = 0;                 ///< smoothed share of slots in use
+        double queue = 0;                ///< smoothed queue, in slots
+        std::uint32_t failures = 0;      ///< consecutive failed probes
+        std::uint32_t repeats = 0;       ///< consecutive reports with the same sequence number
+        std::uint32_t idleReports = 0;   ///< consecutive idle reports
+        bool hasReport = false;          ///< figures below are valid
+        bool isSmoothed = false;         ///< busy and queue hold at least one report
+        bool isOverloaded = false;       ///< state of the hysteresis
+        load_report last;                ///< last believable report
     };
 
     void refreshUpstreams();
@@ -132,6 +135,7 @@
     bool isFailing(const record &entry, monotonic_time now) const;
     void takeFigures(upstream_id upstream, record &entry, const load_report &report);
     void updateOverload(upstream_id upstream, record &entry, monotonic_time now);
+    bool isShedding(const record &entry) const;
     void forgetOverload(upstream_id upstream);
     void startHoldOff(record &entry, monotonic_time now);
     void decaySignals(record &entry, monotonic_time now) const;
--- a/src/balance/health_probe.cpp
+++ b/src/balance/health_probe.cpp
@@ -97,6 +97,10 @@
 {
     for (const upstream_id id : m_probed) {
         record &entry = m_records.at(id);
+        if (entry.refused >= m_settings.signalFailures && !entry.isRefusalProbed) {
+            entry.isRefusalProbed = true; // the report tells a full upstream from a shedding one
+            entry.probeDue = now;
+        }
         startProbe(id, entry, now);
         if (isSuspicious(entry))
             probeOthers(id, entry.service, now);
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -331,6 +331,22 @@
     CHECK(twice >= 5s + 3s);
 }
 
+TEST_CASE("refusals hold an upstream off unless its report shows that it is full", "[balance]")
+{
+    for (const std::uint32_t busy : {0, 3}) {
+        fixture f;
+        f.reportFor(1, first, busy);
+        for (int n = 0; n < 20; ++n)
+            f.health.onSignal(first, passive_signal::Refused);
+        const int probes = f.prober.probes[first];
+        f.health.tick();
+        CHECK(f.prober.probes[first] == probes + 1);
+        CHECK(f.isOpen(first));
+        f.reportFor(1, first, busy);
+        CHECK(f.isOpen(first) == (busy == 3));
+    }
+}
+
 TEST_CASE("a deflected holder counts only after every instance can know of it", "[balance]")
 {
     fixture f;
