Fix: comparisons use reports taken since the overload began

Cause: at the start of a burst the others' last reports still showed room, and comparison reports came one by one.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -273,7 +273,7 @@
     if (entry.busy < m_settings.overloadOn || entry.queue < m_settings.queueOn)
         return;
     // Deflection only moves load; it helps no one when the other upstreams have no room.
-    entry.isOverloaded = hasRoomElsewhere(entry.service, upstream)
+    entry.isOverloaded = hasRoomElsewhere(entry, upstream)
         && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -102,6 +102,8 @@
         monotonic_time troubleAt {0};    ///< last time a reason for deflection held
         monotonic_time aliveAt {-1};     ///< last reply seen; negative for never
         monotonic_time refusedSince {0}; ///< first of the current refusals
+        monotonic_time suspectSince {0}; ///< when it began to seem overloaded; 0 when not
+        bool isCompared = false;         ///< first comparison probes were started
         monotonic_time takenAt {0};      ///< arrival of the last believable report
         bool isRefusalProbed = false;    ///< a probe was started for the current refusals
         monotonic_time signalsAt {0};    ///< time to which the signal figures are decayed
@@ -125,10 +127,10 @@
     bool choosesSelf(upstream_id upstream, const std::vector<instance_id> &candidates) const;
     void startProbes(monotonic_time now);
     bool startProbe(upstream_id upstream, record &entry, monotonic_time now);
-    void probeOthers(upstream_id upstream, service_id service, monotonic_time now);
+    void probeOthers(upstream_id upstream, record &entry, monotonic_time now);
     bool isSuspicious(const record &entry) const;
     bool isAccepting(upstream_id upstream, const record &entry) const;
-    bool isComparable(upstream_id upstream, const record &entry, monotonic_time now) const;
+    bool isComparable(upstream_id upstream, const record &entry, monotonic_time since) const;
     void evaluate(upstream_id upstream, record &entry, monotonic_time now);
     bool isBelievable(record &entry, const load_report &report);
     bool isContradicted(upstream_id upstream, const record &entry) const;
@@ -140,7 +142,7 @@
     void startHoldOff(record &entry, monotonic_time now);
     void decaySignals(record &entry, monotonic_time now) const;
     double lostShare(service_id service, upstream_id added) const;
-    bool hasRoomElsewhere(service_id service, upstream_id except) const;
+    bool hasRoomElsewhere(const record &entry, upstream_id upstream) const;
     bool isRefusalGeneral(service_id service) const;
     void change(upstream_id upstream, upstream_condition condition, condition_reason reason,
                 monotonic_time now);
--- a/src/balance/health_probe.cpp
+++ b/src/balance/health_probe.cpp
@@ -103,7 +103,9 @@
         }
         startProbe(id, entry, now);
         if (isSuspicious(entry))
-            probeOthers(id, entry.service, now);
+            probeOthers(id, entry, now);
+        else
+            entry.suspectSince = monotonic_time {0};
     }
 }
 
@@ -116,25 +118,36 @@
     return true;
 }
 
-void health_controller::probeOthers(upstream_id upstream, service_id service, monotonic_time now)
+void health_controller::probeOthers(upstream_id upstream, record &entry, monotonic_time now)
 {
+    if (entry.suspectSince.count() == 0) {
+        entry.suspectSince = now;
+        entry.isCompared = false;
+    }
     if (now < m_comparisonDue)
         return;
     std::vector<std::pair<std::uint64_t, upstream_id>> others;
-    for (const upstream_id id : m_services.at(service)) {
-        if (id != upstream && !m_records.at(id).isLeaving)
+    for (const upstream_id id : m_services.at(entry.service)) {
+        if (id != upstream && isAccepting(id, m_records.at(id)))
             others.emplace_back(mixHash(idValue(upstream), idValue(id)), id);
     }
     const auto count = std::min(others.size(), comparisons);
-    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
-                      others.end());
     const auto last = others.begin() + static_cast<std::ptrdiff_t>(count);
-    const auto oldest =
-        std::min_element(others.begin(), last, [this](const auto &a, const auto &b) {
-            return m_records.at(a.second).probeDue < m_records.at(b.second).probeDue;
-        });
-    if (oldest != last && startProbe(oldest->second, m_records.at(oldest->second), now))
-        m_comparisonDue = now + m_settings.probeInterval / 2;
+    std::partial_sort(others.begin(), last, others.end());
+    std::sort(others.begin(), last, [this](const auto &a, const auto &b) {
+        return m_records.at(a.second).probeDue < m_records.at(b.second).probeDue;
+    });
+    // The first comparison needs several reports at once; its probes are saved up afterwards.
+    const std::size_t wanted = entry.isCompared ? 1 : static_cast<std::size_t>(minComparisons);
+    entry.isCompared = true;
+    m_comparisonDue = now;
+    for (std::size_t i = 0; i < std::min(wanted, count); ++i) {
+        record &other = m_records.at(others[i].second);
+        if (wanted > 1)
+            other.probeDue = now;
+        if (startProbe(others[i].second, other, now))
+            m_comparisonDue += m_settings.probeInterval / 2;
+    }
 }
 
 bool health_controller::isSuspicious(const record &entry) const
@@ -144,12 +157,12 @@
 }
 
 bool health_controller::isComparable(upstream_id upstream, const record &entry,
-                                     monotonic_time now) const
+                                     monotonic_time since) const
 {
     if (!isAccepting(upstream, entry) || !entry.hasReport)
         return false;
     const upstream_state &state = m_board.upstreams.at(upstream);
-    return state.reportedAt.count() > 0 && now - state.reportedAt <= m_settings.freshness;
+    return state.reportedAt.count() > 0 && state.reportedAt >= since;
 }
 
 bool health_controller::isAccepting(upstream_id upstream, const record &entry) const
@@ -183,22 +196,23 @@
     return total > 0 ? lost / total : 0;
 }
 
-bool health_controller::hasRoomElsewhere(service_id service, upstream_id except) const
+bool health_controller::hasRoomElsewhere(const record &entry, upstream_id upstream) const
 {
-    const auto now = m_clock.now();
+    // Reports from before the overload would show room in a burst that fills all upstreams.
+    const auto since = std::max(m_clock.now() - m_settings.freshness, entry.suspectSince);
     double busy = 0;
     double queue = 0;
     int count = 0;
     int others = 0;
-    for (const upstream_id id : m_services.at(service)) {
-        const record &entry = m_records.at(id);
-        if (id == except)
+    for (const upstream_id id : m_services.at(entry.service)) {
+        const record &other = m_records.at(id);
+        if (id == upstream)
             continue;
-        others += isAccepting(id, entry) ? 1 : 0;
-        if (!isComparable(id, entry, now))
+        others += isAccepting(id, other) ? 1 : 0;
+        if (!isComparable(id, other, since))
             continue;
-        busy += entry.busy;
-        queue += entry.queue;
+        busy += other.busy;
+        queue += other.queue;
         ++count;
     }
     // One sample of a few slots is mostly noise.
