Fix: an overloaded upstream is recognized two reports after it fills up

Cause: the smoothed share of slots takes six reports from 70% to 95%. Change: the last report counts as well; the smoothed queue guards against noise.

--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -270,7 +270,7 @@
         entry.isOverloaded = entry.busy > m_settings.overloadOff || entry.queue > 1;
         return;
     }
-    if (entry.busy < m_settings.overloadOn || entry.queue < m_settings.queueOn)
+    if (!isFull(entry) || entry.queue < m_settings.queueOn)
         return;
     // Deflection only moves load; it helps no one when the other upstreams have no room.
     entry.isOverloaded = hasRoomElsewhere(entry, upstream)
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -37,7 +37,7 @@
     monotonic_time recovery = std::chrono::seconds(3); ///< calm time before an upstream is reopened
     monotonic_time holdOff = std::chrono::seconds(5);  ///< mean hold-off of a shedding upstream
     monotonic_time maxHoldOff = std::chrono::seconds(30);
-    double overloadOn = 0.95;  ///< smoothed share of slots in use, with queue
+    double overloadOn = 0.95;  ///< share of slots in use, last or smoothed, with queue
     double overloadOff = 0.80; ///< smoothed share of slots in use
     /// Smoothed queue in slots. Eight slots of queue are rare at 70% load by chance.
     double queueOn = 8.0;
@@ -128,6 +128,7 @@
     void startProbes(monotonic_time now);
     bool startProbe(upstream_id upstream, record &entry, monotonic_time now);
     void probeOthers(upstream_id upstream, record &entry, monotonic_time now);
+    bool isFull(const record &entry) const;
     bool isSuspicious(const record &entry) const;
     bool isAccepting(upstream_id upstream, const record &entry) const;
     bool isComparable(upstream_id upstream, const record &entry, monotonic_time since) const;
--- a/src/balance/health_probe.cpp
+++ b/src/balance/health_probe.cpp
@@ -152,8 +152,15 @@
 
 bool health_controller::isSuspicious(const record &entry) const
 {
-    return entry.hasReport && entry.busy >= m_settings.overloadOn
-        && entry.queue >= m_settings.queueOn / 2;
+    return isFull(entry) && entry.queue >= m_settings.queueOn / 2;
+}
+
+bool health_controller::isFull(const record &entry) const
+{
+    // The smoothed share takes six reports from 70% to 95%; the smoothed queue guards against
+    // noise.
+    const double last = static_cast<double>(entry.last.busySlots) / entry.slots;
+    return entry.hasReport && std::max(entry.busy, last) >= m_settings.overloadOn;
 }
 
 bool health_controller::isComparable(upstream_id upstream, const record &entry,
