--- a/src/balance/health.cpp
+++ b/src/balance/health.cpp
@@ -21,9 +21,10 @@
 constexpr monotonic_time signalMemory = 3s;
 /// A reply this recent shows that an upstream lives although its reports fail.
 constexpr monotonic_time aliveMemory = 5s;
+/// Time without a reply that confirms unanswered SYNs; they are noticed after the same time.
+constexpr monotonic_time silence = 1s;
 /// Share of a new report in smoothed figures: a memory of about three reports.
 constexpr double smoothing = 0.3;
-constexpr std::size_t probersPerUpstream = 2;
 
 double toSeconds(monotonic_time time)
 {
@@ -89,6 +90,10 @@
     decaySignals(entry, now);
     switch (signal) {
     case passive_signal::Refused:
+        if (entry.refused < 1) {
+            entry.refusedSince = now;
+            entry.isRefusalProbed = false;
+        }
         entry.refused += 1;
         break;
     case passive_signal::Accepted:
@@ -116,11 +121,14 @@
         return;
     const auto condition =
         notice.isDeflected ? upstream_condition::Deflected : upstream_condition::Open;
+    if (state.incarnation == 0)
+        state.trackedSince = m_clock.now();
     state.incarnation = notice.incarnation;
     state.reason = notice.reason;
     if (state.condition != condition) {
         state.condition = condition;
         state.changedAt = m_clock.now();
+        forgetOverload(notice.upstream);
     }
     m_outlet.spread(notice);
 }
@@ -140,8 +148,8 @@
     if (m_board.membersRevision != m_membersRevision)
         chooseProbers();
     startProbes(now);
-    for (auto &[id, entry] : m_records)
-        evaluate(id, entry, now);
+    for (const upstream_id id : m_probed)
+        evaluate(id, m_records.at(id), now);
 }
 
 bool health_controller::isProber(upstream_id upstream) const
@@ -150,86 +158,12 @@
     return found != m_records.end() && found->second.isProber;
 }
 
-void health_controller::refreshUpstreams()
-{
-    if (m_config == m_board.config.get() && m_version == m_board.config->version)
-        return;
-    m_config = m_board.config.get();
-    m_version = m_config->version;
-    std::unordered_map<upstream_id, record> records;
-    for (const auto &[id, service] : m_config->services) {
-        for (const upstream_config &upstream : service->upstreams) {
-            const auto found = m_records.find(upstream.id);
-            record entry = found != m_records.end() ? found->second : record {};
-            entry.service = id;
-            entry.domain = upstream.domain;
-            entry.health = upstream.health;
-            entry.weight = upstream.weight;
-            entry.slots = std::max<std::uint16_t>(upstream.slots, 1);
-            records.emplace(upstream.id, entry);
-            m_board.upstreams.try_emplace(upstream.id);
-        }
-    }
-    m_records = std::move(records);
-    std::erase_if(m_board.upstreams,
-                  [this](const auto &item) { return !m_records.contains(item.first); });
-    chooseProbers();
-}
-
-void health_controller::chooseProbers()
-{
-    m_membersRevision = m_board.membersRevision;
-    for (auto &[id, entry] : m_records) {
-        const bool isChosen = choosesSelf(id, entry.domain);
-        if (isChosen && !entry.isProber) {
-            // A random first probe spreads the probes of all instances over the interval.
-            entry.probeDue = m_clock.now() + jitter(m_settings.probeInterval / 2);
-            entry.failures = 0;
-            entry.repeats = 0;
-        }
-        entry.isProber = isChosen;
-    }
-}
-
-bool health_controller::choosesSelf(upstream_id upstream, domain_id domain) const
-{
-    const auto isReady = [](const member &candidate) {
-        return candidate.state == member_state::Ready;
-    };
-    const bool hasLocal =
-        std::any_of(m_board.members.begin(), m_board.members.end(), [&](const auto &item) {
-            return isReady(item.second) && item.second.domain == domain;
-        });
-    const auto own = mixHash(idValue(upstream), idValue(m_board.self.id));
-    std::size_t ahead = 0;
-    bool isCandidate = false;
-    for (const auto &[id, candidate] : m_board.members) {
-        if (!isReady(candidate) || (hasLocal && candidate.domain != domain))
-            continue;
-        if (id == m_board.self.id)
-            isCandidate = true;
-        else if (mixHash(idValue(upstream), idValue(id)) > own)
-            ++ahead;
-    }
-    return isCandidate && ahead < probersPerUpstream;
-}
-
-void health_controller::startProbes(monotonic_time now)
-{
-    for (auto &[id, entry] : m_records) {
-        if (!entry.isProber || entry.health.port == 0 || entry.probeDue > now)
-            continue;
-        entry.probeDue = now + m_settings.probeInterval;
-        m_prober.probe(id, entry.health);
-    }
-}
-
 void health_controller::evaluate(upstream_id upstream, record &entry, monotonic_time now)
 {
     if (!entry.isProber)
         return;
     decaySignals(entry, now);
-    if (entry.refused >= m_settings.signalFailures && entry.refused > entry.accepted)
+    if (isShedding(entry))
         startHoldOff(entry, now);
     // Once deflected, the upstream is idle indeed; without a hold-off it would be reopened at once.
     if (m_settings.deflectOnContradiction && isContradicted(upstream, entry))
@@ -287,8 +221,10 @@
     // Only the report is missing when replies are seen.
     if (entry.failures >= m_settings.failuresOn && !isAlive)
         return true;
-    // Replies are spread over all instances, so unanswered SYNs count only when none is accepted.
-    return entry.unanswered >= m_settings.signalFailures && entry.accepted < 1;
+    // Replies are spread over all instances, so unanswered SYNs count only when no reply is seen,
+    // and a probe has to confirm them.
+    const bool isSilent = entry.aliveAt < now - silence;
+    return entry.unanswered >= m_settings.signalFailures && isSilent && entry.failures > 0;
 }
 
 bool health_controller::isFailing(const record &entry, monotonic_time now) const
@@ -306,11 +242,13 @@
 {
     const double busy = static_cast<double>(report.busySlots) / entry.slots;
     const double queue = static_cast<double>(report.queued) / entry.slots;
-    const double share = entry.hasReport ? smoothing : 1.0;
+    const double share = entry.isSmoothed ? smoothing : 1.0;
+    entry.isSmoothed = true;
     entry.busy += share * (busy - entry.busy);
     entry.queue += share * (queue - entry.queue);
     entry.idleReports = isIdle(report) ? entry.idleReports + 1 : 0;
     entry.hasReport = true;
+    entry.takenAt = m_clock.now();
     entry.last = report;
     if (isContradicted(upstream, entry))
         return; // the figures are not used
@@ -332,13 +270,40 @@
         entry.isOverloaded = entry.busy > m_settings.overloadOff || entry.queue > 1;
         return;
     }
-    if (entry.busy < m_settings.overloadOn || entry.queue < m_settings.queueOn)
+    if (!isFull(entry) || entry.queue < m_settings.queueOn)
         return;
     // Deflection only moves load; it helps no one when the other upstreams have no room.
-    entry.isOverloaded = !isLoadGeneral(entry.service, upstream)
+    entry.isOverloaded = hasRoomElsewhere(entry, upstream)
         && lostShare(entry.service, upstream) <= m_settings.overloadShare;
 }
 
+bool health_controller::isShedding(const record &entry) const
+{
+    if (entry.refused < m_settings.signalFailures || entry.refused <= entry.accepted)
+        return false;
+    // When most upstreams refuse, the service is overloaded and a hold-off would outlast that.
+    if (isRefusalGeneral(entry.service))
+        return false;
+    // An upstream that refuses because it is full is overloaded; the comparison with others
+    // decides.
+    const bool hasAnswer = entry.failures == 0 && entry.takenAt > entry.refusedSince;
+    return entry.failures > 0
+        || (hasAnswer && entry.last.busySlots < entry.slots && entry.last.queued == 0);
+}
+
+void health_controller::forgetOverload(upstream_id upstream)
+{
+    // Figures from before the change would make one prober undo what the other has decided.
+    const auto found = m_records.find(upstream);
+    const upstream_state &state = m_board.upstreams[upstream];
+    if (found == m_records.end() || state.condition == upstream_condition::Deflected)
+        return;
+    found->second.isOverloaded = false;
+    found->second.isSmoothed = false;
+    found->second.busy = 0;
+    found->second.queue = 0;
+}
+
 void health_controller::startHoldOff(record &entry, monotonic_time now)
 {
     if (now < entry.shedUntil)
@@ -362,46 +327,19 @@
     entry.answered *= factor;
 }
 
-double health_controller::lostShare(service_id service, upstream_id added) const
-{
-    const auto now = m_clock.now();
-    double total = 0;
-    double lost = 0;
-    for (const auto &[id, entry] : m_records) {
-        if (entry.service != service)
-            continue;
-        total += entry.weight;
-        const auto found = m_board.upstreams.find(id);
-        if (id == added) {
-            lost += entry.weight;
-        } else if (found != m_board.upstreams.end() && found->second.incarnation > 0) {
-            const upstream_state &state = found->second;
-            const bool isRamping = now - state.changedAt < m_settings.rampTime;
-            const bool isOpen = state.condition == upstream_condition::Open;
-            lost += !isOpen ? entry.weight : isRamping ? entry.weight / 2.0 : 0;
-        }
-    }
-    return total > 0 ? lost / total : 0;
-}
-
-bool health_controller::isLoadGeneral(service_id service, upstream_id except) const
-{
-    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &item) {
-        const record &entry = item.second;
-        return item.first != except && entry.service == service && entry.isProber && entry.hasReport
-            && entry.busy >= m_settings.generalLoad;
-    });
-}
-
 void health_controller::change(upstream_id upstream, upstream_condition condition,
                                condition_reason reason, monotonic_time now)
 {
     upstream_state &state = m_board.upstreams[upstream];
     if (state.condition == condition && state.reason == reason)
         return;
-    if (state.condition != condition)
+    if (state.condition != condition) {
         state.changedAt = now;
-    state.condition = condition;
+        state.condition = condition;
+        forgetOverload(upstream);
+    }
+    if (state.incarnation == 0)
+        state.trackedSince = now;
     ++state.incarnation;
     state.reason = reason;
     logEvent(log_level::Info, "upstream_condition",
--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -45,10 +45,17 @@
     monotonic_time deflectionDelay = std::chrono::milliseconds(2500);
     monotonic_time rampTime = std::chrono::seconds(30); ///< from rampStart to the full weight
     double rampStart = 0.1;                             ///< share of weight of a cold upstream
-    double reopenShare = 0.5; ///< share of the former weight that a reopened upstream gets
-    double panicShare = 0.5;  ///< deflected weight above which deflection is ignored
+    double reopenShare = 0.5;   ///< share of the former weight that a reopened upstream gets
+    double carefulShare = 0.8;  ///< part of the last overloaded share that is reached quickly
+    double carefulSlope = 0.25; ///< slope above it, as a part of the slope below
+    double maxCeiling = 0.99;   ///< an upstream overloaded at its full share is ramped slowly too
+    double panicShare = 0.5;    ///< deflected weight above which deflection is ignored
     monotonic_time placedMemory = std::chrono::seconds(1); ///< decay of flows placed
     monotonic_time freshness = std::chrono::seconds(3);    ///< age at which a report is ignored
+    /// Largest factor by which the last report changes an estimate; 1 for none. Only the probers
+    /// of an upstream have its reports, and one sample of a few slots is mostly noise
+    /// (docs/balance-rounds.md, round 13), so reports act through conditions alone.
+    double maxLoadFactor = 1;
     double fullShare = 0.98; ///< share of max_flows at which an upstream has no room
 };
 
@@ -83,7 +90,8 @@
         double load = 0; ///< smoothed reported load
         monotonic_time loadAt {0};
         std::uint32_t incarnation = 0;
-        double share = 1; ///< ramp share at shareAt
+        double share = 1;   ///< ramp share at shareAt
+        double ceiling = 1; ///< share at which it was overloaded last; 1 for never
         monotonic_time shareAt {0};
         bool isOpen = true; ///< condition when the share was last changed
     };
@@ -113,11 +121,11 @@
     panic_scope panicOf(const service_config &service) const;
     static bool isExempt(const upstream_state &state, panic_scope panic);
     double effectiveWeight(const upstream_config &upstream) const;
-    domain_id chooseDomain(const std::vector<const upstream_config *> &accepting,
-                           flow_hash hash) const;
+    void countMembers();
+    domain_id chooseDomain(const std::vector<const upstream_config *> &accepting, flow_hash hash);
     double estimate(const upstream_config &upstream) const;
     const upstream_config *chooseOfTwo(const std::vector<const upstream_config *> &accepting,
-                                       flow_hash hash) const;
+                                       flow_hash hash);
     void notePlaced(upstream_id upstream);
     double decayedPlaced(const record &entry, monotonic_time now) const;
 
@@ -127,6 +135,9 @@
     placement_settings m_settings;
     std::unordered_map<upstream_id, record> m_records;
     std::map<service_id, service_view> m_views;
+    std::map<domain_id, double> m_readyInDomain; ///< ready members at m_membersRevision
+    double m_ready = 0;                          ///< sum of m_readyInDomain
+    std::uint64_t m_membersRevision = 0;
     config_version m_firstVersion = 0; ///< first version seen; its upstreams are not cold
     double m_meanLoad = 0;             ///< mean fresh reported load of the current service
 };
