--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -21,7 +21,7 @@
   0  done
   1  refused: the change is based on an old version
   2  wrong usage
-  3  not valid, or the token is missing or wrong
+  3  not valid, may break flows, or the token is missing or wrong; nothing was changed
   4  no instance or store reachable; nothing was changed
   5  outcome unknown; send the change again with the same --id
   6  time ran out
--- a/src/cli/cli_base.h
+++ b/src/cli/cli_base.h
@@ -20,7 +20,7 @@
     Done = 0,
     Refused = 1, ///< version conflict
     Usage = 2,
-    Invalid = 3,     ///< validation, malformed input or a missing token
+    Invalid = 3,     ///< validation, malformed input, a missing token or flows that would break
     Unavailable = 4, ///< instance not reachable or store unavailable; nothing was changed
     Unknown = 5,     ///< a change may have taken effect; send it again with the same id
     Timeout = 6,
