Fix: overload is not compared with reports from before it

Cause: the first report that showed a full queue was compared at once, with reports of the others from before the burst. Change: no comparison before the upstream has been suspected at a tick.

--- a/src/balance/health_probe.cpp
+++ b/src/balance/health_probe.cpp
@@ -205,6 +205,8 @@
 
 bool health_controller::hasRoomElsewhere(const record &entry, upstream_id upstream) const
 {
+    if (entry.suspectSince.count() == 0)
+        return false;
     // Reports from before the overload would show room in a burst that fills all upstreams.
     const auto since = std::max(m_clock.now() - m_settings.freshness, entry.suspectSince);
     double busy = 0;
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -217,6 +217,21 @@
     CHECK(f.outlet.notices.empty());
 }
 
+TEST_CASE("a sudden overload is not compared with reports from before it", "[balance]")
+{
+    fixture f;
+    f.otherBusy = 1;
+    f.reportFor(5, first, 2);
+    f.clock.time += 10ms;
+    f.report(first, 3, 200);
+    f.health.tick();
+    CHECK(f.isOpen(first));
+    for (std::uint32_t other = 2; other <= 4; ++other)
+        f.report(upstream_id {other}, 3, 200);
+    f.health.tick();
+    CHECK(f.isOpen(first));
+}
+
 TEST_CASE("a prober asks other upstreams before it calls one overloaded", "[balance]")
 {
     fixture f(7, true, 15);
