Fix: stand-ins answer 400 to a malformed address instead of ending

Cause: a malformed address in the body of a control request ended the fabric or the platform, which would look like an outage to a test; clang-tidy also refused a constant that is returned.

Change: addresses in requests throw, which the HTTP server turns into status 400; the list of instances is checked when it is set.

--- a/standin/common.cpp
+++ b/standin/common.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <stdexcept>
 
 namespace standin {
 
@@ -78,14 +79,22 @@
 
 } // namespace
 
-endpoint endpointOrExit(const std::string &text)
+endpoint endpointOrThrow(const std::string &text)
 {
     const auto value = chicoryhead::parseEndpoint(text);
-    if (!value) {
-        std::cerr << "not an address of the form a.b.c.d:port: '" << text << "'\n";
+    if (!value)
+        throw std::invalid_argument("not an address of the form a.b.c.d:port: '" + text + "'");
+    return value.value();
+}
+
+endpoint endpointOrExit(const std::string &text)
+{
+    try {
+        return endpointOrThrow(text);
+    } catch (const std::invalid_argument &failure) {
+        std::cerr << failure.what() << '\n';
         std::exit(2);
     }
-    return value.value();
 }
 
 std::vector<endpoint> endpointsOrExit(const std::string &text)
@@ -237,7 +246,7 @@
     const auto read = [&document](const char *name) {
         std::vector<endpoint> values;
         for (const auto &item : document.value(name, json::array()))
-            values.push_back(endpointOrExit(item.get<std::string>()));
+            values.push_back(endpointOrThrow(item.get<std::string>()));
         return values;
     };
     if (document.contains("instances"))
--- a/standin/common.h
+++ b/standin/common.h
@@ -31,6 +31,9 @@
 using nlohmann::json;
 using byte_view = std::span<const std::byte>;
 
+/** Parses "a.b.c.d:port"; throws std::invalid_argument, which HTTP handlers answer with 400. */
+endpoint endpointOrThrow(const std::string &text);
+
 /** Parses "a.b.c.d:port" or ends the program with a message. */
 endpoint endpointOrExit(const std::string &text);
 
--- a/standin/demo.cpp
+++ b/standin/demo.cpp
@@ -542,7 +542,7 @@
 
     static json reportOf(const service &item, int upstream)
     {
-        const json report =
+        json report =
             json::parse(httpCall("GET", item.url(upstream) + "/report").body, nullptr, false);
         if (!report.is_object())
             throw demo_error("no report of an upstream of " + item.name);
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -115,7 +115,7 @@
         if (document.is_discarded())
             return {400, "not JSON", {}};
         if (request.path == "/test/instances") {
-            m_instances = document;
+            m_instances = publishedList(document);
         } else if (request.path == "/test/fault") {
             m_delay = tick(document.value("delay_ms", m_delay.count()));
             m_isUnavailable = document.value("unavailable", m_isUnavailable);
@@ -141,7 +141,7 @@
             reply(jsonResponse({{"ID", createSession()}}));
         } else if (request.path == "/v1/health/service/chicoryhead") {
             count("lists");
-            reply(jsonResponse(instanceList()));
+            reply(jsonResponse(m_instances));
         } else {
             reply({404, {}, {}});
         }
@@ -320,11 +320,11 @@
     }
 
     /** The list in the published form, from {"id", "address", "domain", "state"} entries. */
-    json instanceList() const
+    static json publishedList(const json &instances)
     {
         json list = json::array();
-        for (const json &item : m_instances) {
-            const endpoint peer = endpointOrExit(item.at("address").get<std::string>());
+        for (const json &item : instances) {
+            const endpoint peer = endpointOrThrow(item.at("address").get<std::string>());
             list.push_back({{"Service",
                              {{"ID", std::to_string(item.at("id").get<std::uint32_t>())},
                               {"Address", asio::ip::address_v4(peer.address).to_string()},
@@ -345,7 +345,7 @@
     std::set<std::string> m_sessions;
     std::list<watcher> m_watchers;
     std::uint64_t m_index = 1;
-    json m_instances = json::array();
+    json m_instances = json::array(); ///< in the published form
     json m_counters = json::object();
     tick m_delay {0};
     bool m_isUnavailable = false;
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -479,7 +479,7 @@
             return {400, "not a JSON array", {}};
         json counts = json::array();
         for (const json &item : document) {
-            const request_key key {endpointOrExit(item.at(0).get<std::string>()),
+            const request_key key {endpointOrThrow(item.at(0).get<std::string>()),
                                    item.at(1).get<std::uint64_t>()};
             const auto found = m_runCounts.find(key);
             counts.push_back(found == m_runCounts.end() ? 0 : found->second.runs);
