--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -19,10 +19,6 @@
 constexpr std::uint64_t domainStream = 0x646f6d61;
 /// Weight of a new report in the smoothed load; one sample of two or three slots is mostly noise.
 constexpr double loadSmoothing = 0.2;
-/// Bounds of the factor by which reported load changes an estimate: reports lag.
-constexpr double minLoadFactor = 0.5;
-constexpr double maxLoadFactor = 2.0;
-
 double uniformOf(flow_hash hash, std::uint64_t stream)
 {
     return (static_cast<double>(mixHash(hash, stream) >> 11) + 0.5) * 0x1.0p-53;
@@ -136,8 +132,9 @@
     if (found == m_board.upstreams.end())
         return false;
     const upstream_state &state = found->second;
+    // Only the first deflection makes the slots tracked; a later one counts at once.
     return state.condition == upstream_condition::Deflected
-        && m_clock.now() - state.changedAt >= m_settings.deflectionDelay
+        && m_clock.now() - state.trackedSince >= m_settings.deflectionDelay
         && !isExempt(state, panicOf(service));
 }
 
@@ -161,7 +158,15 @@
     if (!entry.isOpen)
         return entry.share;
     const double slope = (1 - m_settings.rampStart) / toSeconds(m_settings.rampTime);
-    return std::min(1.0, entry.share + slope * toSeconds(m_clock.now() - entry.shareAt));
+    const double seconds = toSeconds(m_clock.now() - entry.shareAt);
+    const double known = m_settings.carefulShare * entry.ceiling;
+    const double quick = entry.share + slope * seconds;
+    if (quick <= known || entry.ceiling >= 1)
+        return std::min(1.0, quick);
+    // Close to the share at which it was overloaded last, the upstream ramps up slowly.
+    const double left = seconds - std::max(0.0, known - entry.share) / slope;
+    const double slow = std::max(known, entry.share) + slope * m_settings.carefulSlope * left;
+    return std::min(1.0, slow);
 }
 
 const load_aware_placement::service_view &
@@ -221,9 +226,12 @@
     if (entry.isOpen) {
         const double share = rampShare(upstream.id);
         entry.share = std::max(m_settings.rampStart, share * m_settings.reopenShare);
+        entry.ceiling = std::min(share, m_settings.maxCeiling);
     }
     if (state.reason == condition_reason::Cold)
         entry.share = m_settings.rampStart;
+    if (state.reason != condition_reason::Load)
+        entry.ceiling = 1;
     entry.isOpen = isOpen;
     entry.shareAt = isOpen ? state.changedAt : now;
 }
@@ -276,8 +284,23 @@
     return upstream.weight * rampShare(upstream.id);
 }
 
+void load_aware_placement::countMembers()
+{
+    if (m_ready > 0 && m_membersRevision == m_board.membersRevision)
+        return;
+    m_membersRevision = m_board.membersRevision;
+    m_readyInDomain.clear();
+    m_ready = 0;
+    for (const auto &[id, candidate] : m_board.members) {
+        if (candidate.state != member_state::Ready)
+            continue;
+        m_readyInDomain[candidate.domain] += 1;
+        m_ready += 1;
+    }
+}
+
 domain_id load_aware_placement::chooseDomain(const std::vector<const upstream_config *> &accepting,
-                                             flow_hash hash) const
+                                             flow_hash hash)
 {
     double weight = 0;
     std::map<domain_id, double> room; // share of weight minus share of flows, per domain
@@ -288,18 +311,15 @@
 
     const domain_id own = m_board.self.domain;
     const double ownWeight = room[own];
-    double members = 0;
-    for (const auto &[id, candidate] : m_board.members)
-        members += candidate.state == member_state::Ready ? 1 : 0;
-    double ownMembers = 0;
-    for (const auto &[id, candidate] : m_board.members) {
-        if (candidate.state != member_state::Ready)
-            continue;
-        ownMembers += candidate.domain == own ? 1 : 0;
-        if (room.contains(candidate.domain))
-            room[candidate.domain] -= 1 / members;
+    countMembers();
+    for (auto &[domain, left] : room) {
+        const auto count = m_readyInDomain.find(domain);
+        if (count != m_readyInDomain.end())
+            left -= count->second / m_ready;
     }
-    const double kept = ownMembers > 0 ? ownWeight * members / ownMembers : ownWeight;
+    const auto found = m_readyInDomain.find(own);
+    const double ownMembers = found != m_readyInDomain.end() ? found->second : 0;
+    const double kept = ownMembers > 0 ? ownWeight * m_ready / ownMembers : ownWeight;
     const double position = uniformOf(hash, domainStream);
     if (position < kept)
         return own;
@@ -333,13 +353,14 @@
     double factor = 1;
     const bool isFresh = entry.loadAt.count() > 0 && now - entry.loadAt <= m_settings.freshness;
     if (isFresh && m_meanLoad > 0)
-        factor = std::clamp(entry.load / m_meanLoad, minLoadFactor, maxLoadFactor);
+        factor = std::clamp(entry.load / m_meanLoad, 1 / m_settings.maxLoadFactor,
+                            m_settings.maxLoadFactor);
     return factor * (decayedPlaced(entry, now) + 1) / weight;
 }
 
 const upstream_config *
 load_aware_placement::chooseOfTwo(const std::vector<const upstream_config *> &accepting,
-                                  flow_hash hash) const
+                                  flow_hash hash)
 {
     const domain_id domain = chooseDomain(accepting, hash);
     const bool hasDomain =
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -74,6 +74,8 @@
     flow_limiter limiter;
     load_aware_placement placement;
     std::uint64_t sequence = 0;
+    std::uint32_t otherBusy =
+        0; ///< slots that reportFor() reports for upstreams 2 to 4; 0 for none
 
     explicit fixture(std::uint32_t upstreams = 4, bool isTracked = true, std::uint32_t members = 1)
         : service(makeService(upstreams, isTracked))
@@ -121,6 +123,8 @@
         for (int i = 0; i < seconds; ++i) {
             clock.time += 1s;
             report(id, busy, queued);
+            for (std::uint32_t other = 2; otherBusy > 0 && other <= 4; ++other)
+                report(upstream_id {other}, otherBusy);
             health.tick();
         }
     }
@@ -185,6 +189,7 @@
           "[balance]")
 {
     fixture f;
+    f.otherBusy = 1;
     f.reportFor(10, first, 3, 40);
     CHECK_FALSE(f.isOpen(first));
     REQUIRE(f.outlet.notices.size() == 1);
@@ -196,6 +201,46 @@
     CHECK(f.board.upstreams.at(first).incarnation == 2);
 }
 
+TEST_CASE("overload of the whole service deflects nothing, because no one has room", "[balance]")
+{
+    fixture f;
+    for (int i = 0; i < 20; ++i) {
+        f.report(upstream_id {2}, 3, 40);
+        f.reportFor(1, first, 3, 40);
+    }
+    CHECK(f.outlet.notices.empty());
+    for (int n = 0; n < 50; ++n) {
+        for (std::uint32_t id = 1; id <= 4; ++id)
+            f.health.onSignal(upstream_id {id}, passive_signal::Refused);
+    }
+    f.health.tick();
+    CHECK(f.outlet.notices.empty());
+}
+
+TEST_CASE("a prober asks other upstreams before it calls one overloaded", "[balance]")
+{
+    fixture f(7, true, 15);
+    upstream_id probed = noUpstream;
+    for (std::uint32_t id = 1; id <= 7; ++id) {
+        if (f.health.isProber(upstream_id {id}))
+            probed = upstream_id {id};
+    }
+    REQUIRE(probed != noUpstream);
+    f.reportFor(6, probed, 3, 40);
+    CHECK(f.prober.probes.size() >= 5);
+}
+
+TEST_CASE("figures from before a reopening by the other prober do not deflect again", "[balance]")
+{
+    fixture f;
+    f.otherBusy = 1;
+    f.reportFor(10, first, 3, 40);
+    REQUIRE_FALSE(f.isOpen(first));
+    f.health.onNotice({first, false, 2});
+    f.reportFor(2, first, 2, 0);
+    CHECK(f.isOpen(first));
+}
+
 TEST_CASE("normal queueing at moderate load does not deflect", "[balance]")
 {
     fixture f;
@@ -286,6 +331,22 @@
     CHECK(twice >= 5s + 3s);
 }
 
+TEST_CASE("refusals hold an upstream off unless its report shows that it is full", "[balance]")
+{
+    for (const std::uint32_t busy : {0, 3}) {
+        fixture f;
+        f.reportFor(1, first, busy);
+        for (int n = 0; n < 20; ++n)
+            f.health.onSignal(first, passive_signal::Refused);
+        const int probes = f.prober.probes[first];
+        f.health.tick();
+        CHECK(f.prober.probes[first] == probes + 1);
+        CHECK(f.isOpen(first));
+        f.reportFor(1, first, busy);
+        CHECK(f.isOpen(first) == (busy == 3));
+    }
+}
+
 TEST_CASE("a deflected holder counts only after every instance can know of it", "[balance]")
 {
     fixture f;
@@ -296,6 +357,9 @@
     CHECK_FALSE(f.placement.isDeflected(*f.service, first));
     f.clock.time += 1ms;
     CHECK(f.placement.isDeflected(*f.service, first));
+    f.health.onNotice({first, false, 2});
+    f.health.onNotice({first, true, 3});
+    CHECK(f.placement.isDeflected(*f.service, first)); // the slots are tracked everywhere
 }
 
 TEST_CASE("leaving and deflected upstreams get no new flows", "[balance]")
