Fix: a reset connection of the stand-ins sends nothing more

Change: a reset empties the queue, and a reset or timed-out connection takes no more bytes. The new test fails without the change.

Conclusion: foreign packets now mean a fault of the path.

--- a/standin/common_tcp.cpp
+++ b/standin/common_tcp.cpp
@@ -68,8 +68,10 @@
         const bool isExpected = m_state == tcp_state::SynSent
             ? segment.ack && segment.acknowledgement == m_sendNext
             : segment.sequence == m_receiveNext;
-        if (isExpected && m_state != tcp_state::Closed)
+        if (isExpected && m_state != tcp_state::Closed) {
             m_state = tcp_state::Reset;
+            m_unacknowledged.clear();
+        }
         return;
     }
     if (m_state == tcp_state::Reset || m_state == tcp_state::TimedOut)
@@ -114,6 +116,8 @@
 
 void tcp_endpoint::send(std::span<const std::uint8_t> bytes, tick now)
 {
+    if (m_state == tcp_state::Reset || m_state == tcp_state::TimedOut)
+        return;
     while (!bytes.empty()) {
         const auto part = bytes.first(std::min(bytes.size(), maxSegmentBytes));
         bytes = bytes.subspan(part.size());
@@ -125,7 +129,7 @@
 
 void tcp_endpoint::close(tick now)
 {
-    if (m_isClosing)
+    if (m_isClosing || m_state == tcp_state::Reset || m_state == tcp_state::TimedOut)
         return;
     m_isClosing = true;
     tcp_segment segment;
--- a/tests/test_standin_tcp.cpp
+++ b/tests/test_standin_tcp.cpp
@@ -168,3 +168,15 @@
     REQUIRE(again[0].syn);
     REQUIRE(again[0].sequence == 100);
 }
+
+TEST_CASE("a connection that was reset sends nothing more", "[standin]")
+{
+    // It would send its SYN again, now as a SYN-ACK, and count the reset that answers it as
+    // foreign.
+    tcp_endpoint caller = tcp_endpoint::connect(100, tick(0));
+    caller.onSegment(resetFor(caller.takeOutput().at(0)), tick(1));
+    caller.send(makePayload(1, 10), tick(2));
+    caller.close(tick(2));
+    caller.onTimer(tick(5000));
+    REQUIRE(caller.takeOutput().empty());
+}
