--- a/bench/bench_steering.cpp
+++ b/bench/bench_steering.cpp
@@ -230,5 +230,3 @@
 BENCHMARK(changeMember)->Arg(15)->Arg(425)->Arg(5100);
 
 } // namespace
-
-BENCHMARK_MAIN();
--- /dev/null
+++ b/src/daemon/system_base.h
@@ -0,0 +1,32 @@
+/**
+ * @file system_base.h
+ * Clock and random source of the machine.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+
+#include <random>
+
+namespace chicoryhead {
+
+/** Monotonic and wall clock of the machine. */
+class system_clock_source : public clock_source
+{
+public:
+    monotonic_time now() const override;
+    wall_time wallNow() const override;
+};
+
+/** Random source seeded by the machine. */
+class system_random_source : public random_source
+{
+public:
+    std::uint64_t next() override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine {std::random_device {}()};
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/daemon/udp_socket.cpp
@@ -0,0 +1,120 @@
+/**
+ * @file udp_socket.cpp
+ * Batched datagrams over recvmmsg() and sendmmsg().
+ */
+
+#include "udp_socket_base.h"
+
+#include <cstring>
+
+namespace chicoryhead {
+
+namespace {
+
+/// Batches before control goes back to the event loop, so that timers are not starved.
+constexpr int batchesPerWakeup = 8;
+constexpr int socketBufferBytes = 4 * 1024 * 1024;
+
+endpoint fromNative(const sockaddr_in &native)
+{
+    return {ntohl(native.sin_addr.s_addr), ntohs(native.sin_port)};
+}
+
+sockaddr_in toNative(const endpoint &address)
+{
+    sockaddr_in native {};
+    native.sin_family = AF_INET;
+    native.sin_addr.s_addr = htonl(address.address);
+    native.sin_port = htons(address.port);
+    return native;
+}
+
+} // namespace
+
+udp_socket::udp_socket(asio::io_context &context, const endpoint &address, receiver handler)
+    : m_socket(context,
+               asio::ip::udp::endpoint(asio::ip::address_v4(address.address), address.port))
+    , m_handler(std::move(handler))
+{
+    m_socket.non_blocking(true);
+    std::error_code ignored; // the kernel's limit may be lower; then bursts lose datagrams earlier
+    m_socket.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), ignored);
+    m_socket.set_option(asio::socket_base::send_buffer_size(socketBufferBytes), ignored);
+    connectBuffers(m_incoming);
+    connectBuffers(m_outgoing);
+}
+
+void udp_socket::connectBuffers(buffer_set &set)
+{
+    for (std::size_t index = 0; index < batchSize; ++index) {
+        set.vectors[index] = {set.buffers[index].data(), maxDatagramBytes};
+        msghdr &header = set.headers[index].msg_hdr;
+        header.msg_name = &set.addresses[index];
+        header.msg_namelen = sizeof(sockaddr_in);
+        header.msg_iov = &set.vectors[index];
+        header.msg_iovlen = 1;
+    }
+}
+
+void udp_socket::start()
+{
+    waitReadable();
+}
+
+void udp_socket::waitReadable()
+{
+    m_socket.async_wait(asio::ip::udp::socket::wait_read, [this](std::error_code code) {
+        if (code)
+            return;
+        receiveBatches();
+        waitReadable();
+    });
+}
+
+void udp_socket::receiveBatches()
+{
+    for (int batch = 0; batch < batchesPerWakeup; ++batch) {
+        for (auto &header : m_incoming.headers)
+            header.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+        const int count = ::recvmmsg(m_socket.native_handle(), m_incoming.headers.data(), batchSize,
+                                     MSG_DONTWAIT, nullptr);
+        if (count <= 0)
+            return;
+        for (std::size_t index = 0; index < static_cast<std::size_t>(count); ++index) {
+            const std::span<const std::byte> bytes(m_incoming.buffers[index].data(),
+                                                   m_incoming.headers[index].msg_len);
+            m_handler(bytes, fromNative(m_incoming.addresses[index]));
+        }
+        flush();
+        if (m_batchHandler)
+            m_batchHandler();
+        if (static_cast<std::size_t>(count) < batchSize)
+            return;
+    }
+}
+
+void udp_socket::send(const endpoint &target, std::span<const std::byte> datagram)
+{
+    if (datagram.size() > maxDatagramBytes)
+        return;
+    if (m_queued == batchSize)
+        flush();
+    std::memcpy(m_outgoing.buffers[m_queued].data(), datagram.data(), datagram.size());
+    m_outgoing.vectors[m_queued].iov_len = datagram.size();
+    m_outgoing.addresses[m_queued] = toNative(target);
+    ++m_queued;
+}
+
+void udp_socket::flush()
+{
+    std::size_t sent = 0;
+    while (sent < m_queued) {
+        const int count = ::sendmmsg(m_socket.native_handle(), m_outgoing.headers.data() + sent,
+                                     static_cast<unsigned>(m_queued - sent), MSG_DONTWAIT);
+        // A full socket buffer or an unreachable target loses one datagram; the rest goes on.
+        sent += count > 0 ? static_cast<std::size_t>(count) : 1;
+    }
+    m_queued = 0;
+}
+
+} // namespace chicoryhead
