--- a/bench/bench_config.cpp
+++ b/bench/bench_config.cpp
@@ -206,5 +206,3 @@
 BENCHMARK(memoryOfConfiguration)->Apply(applySizes)->Iterations(1);
 
 } // namespace
-
-BENCHMARK_MAIN();
--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -33,10 +33,14 @@
 template<typename Archive>
 void serializeText(Archive &archive, std::string &text)
 {
-    if constexpr (Archive::is_loading::value)
-        loadBounded(archive, text, maxTextBytes);
-    else
-        saveBounded(archive, text);
+    auto count = static_cast<std::uint16_t>(text.size());
+    archive(count);
+    if constexpr (Archive::is_loading::value) {
+        if (count > maxTextBytes)
+            throw std::length_error("text above bound");
+        text.resize(count);
+    }
+    archive(cereal::binary_data(text.data(), count));
 }
 
 /** Loads a flag or enumerator as a byte, and refuses values above the last one. */
--- a/src/config/distribution_type.h
+++ b/src/config/distribution_type.h
@@ -63,14 +63,14 @@
 void save(Archive &archive, const config_piece &piece)
 {
     archive(piece.version, piece.total, piece.offset);
-    saveBounded(archive, piece.bytes);
+    saveBytes(archive, piece.bytes);
 }
 
 template<typename Archive>
 void load(Archive &archive, config_piece &piece)
 {
     archive(piece.version, piece.total, piece.offset);
-    loadBounded(archive, piece.bytes, maxPageBytes);
+    loadBytes(archive, piece.bytes, maxPageBytes);
 }
 
 template<typename Archive>
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -8,7 +8,7 @@
 
 #include <memory>
 
-namespace chicoryhead {
+namespace chicoryhead::test {
 
 namespace {
 
@@ -16,12 +16,12 @@
 
 } // namespace
 
-void virtual_clock::schedule(monotonic_time delay, std::function<void()> event)
+void event_clock::schedule(monotonic_time delay, std::function<void()> event)
 {
     m_events.emplace(m_now + delay, std::move(event));
 }
 
-void virtual_clock::runUntil(monotonic_time time)
+void event_clock::runUntil(monotonic_time time)
 {
     while (!m_events.empty() && m_events.begin()->first <= time) {
         auto node = m_events.extract(m_events.begin());
@@ -164,4 +164,4 @@
                            [handler] { handler(std::vector<listed_instance> {}); });
 }
 
-} // namespace chicoryhead
+} // namespace chicoryhead::test
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -14,10 +14,10 @@
 #include <string>
 #include <vector>
 
-namespace chicoryhead {
+namespace chicoryhead::test {
 
 /** Virtual clock with a queue of events. */
-class virtual_clock : public clock_source
+class event_clock : public clock_source
 {
 public:
     monotonic_time now() const override { return m_now; }
@@ -34,10 +34,10 @@
 };
 
 /** Seeded random bits. */
-class seeded_random : public random_source
+class seeded_source : public random_source
 {
 public:
-    explicit seeded_random(std::uint64_t seed) : m_engine(seed) { }
+    explicit seeded_source(std::uint64_t seed) : m_engine(seed) { }
     std::uint64_t next() override { return m_engine(); }
 
 private:
@@ -47,7 +47,7 @@
 /** The service; clients share it. */
 struct fake_store
 {
-    fake_store(virtual_clock &clock, std::uint64_t seed) : clock(clock), random(seed) { }
+    fake_store(event_clock &clock, std::uint64_t seed) : clock(clock), random(seed) { }
 
     /** Whether something with a probability in percent happens. */
     bool happens(unsigned percent) { return random.next() % 100 < percent; }
@@ -57,8 +57,8 @@
     bool write(const std::string &key, std::string value, std::uint64_t casIndex);
     key_value read(const std::string &key) const;
 
-    virtual_clock &clock;
-    seeded_random random;
+    event_clock &clock;
+    seeded_source random;
     monotonic_time latency = std::chrono::milliseconds(4); ///< of a call, both ways
     bool isReachable = true;
     unsigned lostAnswers = 0;    ///< percent of writes that take effect without an answer
@@ -96,4 +96,4 @@
     fake_store &m_store;
 };
 
-} // namespace chicoryhead
+} // namespace chicoryhead::test
--- a/tests/support/fake_store_fleet.cpp
+++ b/tests/support/fake_store_fleet.cpp
@@ -7,10 +7,10 @@
 
 #include <catch2/catch.hpp>
 
-namespace chicoryhead {
+namespace chicoryhead::test {
 
-instance_under_test::instance_under_test(fleet &owner, fake_store &store, std::uint32_t number,
-                                         unsigned domain)
+config_instance::config_instance(config_fleet &owner, fake_store &store, std::uint32_t number,
+                                 unsigned domain)
     : owner(owner), id(instance_id(number)), random(number * 7919), client(store)
 {
     board.self.id = id;
@@ -21,27 +21,27 @@
     core->setAppliedHandler([this](config_version version) { onApplied(version); });
 }
 
-void instance_under_test::sendPull(instance_id to, const config_pull &pull)
+void config_instance::sendPull(instance_id to, const config_pull &pull)
 {
     owner.bytes += encodeBinary(1, pull).size();
-    owner.carry(*this, to, [sender = id, pull](instance_under_test &target) {
+    owner.carry(*this, to, [sender = id, pull](config_instance &target) {
         target.core->onPull(sender, pull);
     });
 }
 
-void instance_under_test::sendPage(instance_id to, const config_page &page)
+void config_instance::sendPage(instance_id to, const config_page &page)
 {
     const auto bytes = encodeBinary(1, page);
     owner.bytes += bytes.size();
     owner.largestPage = std::max(owner.largestPage, bytes.size());
-    owner.carry(*this, to, [sender = id, bytes](instance_under_test &target) {
+    owner.carry(*this, to, [sender = id, bytes](config_instance &target) {
         const auto decoded = decodeBinary<config_page>(1, bytes);
         REQUIRE(decoded);
         target.core->onPage(sender, decoded.value());
     });
 }
 
-void instance_under_test::onApplied(config_version version)
+void config_instance::onApplied(config_version version)
 {
     owner.decreases += version <= lastVersion ? 1 : 0;
     for (config_version passed = lastVersion + 1; passed <= version; ++passed)
@@ -51,7 +51,7 @@
         owner.announce(*this, owner.randomPeer());
 }
 
-void fleet::checkHistory()
+void config_fleet::checkHistory()
 {
     std::set<std::string> logged;
     for (config_version version = 1; version <= newest(); ++version) {
@@ -102,7 +102,7 @@
 }
 
 /** An operator who submits patches one after another, each based on the version seen. */
-void operate(fleet &all, const std::string &name, unsigned patches)
+void operate(config_fleet &all, const std::string &name, unsigned patches)
 {
     if (patches == 0)
         return;
@@ -115,7 +115,7 @@
     });
 }
 
-void start(fleet &all, unsigned instances)
+void start(config_fleet &all, unsigned instances)
 {
     all.add(instances);
     all.run(std::chrono::seconds(1));
@@ -125,7 +125,7 @@
 }
 
 /** Submits again while the store is unavailable, as an operator does. */
-void submitAnyway(fleet &all, const config_patch &patch)
+void submitAnyway(config_fleet &all, const config_patch &patch)
 {
     const auto instance = static_cast<unsigned>(all.random.next() % all.instances.size());
     all.submit(instance, patch, [&all, patch](const patch_outcome &outcome) {
@@ -136,7 +136,7 @@
     });
 }
 
-std::uint64_t storeCalls(const fleet &all)
+std::uint64_t storeCalls(const config_fleet &all)
 {
     std::uint64_t calls = 0;
     for (const auto &item : all.instances)
@@ -144,7 +144,7 @@
     return calls;
 }
 
-void advanceTo(fleet &all, unsigned instance, config_version version)
+void advanceTo(config_fleet &all, unsigned instance, config_version version)
 {
     while (all.newest() < version) {
         const config_version base = all.instances[instance]->board.config->version;
@@ -154,4 +154,4 @@
     all.run(std::chrono::seconds(5));
 }
 
-} // namespace chicoryhead
+} // namespace chicoryhead::test
--- a/tests/support/fake_store_fleet.h
+++ b/tests/support/fake_store_fleet.h
@@ -18,25 +18,25 @@
 #include <string>
 #include <vector>
 
-namespace chicoryhead {
+namespace chicoryhead::test {
 
 constexpr monotonic_time tickInterval = std::chrono::milliseconds(20);
 constexpr unsigned gossipFanout = 3;
 
-class fleet;
+class config_fleet;
 
 /** One instance with its own view of the members. */
-struct instance_under_test : config_messenger
+struct config_instance : config_messenger
 {
-    instance_under_test(fleet &owner, fake_store &store, std::uint32_t number, unsigned domain);
+    config_instance(config_fleet &owner, fake_store &store, std::uint32_t number, unsigned domain);
 
     void sendPull(instance_id to, const config_pull &pull) override;
     void sendPage(instance_id to, const config_page &page) override;
     void onApplied(config_version version);
 
-    fleet &owner;
+    config_fleet &owner;
     instance_id id;
-    seeded_random random;
+    seeded_source random;
     fake_store_client client;
     blackboard board;
     config_version lastVersion = 0;
@@ -44,17 +44,17 @@
 };
 
 /** Instances, the store and the network between them. */
-class fleet
+class config_fleet
 {
 public:
-    explicit fleet(std::uint64_t seed) : store(clock, seed), random(seed + 1) { }
+    explicit config_fleet(std::uint64_t seed) : store(clock, seed), random(seed + 1) { }
 
     void add(unsigned count)
     {
         for (unsigned i = 0; i < count; ++i) {
             const auto number = static_cast<std::uint32_t>(instances.size()) + 1;
             instances.push_back(
-                std::make_unique<instance_under_test>(*this, store, number, number % 3));
+                std::make_unique<config_instance>(*this, store, number, number % 3));
         }
         updateMembers();
     }
@@ -72,15 +72,15 @@
         }
     }
 
-    bool canReach(const instance_under_test &a, const instance_under_test &b) const
+    bool canReach(const config_instance &a, const config_instance &b) const
     {
         return a.board.self.domain == b.board.self.domain
             || (a.board.self.domain != cutDomain && b.board.self.domain != cutDomain);
     }
 
     /** Carries a message, which may be lost, doubled or late. */
-    void carry(instance_under_test &from, instance_id to,
-               std::function<void(instance_under_test &)> deliver)
+    void carry(config_instance &from, instance_id to,
+               std::function<void(config_instance &)> deliver)
     {
         for (int copy = 0; copy < 2; ++copy) {
             if (copy == 1 ? !happens(doubled) : happens(lost))
@@ -88,17 +88,17 @@
             const monotonic_time delay =
                 std::chrono::milliseconds(1) + monotonic_time(random.next() % 3000);
             clock.schedule(delay, [this, &from, to, deliver] {
-                instance_under_test &target = *instances[idValue(to) - 1];
+                config_instance &target = *instances[idValue(to) - 1];
                 if (canReach(from, target))
                     deliver(target);
             });
         }
     }
 
-    void announce(instance_under_test &from, instance_id to)
+    void announce(config_instance &from, instance_id to)
     {
         const config_version version = from.board.config->version;
-        carry(from, to, [id = from.id, version](instance_under_test &target) {
+        carry(from, to, [id = from.id, version](config_instance &target) {
             target.core->onPeerVersion(id, version);
         });
     }
@@ -165,10 +165,10 @@
     void checkHistory();
 
     distribution_settings settings;
-    virtual_clock clock;
+    event_clock clock;
     fake_store store;
-    seeded_random random;
-    std::vector<std::unique_ptr<instance_under_test>> instances;
+    seeded_source random;
+    std::vector<std::unique_ptr<config_instance>> instances;
     std::map<std::string, std::set<config_version>> accepted;
     std::set<std::string> refused;
     std::map<config_version, monotonic_time> inForceAt; ///< at the last instance that got it
@@ -188,14 +188,14 @@
 /** A patch that sets the weight of an upstream that follows from the weight. */
 config_patch setWeight(const std::string &id, config_version base, std::uint64_t weight);
 /** An operator who submits patches one after another, each based on the version seen. */
-void operate(fleet &all, const std::string &name, unsigned patches);
+void operate(config_fleet &all, const std::string &name, unsigned patches);
 /** Adds instances and waits until "desk" is in force on all of them. */
-void start(fleet &all, unsigned instances);
+void start(config_fleet &all, unsigned instances);
 /** Submits again while the store is unavailable, as an operator does. */
-void submitAnyway(fleet &all, const config_patch &patch);
+void submitAnyway(config_fleet &all, const config_patch &patch);
 /** Submits setWeight() patches one after another until a version is in force everywhere. */
-void advanceTo(fleet &all, unsigned instance, config_version version);
+void advanceTo(config_fleet &all, unsigned instance, config_version version);
 /** Calls of all instances to the store so far. */
-std::uint64_t storeCalls(const fleet &all);
+std::uint64_t storeCalls(const config_fleet &all);
 
-} // namespace chicoryhead
+} // namespace chicoryhead::test
--- a/tests/test_distribution.cpp
+++ b/tests/test_distribution.cpp
@@ -13,13 +13,14 @@
 #include <iostream>
 
 using namespace chicoryhead;
+using namespace chicoryhead::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
 /** Seconds from the creation of the log key to in force everywhere, sorted; a change each 5 s. */
-std::vector<double> measureSpread(fleet &all, unsigned changes)
+std::vector<double> measureSpread(config_fleet &all, unsigned changes)
 {
     std::vector<double> spreads;
     for (unsigned i = 0; i < changes; ++i) {
@@ -48,7 +49,7 @@
 TEST_CASE("50 operators race with 1,000 patches: no version is lost, doubled or reverted",
           "[distribution]")
 {
-    fleet all(1);
+    config_fleet all(1);
     all.lost = 5;
     all.doubled = 5;
     start(all, 15);
@@ -63,7 +64,7 @@
 
 TEST_CASE("lost answers to writes are read back, never accepted twice", "[distribution]")
 {
-    fleet all(2);
+    config_fleet all(2);
     all.store.lostAnswers = 30;
     start(all, 15);
     for (unsigned i = 0; i < 10; ++i)
@@ -76,7 +77,7 @@
 TEST_CASE("a change is in force everywhere within 7 s, with few calls to the store",
           "[distribution]")
 {
-    fleet all(3);
+    config_fleet all(3);
     start(all, 15);
     const std::uint64_t before = storeCalls(all);
     const std::uint64_t bytesBefore = all.bytes;
@@ -96,7 +97,7 @@
 
 TEST_CASE("a watch that fails silently is made up for by the poll", "[distribution]")
 {
-    fleet all(4);
+    config_fleet all(4);
     start(all, 15);
     all.store.areWatchesDead = true;
     const auto spreads = measureSpread(all, 20);
@@ -107,7 +108,7 @@
 
 TEST_CASE("a store that takes up to 2 s per call delays nothing beyond 7 s", "[distribution]")
 {
-    fleet all(5);
+    config_fleet all(5);
     start(all, 15);
     all.store.latency = milliseconds(1600); // 1.2 s to 2 s
     const auto spreads = measureSpread(all, 40);
@@ -118,7 +119,7 @@
 
 TEST_CASE("with half of the calls beyond their deadline no outcome is wrong", "[distribution]")
 {
-    fleet all(8);
+    config_fleet all(8);
     start(all, 15);
     all.store.latency = seconds(2); // 1.5 s to 2.5 s; the deadline is 2 s
     const auto spreads = measureSpread(all, 40);
@@ -131,7 +132,7 @@
 
 TEST_CASE("during an outage of 10 min new instances take the version from peers", "[distribution]")
 {
-    fleet all(6);
+    config_fleet all(6);
     start(all, 12);
     for (unsigned i = 0; i < 20; ++i)
         all.submit(i % 12, setWeight("w" + std::to_string(i), 1 + i, i)), all.run(seconds(1));
@@ -162,7 +163,7 @@
 TEST_CASE("a domain cut off from all others and the store keeps its version and catches up",
           "[distribution]")
 {
-    fleet all(7);
+    config_fleet all(7);
     start(all, 15);
     all.cutDomain = domain_id(1);
     all.updateMembers();
--- a/tests/test_distribution_log.cpp
+++ b/tests/test_distribution_log.cpp
@@ -9,12 +9,13 @@
 #include <catch2/catch.hpp>
 
 using namespace chicoryhead;
+using namespace chicoryhead::test;
 using std::chrono::seconds;
 
 namespace {
 
 /** Numbers of the keys below a prefix. */
-std::set<config_version> keysBelow(const fleet &all, const std::string &prefix)
+std::set<config_version> keysBelow(const config_fleet &all, const std::string &prefix)
 {
     std::set<config_version> numbers;
     for (const auto &[key, value] : all.store.values) {
@@ -24,7 +25,7 @@
     return numbers;
 }
 
-config_snapshot readSnapshot(const fleet &all, config_version version)
+config_snapshot readSnapshot(const config_fleet &all, config_version version)
 {
     const std::string value = all.store.read(snapshotKey(version, 0)).value;
     REQUIRE(snapshotPartCount(value) == 1);
@@ -33,7 +34,7 @@
     return snapshot.value();
 }
 
-std::vector<audit_entry> readAudit(fleet &all, unsigned instance)
+std::vector<audit_entry> readAudit(config_fleet &all, unsigned instance)
 {
     result<std::vector<audit_entry>> read = error::NotFound;
     all.instances[instance]->core->readAudit(
@@ -44,7 +45,7 @@
 }
 
 /** A fleet with 1,100 versions, whose log was trimmed. */
-void startTrimmed(fleet &all)
+void startTrimmed(config_fleet &all)
 {
     all.settings.trimDelay = seconds(2);
     all.settings.snapshotStagger = seconds(0);
@@ -58,7 +59,7 @@
 
 TEST_CASE("the log is trimmed to two snapshots, and the audit trail stays whole", "[distribution]")
 {
-    fleet all(11);
+    config_fleet all(11);
     startTrimmed(all);
     CHECK(keysBelow(all, snapshotPrefix) == std::set<config_version> {768, 1024});
     CHECK(keysBelow(all, auditPrefix) == std::set<config_version> {1, 257, 513});
@@ -76,7 +77,7 @@
 
 TEST_CASE("a new instance loads the last snapshot and the log after it", "[distribution]")
 {
-    fleet all(12);
+    config_fleet all(12);
     startTrimmed(all);
     // Its domain is cut off from the others, so that only the store can supply it.
     all.cutDomain = domain_id(1);
@@ -100,7 +101,7 @@
 TEST_CASE("an instance far behind doesn't create a version whose log entry was trimmed",
           "[distribution]")
 {
-    fleet all(13);
+    config_fleet all(13);
     all.add(6);
     all.cutDomain = domain_id(1);
     all.updateMembers();
@@ -129,7 +130,7 @@
 TEST_CASE("an instance that joined through peers completes the accepted patches of a snapshot",
           "[distribution]")
 {
-    fleet all(14);
+    config_fleet all(14);
     all.settings.snapshotStagger = seconds(0);
     start(all, 2);
     advanceTo(all, 0, 300);
@@ -151,7 +152,7 @@
 
 TEST_CASE("reading the audit trail fails with the store", "[distribution]")
 {
-    fleet all(15);
+    config_fleet all(15);
     start(all, 3);
     all.store.isReachable = false;
     bool hasFailed = false;
@@ -163,7 +164,7 @@
 TEST_CASE("a snapshot of many pages arrives although pages are lost, doubled and reordered",
           "[distribution]")
 {
-    fleet all(16);
+    config_fleet all(16);
     start(all, 3);
     config_patch patch {"many", "ama", "many services", 1, wall_time(1), {}};
     for (std::uint32_t i = 1; i <= 100; ++i) {
