Feature: tests with damaged patches and arbitrary pages

Cause: make sanitize runs the tests tagged [fuzz], and those of the configuration had no tag. Change: three tests feed damaged changes, patches and pages; after them the next version must still arrive. Conclusion: no change of the code was needed.

--- a/tests/test_config_apply.cpp
+++ b/tests/test_config_apply.cpp
@@ -289,7 +289,7 @@
     CHECK(applyPatch(*config, old, problems).error() == error::VersionConflict);
 }
 
-TEST_CASE("damaged changes are refused and never read out of bounds", "[config]")
+TEST_CASE("damaged changes are refused and never read out of bounds", "[config][fuzz]")
 {
     const auto config = deskWith(4);
     const std::string bytes = encodeChange(computeChange(configuration(), *config));
--- a/tests/test_config_json.cpp
+++ b/tests/test_config_json.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace chicoryhead;
 
 namespace {
@@ -73,3 +75,21 @@
     CHECK(problems.size() == 1);
     CHECK_FALSE(parsePatch("[]", problems));
 }
+
+TEST_CASE("damaged patches are refused or read, never a fault", "[config][fuzz]")
+{
+    const std::string text = formatPatch(samplePatch());
+    std::mt19937 random(5);
+    std::size_t refused = 0;
+    for (int i = 0; i < 5000; ++i) {
+        std::string damaged = text;
+        for (unsigned edits = 1 + random() % 3; edits > 0; --edits)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        std::vector<config_problem> problems;
+        const auto parsed = parsePatch(damaged, problems);
+        refused += parsed ? 0 : 1;
+        // Each refusal says why.
+        CHECK(parsed.has_value() == problems.empty());
+    }
+    CHECK(refused > 0);
+}
--- a/tests/test_distribution.cpp
+++ b/tests/test_distribution.cpp
@@ -182,3 +182,30 @@
     CHECK(all.haveAll(41));
     all.checkHistory();
 }
+
+TEST_CASE("pages with any content leave the version in force as it is", "[distribution][fuzz]")
+{
+    config_fleet all(9);
+    start(all, 2);
+    auto &target = *all.instances[1];
+    for (int i = 0; i < 20000; ++i) {
+        config_page page {all.random.next() % 4, all.happens(50), {}};
+        for (unsigned pieces = static_cast<unsigned>(all.random.next() % 4); pieces > 0; --pieces) {
+            config_piece &piece = page.pieces.emplace_back();
+            piece.version = all.random.next() % 5;
+            piece.total = static_cast<std::uint32_t>(all.random.next() % 40);
+            piece.offset = static_cast<std::uint32_t>(all.random.next() % 40);
+            piece.bytes.resize(all.random.next() % 40, static_cast<std::uint8_t>(i));
+        }
+        target.core->onPage(instance_id(1), page);
+        target.core->onPull(instance_id(1),
+                            {all.random.next() % 4, all.random.next() % 4,
+                             static_cast<std::uint32_t>(all.random.next())});
+    }
+    CHECK(target.board.config->version == 1);
+    // What is left of the pages must not keep the next version away.
+    all.submit(0, setWeight("next", 1, 7));
+    all.run(seconds(30));
+    CHECK(all.haveAll(2));
+    all.checkHistory();
+}
