Fix: a create that a pause delayed beyond trimming is withdrawn

Cause: an instance that is paused between reading head and creating the log key could create a version anew whose entry was trimmed meanwhile, and report it as accepted. Patches without a time get the time of submission.

--- a/src/config/config_submitter.cpp
+++ b/src/config/config_submitter.cpp
@@ -58,6 +58,8 @@
 {
     submission item;
     item.patch = std::move(patch);
+    if (item.patch.submittedAt.count() == 0)
+        item.patch.submittedAt = m_clock.wallNow();
     item.handler = std::move(handler);
     if (m_queue.size() >= maxQueue) {
         patch_outcome outcome;
@@ -265,6 +267,8 @@
 void config_submitter::accept()
 {
     submission &item = m_queue.front();
+    if (m_clock.now() - item.headReadAt > maxHeadAge && !item.isVerified)
+        return verifyCreated();
     const config_version version = item.entry.change.version;
     m_replica.advance(item.entry.change, encodeChange(item.entry.change));
     // Only a hint: whoever finds it out of date advances it.
@@ -272,4 +276,30 @@
     finish({}, version);
 }
 
+/**
+ * After a pause of this instance the create may have come after the version was trimmed. The audit
+ * trail then names another patch.
+ */
+void config_submitter::verifyCreated()
+{
+    const config_version version = m_queue.front().patch.baseVersion + 1;
+    m_caller.get(
+        auditKey(firstAudited(version)), guarded([this, version](const result<key_value> &read) {
+            if (!read)
+                return verifyCreated();
+            submission &item = m_queue.front();
+            item.isVerified = true;
+            const auto audit = parseAudit(read.value().value);
+            const auto isOther = [&item, version](const audit_entry &entry) {
+                return entry.version == version && entry.id != item.patch.id;
+            };
+            if (!audit || std::none_of(audit.value().begin(), audit.value().end(), isOther))
+                return accept();
+            logEvent(log_level::Warning, "log_entry_withdrawn",
+                     {{"version", std::to_string(version)}, {"id", item.patch.id}});
+            m_caller.remove(logKey(version), [](const result<bool> &) {});
+            refuseConflict();
+        }));
+}
+
 } // namespace chicoryhead
--- a/src/config/config_submitter_base.h
+++ b/src/config/config_submitter_base.h
@@ -45,6 +45,7 @@
         std::string value;           ///< encoded entry
         bool isCreateOpen = false;   ///< a create was sent and not answered
         bool mayHaveCreated = false; ///< a create was answered with an unknown outcome
+        bool isVerified = false;     ///< the audit trail names no other patch for the version
         bool wasLookedUp = false;    ///< log/<base+1> was read for an earlier acceptance
         config_version head = 0;     ///< as read from the store
         std::uint64_t headIndex = 0;
@@ -67,6 +68,7 @@
     void onLateRead(const key_value &value);
     void catchUp();
     void accept();
+    void verifyCreated();
     /** Wraps a handler so that it runs only while the same submission is active. */
     template<typename Handler>
     auto guarded(Handler handler);
--- a/src/config/store_layout.cpp
+++ b/src/config/store_layout.cpp
@@ -53,6 +53,11 @@
     return auditPrefix + std::to_string(first);
 }
 
+config_version firstAudited(config_version version)
+{
+    return version - (version - 1) % snapshotInterval;
+}
+
 std::optional<config_version> parseNumber(std::string_view text)
 {
     config_version number = 0;
--- a/src/config/store_layout_func.h
+++ b/src/config/store_layout_func.h
@@ -34,6 +34,8 @@
 std::string snapshotKey(config_version version, std::size_t part);
 /** Key of the audit entries from a version on. */
 std::string auditKey(config_version first);
+/** First version of the audit key that covers a version. */
+config_version firstAudited(config_version version);
 /** The number that follows a prefix in a key, up to the next '/'. */
 std::optional<config_version> parseKey(std::string_view key, std::string_view prefix);
 /** Parses a decimal number; for the value of head. */
--- a/src/config/store_trimmer.cpp
+++ b/src/config/store_trimmer.cpp
@@ -12,16 +12,6 @@
 
 namespace chicoryhead {
 
-namespace {
-
-/** First version of the audit key that covers a version. */
-config_version firstAudited(config_version version)
-{
-    return version - (version - 1) % snapshotInterval;
-}
-
-} // namespace
-
 void store_maintainer::trim()
 {
     if (m_trimVersion <= snapshotInterval) {
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -118,6 +118,10 @@
 void fake_store_client::put(const std::string &key, std::string value, std::uint64_t casIndex,
                             put_handler handler)
 {
+    if (arePutsHeld) {
+        m_heldPuts.push_back([=, this] { put(key, value, casIndex, handler); });
+        return;
+    }
     if (refuse(handler))
         return;
     m_store.clock.schedule(m_store.delay(), [this, key, value, casIndex, handler] {
@@ -133,6 +137,14 @@
     });
 }
 
+void fake_store_client::releasePuts()
+{
+    arePutsHeld = false;
+    const auto held = std::exchange(m_heldPuts, {});
+    for (const auto &put : held)
+        put();
+}
+
 void fake_store_client::remove(const std::string &key, put_handler handler)
 {
     if (refuse(handler))
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -77,6 +77,7 @@
     explicit fake_store_client(fake_store &store) : m_store(store) { }
 
     bool isReachable = true;
+    bool arePutsHeld = false; ///< writes wait until releasePuts(), as in a paused process
     std::uint64_t calls = 0;
 
     void get(const std::string &key, get_handler handler) override;
@@ -84,6 +85,8 @@
                get_handler handler) override;
     void put(const std::string &key, std::string value, std::uint64_t casIndex,
              put_handler handler) override;
+    /** Carries out the writes that were held. */
+    void releasePuts();
     void remove(const std::string &key, put_handler handler) override;
     void listKeys(const std::string &prefix, keys_handler handler) override;
     void listInstances(list_handler handler) override;
@@ -94,6 +97,7 @@
     bool refuse(Handler handler);
 
     fake_store &m_store;
+    std::vector<std::function<void()>> m_heldPuts;
 };
 
 } // namespace chicoryhead::test
--- a/tests/support/fake_store_fleet.h
+++ b/tests/support/fake_store_fleet.h
@@ -40,6 +40,7 @@
     fake_store_client client;
     blackboard board;
     config_version lastVersion = 0;
+    bool isPaused = false;
     std::unique_ptr<distribution> core;
 };
 
@@ -110,8 +111,10 @@
         const monotonic_time end = clock.now() + duration;
         while (clock.now() < end) {
             clock.runUntil(clock.now() + tickInterval);
-            for (auto &item : instances)
-                item->core->tick();
+            for (auto &item : instances) {
+                if (!item->isPaused)
+                    item->core->tick();
+            }
             // A ping and its acknowledgement each second, as the membership sends them.
             if (clock.now() < m_nextPing)
                 continue;
--- a/tests/test_distribution_log.cpp
+++ b/tests/test_distribution_log.cpp
@@ -10,6 +10,7 @@
 
 using namespace chicoryhead;
 using namespace chicoryhead::test;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -127,6 +128,37 @@
     CHECK(behind.board.config->version == all.newest());
 }
 
+TEST_CASE("a create that a pause delayed beyond trimming is withdrawn", "[distribution]")
+{
+    config_fleet all(17);
+    all.settings.trimDelay = seconds(2);
+    all.settings.snapshotStagger = seconds(0);
+    start(all, 6);
+    // The paused instance hears nothing of the others.
+    all.cutDomain = domain_id(1);
+    all.updateMembers();
+    auto &paused = *all.instances[0];
+    paused.client.arePutsHeld = true;
+    patch_outcome outcome;
+    all.submit(0, setWeight("late", 1, 5), [&](const auto &given) { outcome = given; });
+    all.run(milliseconds(100));
+    paused.isPaused = true;
+    advanceTo(all, 1, 1100);
+    all.run(seconds(60));
+    REQUIRE(all.store.read(logKey(2)).modifyIndex == 0);
+    paused.client.releasePuts();
+    all.run(milliseconds(100));
+    CHECK(all.store.creations[logKey(2)] == 2);
+    paused.isPaused = false;
+    all.run(seconds(5));
+    CHECK(outcome.code == error::VersionConflict);
+    CHECK(all.store.read(logKey(2)).modifyIndex == 0);
+    all.run(seconds(60));
+    CHECK(paused.board.config->version == 1100);
+    CHECK(formatConfiguration(*paused.board.config)
+          == formatConfiguration(*all.instances[1]->board.config));
+}
+
 TEST_CASE("an instance that joined through peers completes the accepted patches of a snapshot",
           "[distribution]")
 {
