--- a/bench/bench_forwarding.cpp
+++ b/bench/bench_forwarding.cpp
@@ -14,7 +14,9 @@
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <ctime>
+#include <iostream>
 #include <random>
 
 namespace {
@@ -160,6 +162,7 @@
         config_patch patch;
         patch.id = "bench";
         patch.author = "bench";
+        patch.reason = "benchmark";
         patch_operation create;
         create.kind = patch_operation_kind::CreateService;
         create.service = "desk";
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -170,7 +170,7 @@
     deployment &m_owner;
     endpoint m_address;
     std::uint16_t m_domain;
-    chicoryhead::seeded_random m_random;
+    stepped_random m_random;
     std::uint64_t m_sequence = 0;
 
 public:
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -105,7 +105,7 @@
     /** One line for each of the last events, for a report of a failing seed. */
     const std::vector<std::string> &events() const { return m_events; }
 
-    chicoryhead::virtual_clock clock;
+    event_clock clock;
     fake_store store;
     deployment_counts counts;
 
