--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -117,6 +117,15 @@
     }
     if (!chosen)
         chosen = chooseOfTwo(view, hash, excluded);
+    // The holder needs no record, so it is kept unless the other has clearly less load.
+    if (view.isFullyTracked && m_settings.holderPreference > 0) {
+        const auto holder =
+            std::find_if(view.options.begin(), view.options.end(),
+                         [&](const option &item) { return item.upstream->id == slot.next; });
+        if (holder != view.options.end()
+            && estimate(*holder) <= m_settings.holderPreference * estimate(*chosen))
+            chosen = &*holder;
+    }
     notePlaced(*chosen->state);
     return chosen->upstream->id;
 }
--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -59,6 +59,9 @@
     /// of an upstream have its reports, and one sample of a few slots is mostly noise
     /// (docs/balance-rounds.md, round 13), so reports act through conditions alone.
     double maxLoadFactor = 1;
+    /// The holder, which needs no record, is preferred up to this multiple of the other's estimate;
+    /// 0 for no preference (docs/balance-rounds.md, round 24).
+    double holderPreference = 0;
     double fullShare = 0.98; ///< share of max_flows at which an upstream has no room
 };
 
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -434,6 +434,27 @@
     CHECK(g.shares()[1] == Approx(0.75).margin(0.03));
 }
 
+TEST_CASE("preferring the holder saves records and keeps the shares even", "[balance]")
+{
+    fixture f(4);
+    placement_settings settings;
+    settings.holderPreference = 1;
+    load_aware_placement placement(f.clock, f.board, f.limiter, settings);
+    std::vector<double> shares(5);
+    int exceptions = 0;
+    for (int i = 0; i < 4000; ++i) {
+        f.clock.time += 1ms;
+        const flow_hash hash = f.random.next();
+        const slot_entry &slot = f.service->slots[hash % 64];
+        const upstream_id chosen = placement.choose(*f.service, slot, hash);
+        shares.at(idValue(chosen)) += 1.0 / 4000;
+        exceptions += chosen != slot.holder ? 1 : 0;
+    }
+    CHECK(exceptions < 2000);
+    for (std::size_t i = 1; i < shares.size(); ++i)
+        CHECK(shares[i] == Approx(0.25).margin(0.03));
+}
+
 TEST_CASE("an upstream at max_flows gets no new flows", "[balance]")
 {
     fixture f(3);
