Fix: bound work and memory of placement and limits at the large size

Cause: each admitted flow refilled the shares of all services, and records of removed upstreams were kept for ever. Change: shares are refilled every 50 ms; records are dropped in bulk.

--- a/src/balance/limits.cpp
+++ b/src/balance/limits.cpp
@@ -14,6 +14,9 @@
 
 /// Seconds of rate that a bucket collects; covers the unevenness of spraying within a second.
 constexpr double burstSeconds = 0.5;
+/// Interval of refilling the shares of all services, of which there may be thousands; a tenth of
+/// what a share collects.
+constexpr monotonic_time refillInterval = std::chrono::milliseconds(50);
 /// Use of a resource above which some new flows are refused; at 1.0 all are.
 constexpr double earlyRefusal = 0.9;
 /// Retries that a budget collects, so that a quiet service may retry at all and a busy one cannot
@@ -142,6 +145,11 @@
 
 void flow_limiter::refillShares(monotonic_time now)
 {
+    const bool isDue = !m_hasShares || now - m_sharesRefilled >= refillInterval;
+    if (!isDue)
+        return;
+    m_hasShares = true;
+    m_sharesRefilled = now;
     const double capacity = m_settings.flowsPerSecond;
     const auto count =
         static_cast<double>(std::max<std::size_t>(m_board.config->services.size(), 1));
--- a/src/balance/limits_base.h
+++ b/src/balance/limits_base.h
@@ -102,6 +102,8 @@
     limiter_settings m_settings;
     instance_pressure m_pressure;
     std::map<service_id, account> m_accounts;
+    monotonic_time m_sharesRefilled {0}; ///< last refill of all guaranteed shares
+    bool m_hasShares = false;
     double m_ready = 0; ///< ready members at m_membersRevision; 0 before the first count
     std::uint64_t m_membersRevision = 0;
     token_bucket m_pool; ///< capacity that services leave unused
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint64_t domainStream = 0x646f6d61;
 /// Weight of a new report in the smoothed load; one sample of two or three slots is mostly noise.
 constexpr double loadSmoothing = 0.2;
+/// Records of removed upstreams that are kept at least, so that they are dropped in bulk.
+constexpr std::size_t spareRecords = 1024;
+
 double uniformOf(flow_hash hash, std::uint64_t stream)
 {
     return (static_cast<double>(mixHash(hash, stream) >> 11) + 0.5) * 0x1.0p-53;
@@ -178,6 +181,7 @@
 {
     const auto now = m_clock.now();
     const auto version = m_board.config->version;
+    dropRemoved();
     service_view &view = m_views[service.id];
     const bool isSame = view.config == &service && view.version == version;
     if (isSame && now - view.builtAt < m_settings.viewLifetime
@@ -204,6 +208,15 @@
     return view;
 }
 
+void load_aware_placement::dropRemoved()
+{
+    if (m_records.size() <= 2 * m_board.upstreams.size() + spareRecords)
+        return;
+    m_views.clear(); // they refer to records
+    std::erase_if(m_records,
+                  [this](const auto &item) { return !m_board.upstreams.contains(item.first); });
+}
+
 void load_aware_placement::updateRecords(const service_config &service)
 {
     const auto now = m_clock.now();
--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -128,6 +128,7 @@
     enum class panic_scope : std::uint8_t { None, Reachable, All };
 
     const service_view &viewOf(const service_config &service);
+    void dropRemoved();
     void updateRecords(const service_config &service);
     void updateRecord(const upstream_config &upstream, record &entry, monotonic_time now);
     bool isAccepting(const upstream_config &upstream, panic_scope panic) const;
