Feature: header of its own for the messages of the distribution

Cause: the codec of peer messages needs config_pull and config_page, but not the store and the settings. Change: the messages and config_messenger are in config_message_type.h. Conclusion: the peer codec can include the messages alone.

--- a/bench/bench_config.cpp
+++ b/bench/bench_config.cpp
@@ -8,7 +8,7 @@
 
 #include "config/config_apply_func.h"
 #include "config/config_codec_func.h"
-#include "config/distribution_type.h"
+#include "config/config_message_type.h"
 #include "config/slot_plan_func.h"
 #include "config/store_layout_func.h"
 
--- a/src/config/distribution_base.h
+++ b/src/config/distribution_base.h
@@ -7,6 +7,7 @@
 
 #include "audit_reader_base.h"
 #include "config_json_func.h"
+#include "config_message_type.h"
 #include "config_replica_base.h"
 #include "config_submitter_base.h"
 #include "distribution_type.h"
--- a/src/config/peer_exchange_base.h
+++ b/src/config/peer_exchange_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "blackboard/blackboard_type.h"
+#include "config_message_type.h"
 #include "config_replica_base.h"
 #include "distribution_type.h"
 
