Feature: tests of readers per domain, calls in an outage and slot moves

Cause: the number of readers, the rate of calls to an unreachable store and the number of slots that move had no test. Change: checks in the tests of distribution and planner. Conclusion: no change of the code was needed.

--- a/tests/test_config_apply.cpp
+++ b/tests/test_config_apply.cpp
@@ -231,6 +231,15 @@
                 mustApply(config, {makeOperation(patch_operation_kind::MarkLeaving, chosen.name)});
         }
         REQUIRE(hasFairShares(desk(config)));
+        // As few slots as possible move: no upstream both gives and takes.
+        std::size_t gained = 0;
+        for (const auto &upstream : desk(config).upstreams) {
+            const std::size_t had = countNext(desk(before), upstream.id);
+            const std::size_t has = countNext(desk(config), upstream.id);
+            gained += has > had ? has - had : 0;
+        }
+        const bool isEmpty = desk(config).slots[0].next == noUpstream;
+        REQUIRE((isEmpty || countMoves(desk(before), desk(config)) == gained));
         for (std::size_t i = 0; i < open.size(); ++i) {
             const auto &slot = desk(config).slots[i];
             const bool isElsewhere = std::any_of(open[i].begin(), open[i].end(),
--- a/tests/test_distribution.cpp
+++ b/tests/test_distribution.cpp
@@ -79,6 +79,10 @@
 {
     config_fleet all(3);
     start(all, 15);
+    // Two readers in each of the three domains.
+    CHECK(std::count_if(all.instances.begin(), all.instances.end(),
+                        [](const auto &item) { return item->core->isReader(); })
+          == 6);
     const std::uint64_t before = storeCalls(all);
     const std::uint64_t bytesBefore = all.bytes;
     const auto spreads = measureSpread(all, 60);
@@ -156,7 +160,12 @@
     CHECK(outcome.code == error::StoreUnavailable);
     all.add(3);
     CHECK_FALSE(all.instances.back()->core->isLoaded());
+    const std::uint64_t before = storeCalls(all);
     all.run(seconds(540));
+    const double calls = static_cast<double>(storeCalls(all) - before) / 15 / 540;
+    std::cout << "store calls per second and instance during an outage: " << calls << '\n';
+    // Each instance has at most a reader and a watch, at one call per 15 s or less.
+    CHECK(calls < 2.0 / 15);
     CHECK(all.haveAll(21));
     CHECK(all.instances.back()->core->isLoaded());
     all.store.isReachable = true;
