Fix: key lists and watches of missing keys in the platform's stand-in

Cause: RESTinio's parser drops a query name without a value, so `?keys` was answered as a read, with 404. A missing key also had an index of its own, which the published interface doesn't give it, so that a client that relied on one would have passed.

Change: queries are cut in our own few lines; a missing key has the index of the last write to any key, whose watch then wakes early; a wait is prolonged by up to a sixteenth, as published.

--- a/standin/common_http.cpp
+++ b/standin/common_http.cpp
@@ -8,8 +8,10 @@
 
 #include <restinio/all.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <sstream>
 
 namespace standin {
 
@@ -18,22 +20,28 @@
 using traits =
     restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
 
-using path_traits = restinio::utils::relaxed_unescape_traits;
-
 /// Longer than the longest blocking query, which the published interface bounds to ten minutes.
 constexpr std::chrono::minutes maxHandling {11};
 
+std::string unescape(const std::string &text)
+{
+    // The default traits reject '/', which keys hold unescaped.
+    return restinio::utils::unescape_percent_encoding<restinio::utils::relaxed_unescape_traits>(
+        text);
+}
+
 http_request toRequest(const restinio::request_t &request)
 {
     http_request converted;
     converted.method = request.header().method().c_str();
-    // The default traits reject '/', which keys hold unescaped.
-    converted.path =
-        restinio::utils::unescape_percent_encoding<path_traits>(request.header().path());
-    const auto query =
-        restinio::parse_query<restinio::parse_query_traits::relaxed>(request.header().query());
-    for (const auto &[name, value] : query)
-        converted.query.emplace(std::string(name), std::string(value));
+    converted.path = unescape(std::string(request.header().path()));
+    // RESTinio's parser of queries drops names without a value, such as "keys".
+    std::istringstream query {std::string(request.header().query())};
+    for (std::string item; std::getline(query, item, '&');) {
+        const auto equals = std::min(item.find('='), item.size());
+        converted.query.emplace(item.substr(0, equals),
+                                unescape(item.substr(std::min(equals + 1, item.size()))));
+    }
     converted.body = request.body();
     return converted;
 }
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -192,36 +192,44 @@
         }
         auto waiting = m_watchers.insert(
             m_watchers.end(),
-            watcher {key, *afterIndex, reply, asio::steady_timer(m_context, waitOf(request))});
+            watcher {key, *afterIndex, reply, asio::steady_timer(m_context, waitTime(request))});
         waiting->timer.async_wait([this, waiting](const std::error_code &error) {
             if (!error)
                 answerWatcher(waiting);
         });
     }
 
+    /** The wait plus up to a sixteenth, as the published interface has it. */
+    tick waitTime(const http_request &request)
+    {
+        const tick wait = waitOf(request);
+        return wait
+            + tick(std::uniform_int_distribution<tick::rep>(0, wait.count() / 16)(m_random));
+    }
+
     void answerWatcher(std::list<watcher>::iterator waiting)
     {
         waiting->reply(read(waiting->key));
         m_watchers.erase(waiting);
     }
 
-    void wake(const std::string &key)
+    void wakeWatchers()
     {
         for (auto waiting = m_watchers.begin(); waiting != m_watchers.end();) {
             const auto current = waiting++;
-            if (current->key == key && indexOf(key) > current->afterIndex)
+            if (indexOf(current->key) > current->afterIndex)
                 answerWatcher(current);
         }
     }
 
-    /** Index of a key's last change; 1 for a key that never existed, as indexes start above 0. */
+    /**
+     * Index of a key's last change. A missing key has none of its own: as in the published
+     * interface, it has that of the last write to any key, so that such a watch wakes early.
+     */
     std::uint64_t indexOf(const std::string &key) const
     {
         const auto found = m_entries.find(key);
-        if (found != m_entries.end())
-            return found->second.modifyIndex;
-        const auto deleted = m_deleted.find(key);
-        return deleted != m_deleted.end() ? deleted->second : 1;
+        return found == m_entries.end() ? m_index : found->second.modifyIndex;
     }
 
     http_response read(const std::string &key) const
@@ -292,7 +300,7 @@
             stored.session = acquire->second;
         if (release != request.query.end())
             stored.session.clear();
-        wake(key);
+        wakeWatchers();
         return jsonResponse(true);
     }
 
@@ -301,8 +309,8 @@
         if (!isAllowed(request, key))
             return jsonResponse(false);
         if (m_entries.erase(key) != 0) {
-            m_deleted[key] = ++m_index;
-            wake(key);
+            ++m_index;
+            wakeWatchers();
         }
         return jsonResponse(true);
     }
@@ -341,7 +349,6 @@
     asio::io_context &m_context;
     std::mt19937_64 m_random;
     std::map<std::string, entry> m_entries;
-    std::map<std::string, std::uint64_t> m_deleted; ///< index of each deletion
     std::set<std::string> m_sessions;
     std::list<watcher> m_watchers;
     std::uint64_t m_index = 1;
