--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -217,6 +217,21 @@
     CHECK(f.outlet.notices.empty());
 }
 
+TEST_CASE("a sudden overload is not compared with reports from before it", "[balance]")
+{
+    fixture f;
+    f.otherBusy = 1;
+    f.reportFor(5, first, 2);
+    f.clock.time += 10ms;
+    f.report(first, 3, 200);
+    f.health.tick();
+    CHECK(f.isOpen(first));
+    for (std::uint32_t other = 2; other <= 4; ++other)
+        f.report(upstream_id {other}, 3, 200);
+    f.health.tick();
+    CHECK(f.isOpen(first));
+}
+
 TEST_CASE("a prober asks other upstreams before it calls one overloaded", "[balance]")
 {
     fixture f(7, true, 15);
@@ -405,6 +420,7 @@
     std::vector<double> total(5);
     for (std::uint32_t self = 1; self <= 3; ++self) {
         f.board.self = f.board.members[instance_id {self}];
+        ++f.board.membersRevision;
         const auto shares = f.shares();
         for (std::size_t i = 0; i < shares.size(); ++i)
             total[i] += shares[i] / 3;
