Fix: stand-ins hang where they should, and refused callers wait

Cause: an HTTP reply that is dropped closes the connection at once, so a watch that never answers and a silent load endpoint failed in a millisecond instead of hanging; callers whose flow was refused opened the next one at once.

Change: these two keep their replies; a lost answer and a dead upstream still close the connection. A refused caller waits the time it was told, or 500 ms for TCP.

Conclusion: the two faults now show what a client does without an answer.

--- a/standin/caller.cpp
+++ b/standin/caller.cpp
@@ -48,6 +48,8 @@
 constexpr tick closeTime {3000}; ///< a closing flow is forgotten after this time
 /// Answers of requests whose deadline has just passed may still be on their way.
 constexpr tick graceTime {500};
+/// Wait of a refused TCP caller; a refused request caller is told how long to wait.
+constexpr tick refusedWait {500};
 constexpr int maxAttempts = 4;
 constexpr std::size_t maxListedRequests = 10000;
 
@@ -138,7 +140,9 @@
         if (m_isEnding)
             return;
         m_openCredit = std::min(m_openCredit + FLAGS_open_rate * seconds, 50.0);
-        for (; m_openCredit >= 1 && m_live.size() < FLAGS_flows; m_openCredit -= 1)
+        std::erase_if(m_waitingUntil, [now](tick end) { return end <= now; });
+        for (; m_openCredit >= 1 && m_live.size() + m_waitingUntil.size() < FLAGS_flows;
+             m_openCredit -= 1)
             openFlow(now);
         m_churnCredit += FLAGS_churn * seconds;
         for (; m_churnCredit >= 1; m_churnCredit -= 1)
@@ -206,6 +210,12 @@
         failed.since = nowTick();
     }
 
+    void refuseFlow(flow &refused, tick wait)
+    {
+        failFlow(refused, "flows_refused");
+        m_waitingUntil.push_back(nowTick() + wait);
+    }
+
     void breakFlow(flow &broken, const std::string &reason)
     {
         count("flows_broken");
@@ -393,7 +403,7 @@
             if (state == tcp_state::Established)
                 becomeOpen(item, now);
             else if (state == tcp_state::Reset)
-                failFlow(item, "flows_refused");
+                refuseFlow(item, refusedWait);
         } else if (state == tcp_state::Reset) {
             breakFlow(item, "reset");
         } else if (state == tcp_state::TimedOut) {
@@ -431,7 +441,7 @@
         else if (isOpening && frame.kind == frame_kind::Open)
             becomeOpen(item, nowTick());
         else if (isOpening && frame.outcome == request_outcome::Refused)
-            failFlow(item, "flows_refused");
+            refuseFlow(item, tick(frame.retryAfterMs));
         else if (item.state == flow_state::Open && frame.kind == frame_kind::Close)
             breakFlow(item, "close");
         else if (item.state == flow_state::Closing && frame.kind == frame_kind::Close)
@@ -512,6 +522,7 @@
     std::mt19937_64 m_random;
     std::map<endpoint, flow> m_flows; ///< by inner source
     std::vector<endpoint> m_live;     ///< sources of flows that are opening or open
+    std::vector<tick> m_waitingUntil; ///< callers that were refused, by the end of their wait
     std::uint64_t m_nextFlow = 0;
     double m_openCredit = 0;
     double m_churnCredit = 0;
--- a/standin/common.h
+++ b/standin/common.h
@@ -142,7 +142,10 @@
 using http_reply = std::function<void(http_response)>;
 using http_handler = std::function<void(const http_request &, http_reply)>;
 
-/** HTTP server in the thread of an io_context; a reply that is never called loses the answer. */
+/**
+ * HTTP server in the thread of an io_context. A reply that is destroyed without a call closes the
+ * connection without an answer; one that is kept leaves the client waiting.
+ */
 class http_server
 {
 public:
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -163,7 +163,7 @@
         if (m_lostAnswers > 0) {
             --m_lostAnswers;
             count("lost_answers");
-            return; // without a reply the caller's deadline passes
+            return; // the connection closes without an answer
         }
         reply(response);
     }
@@ -184,6 +184,7 @@
         count("watches");
         if (m_hasSilentWatches) {
             count("silent_watches");
+            m_silentWatches.push_back(reply);
             return;
         }
         if (indexOf(key) > *afterIndex) {
@@ -351,6 +352,7 @@
     std::map<std::string, entry> m_entries;
     std::set<std::string> m_sessions;
     std::list<watcher> m_watchers;
+    std::vector<http_reply> m_silentWatches; ///< kept, so that their connections stay open
     std::uint64_t m_index = 1;
     json m_instances = json::array(); ///< in the published form
     json m_counters = json::object();
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -56,7 +56,7 @@
     bool deaf = false;         ///< drops every packet, while HTTP answers
     bool dead = false;         ///< drops packets and HTTP requests and has lost its flows
     bool sheds = false;        ///< refuses new flows and requests although it has room
-    std::string load = "true"; ///< "true", "frozen", "lying" (always idle) or "silent"
+    std::string load = "true"; ///< "true", "frozen", "lying" (always idle) or "silent" (hangs)
 };
 
 /** Counters for reports. */
@@ -387,8 +387,12 @@
     void onHttp(const http_request &request, const http_reply &reply)
     {
         const bool isLoad = request.path == "/load";
-        if (isLoad && (m_faults.dead || m_faults.load == "silent"))
-            return; // without a reply the caller's deadline passes
+        if (isLoad && m_faults.dead)
+            return; // the connection closes without an answer
+        if (isLoad && m_faults.load == "silent") {
+            m_silentLoads.push_back(reply);
+            return;
+        }
         if (isLoad)
             reply(jsonResponse(loadReport()));
         else if (request.path == "/report")
@@ -502,6 +506,7 @@
     upstream_counts m_counts;
     tick m_mark {0}; ///< 0 for none
     json m_lastLoad;
+    std::vector<http_reply> m_silentLoads; ///< kept, so that their connections stay open
     std::uint64_t m_started = std::uint64_t(nowTick().count());
     std::uint64_t m_sequence = 0;
     udp_socket m_socket;
