--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -8,7 +8,7 @@
 
 #include <memory>
 
-namespace chicoryhead {
+namespace chicoryhead::test {
 
 namespace {
 
@@ -16,12 +16,12 @@
 
 } // namespace
 
-void virtual_clock::schedule(monotonic_time delay, std::function<void()> event)
+void event_clock::schedule(monotonic_time delay, std::function<void()> event)
 {
     m_events.emplace(m_now + delay, std::move(event));
 }
 
-void virtual_clock::runUntil(monotonic_time time)
+void event_clock::runUntil(monotonic_time time)
 {
     while (!m_events.empty() && m_events.begin()->first <= time) {
         auto node = m_events.extract(m_events.begin());
@@ -118,6 +118,10 @@
 void fake_store_client::put(const std::string &key, std::string value, std::uint64_t casIndex,
                             put_handler handler)
 {
+    if (arePutsHeld) {
+        m_heldPuts.push_back([=, this] { put(key, value, casIndex, handler); });
+        return;
+    }
     if (refuse(handler))
         return;
     m_store.clock.schedule(m_store.delay(), [this, key, value, casIndex, handler] {
@@ -133,6 +137,14 @@
     });
 }
 
+void fake_store_client::releasePuts()
+{
+    arePutsHeld = false;
+    const auto held = std::exchange(m_heldPuts, {});
+    for (const auto &put : held)
+        put();
+}
+
 void fake_store_client::remove(const std::string &key, put_handler handler)
 {
     if (refuse(handler))
@@ -164,4 +176,4 @@
                            [handler] { handler(std::vector<listed_instance> {}); });
 }
 
-} // namespace chicoryhead
+} // namespace chicoryhead::test
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -14,10 +14,10 @@
 #include <string>
 #include <vector>
 
-namespace chicoryhead {
+namespace chicoryhead::test {
 
 /** Virtual clock with a queue of events. */
-class virtual_clock : public clock_source
+class event_clock : public clock_source
 {
 public:
     monotonic_time now() const override { return m_now; }
@@ -34,10 +34,10 @@
 };
 
 /** Seeded random bits. */
-class seeded_random : public random_source
+class seeded_source : public random_source
 {
 public:
-    explicit seeded_random(std::uint64_t seed) : m_engine(seed) { }
+    explicit seeded_source(std::uint64_t seed) : m_engine(seed) { }
     std::uint64_t next() override { return m_engine(); }
 
 private:
@@ -47,7 +47,7 @@
 /** The service; clients share it. */
 struct fake_store
 {
-    fake_store(virtual_clock &clock, std::uint64_t seed) : clock(clock), random(seed) { }
+    fake_store(event_clock &clock, std::uint64_t seed) : clock(clock), random(seed) { }
 
     /** Whether something with a probability in percent happens. */
     bool happens(unsigned percent) { return random.next() % 100 < percent; }
@@ -57,8 +57,8 @@
     bool write(const std::string &key, std::string value, std::uint64_t casIndex);
     key_value read(const std::string &key) const;
 
-    virtual_clock &clock;
-    seeded_random random;
+    event_clock &clock;
+    seeded_source random;
     monotonic_time latency = std::chrono::milliseconds(4); ///< of a call, both ways
     bool isReachable = true;
     unsigned lostAnswers = 0;    ///< percent of writes that take effect without an answer
@@ -77,6 +77,7 @@
     explicit fake_store_client(fake_store &store) : m_store(store) { }
 
     bool isReachable = true;
+    bool arePutsHeld = false; ///< writes wait until releasePuts(), as in a paused process
     std::uint64_t calls = 0;
 
     void get(const std::string &key, get_handler handler) override;
@@ -84,6 +85,8 @@
                get_handler handler) override;
     void put(const std::string &key, std::string value, std::uint64_t casIndex,
              put_handler handler) override;
+    /** Carries out the writes that were held. */
+    void releasePuts();
     void remove(const std::string &key, put_handler handler) override;
     void listKeys(const std::string &prefix, keys_handler handler) override;
     void listInstances(list_handler handler) override;
@@ -94,6 +97,7 @@
     bool refuse(Handler handler);
 
     fake_store &m_store;
+    std::vector<std::function<void()>> m_heldPuts;
 };
 
-} // namespace chicoryhead
+} // namespace chicoryhead::test
