Fix: homes remember opaque UDP flows in use

Cause: home 1 sent unknown UDP flows to the holder without noting them, so that 5 min after a leaving mark flows in use counted as new. Change: homes keep an entry for such flows; a home whose homes changed within the UDP timeout does not count flows as new. Two scenarios are added: deflection of an upstream and UDP flows in use during a drain with replaced instances. In the fixture, an instance that joins right after a death now notices that death, as it would by its own pings. Conclusion: UDP flows that send at least every 5 min survive a drain.

--- a/src/steering/tracked_slot.cpp
+++ b/src/steering/tracked_slot.cpp
@@ -468,10 +468,13 @@
         const flow_entry *entry = findFlow(input.hash);
         if (isUsable(entry, input) && (isTrusted(entry) || isDatagram))
             return forward(input, entry->upstream);
-        if (isDatagram && countsAsNew(*input.service, slot))
+        if (isDatagram && countsAsNew(*input.service, slot, input.hash))
             return place(input, hops, homes);
         if (slot.holder == noUpstream)
             return detail::drop();
+        // Homes remember UDP flows in use, so that these don't count as new later on.
+        if (isDatagram && !m_isDomainLost)
+            return forward(input, slot.holder);
         if (m_isDomainLost && !isRetransmittedEnough(input)) {
             ++m_board.counters.packetsUnplaced;
             return detail::drop();
@@ -481,12 +484,15 @@
     }
 
     /** Whether an unknown UDP flow can no longer be one of the holder's open flows. */
-    bool countsAsNew(const service_config &service, const slot_entry &slot) const
+    bool countsAsNew(const service_config &service, const slot_entry &slot, flow_hash hash)
     {
         const upstream_config *holder = detail::upstreamOf(service, slot.holder);
         if (!holder)
             return true;
-        return holder->mode == upstream_mode::Leaving
+        // A home that is new to the flow knows the flows in use after one timeout only.
+        const monotonic_time changedAt = m_homes.changedAt(hash);
+        const bool isNewHome = changedAt.count() != 0 && m_now - changedAt < udpTimeout;
+        return holder->mode == upstream_mode::Leaving && !isNewHome
             && m_clock.wallNow() - holder->leavingSince >= udpTimeout;
     }
 
--- a/tests/support/steering_fixture.cpp
+++ b/tests/support/steering_fixture.cpp
@@ -348,15 +348,18 @@
 {
     m_nodes.at(instance)->isAlive = false;
     at(milliseconds(500), [this, instance] { std::erase(m_sprayed, instance); });
-    for (const instance_id viewer : instances()) {
-        const monotonic_time noticed = suspicionDelay + upTo(milliseconds(300));
-        at(noticed, [this, viewer, instance] {
-            if (node *one = nodeOf(viewer))
-                setState(*one, instance, member_state::Suspect);
-        });
-        at(noticed + deathDelay, [this, viewer, instance] {
+    for (const instance_id viewer : instances())
+        noticeDeath(viewer, instance);
+}
+
+void steering_fixture::noticeDeath(instance_id viewer, instance_id dead)
+{
+    const monotonic_time noticed = suspicionDelay + upTo(milliseconds(300));
+    for (const member_state state : {member_state::Suspect, member_state::Dead}) {
+        const monotonic_time delay = state == member_state::Dead ? noticed + deathDelay : noticed;
+        at(delay, [this, viewer, dead, state] {
             if (node *one = nodeOf(viewer))
-                setState(*one, instance, member_state::Dead);
+                setState(*one, dead, state);
         });
     }
 }
@@ -394,6 +397,11 @@
         one.board.upstreams[upstream] = state;
     ++one.board.membersRevision;
     one.policy->onChange();
+    for (const auto &[other, known] : members) {
+        // The peer may not have noticed the death yet.
+        if (!m_nodes.at(other)->isAlive && known.state != member_state::Dead)
+            noticeDeath(id, other);
+    }
     announceMember(id, member_state::Joining, milliseconds(500));
     at(joinTime, [this, id] {
         if (node *joined = nodeOf(id)) {
--- a/tests/support/steering_fixture.h
+++ b/tests/support/steering_fixture.h
@@ -153,6 +153,7 @@
     monotonic_time upTo(monotonic_time limit);
     void setState(node &viewer, instance_id id, member_state state);
     void announceMember(instance_id id, member_state state, monotonic_time maxDelay);
+    void noticeDeath(instance_id viewer, instance_id dead);
     void noticeLoss(instance_id viewer, instance_id other, monotonic_time delay,
                     member_state state);
     node &startNode(instance_id id, domain_id domain, member_state state);
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -311,3 +311,55 @@
     CHECK(fixture.counts().retransmissions > 0);
     checkNoHarm(fixture, "relay_loss");
 }
+
+TEST_CASE("a deflected upstream keeps its flows and gets no new ones", "[steering]")
+{
+    // Guards against flows that leave with the deflection of their holder, or with its end.
+    compare("deflection", [](steering_fixture &fixture) {
+        openAll(fixture, deskFlows / 8, 1000);
+        fixture.deflect(drained, true, milliseconds(2000));
+        fixture.run(seconds(5));
+        const std::uint64_t syns = fixture.synsAt(drained);
+        fixture.openFlows(orderDesk, 3000, seconds(10));
+        fixture.sendOnAll(seconds(10));
+        fixture.run(seconds(20));
+        CHECK(fixture.synsAt(drained) == syns);
+        fixture.deflect(drained, false, milliseconds(2000));
+        fixture.run(seconds(5));
+        // Newcomers know none of the flows.
+        for (unsigned id = 1; id <= 3; ++id) {
+            fixture.kill(static_cast<instance_id>(id));
+            fixture.join(static_cast<domain_id>(id));
+            fixture.run(seconds(30));
+        }
+        fixture.sendOnAll(seconds(20));
+        fixture.run(seconds(60));
+        CHECK(fixture.synsAt(drained) > 0);
+    });
+}
+
+TEST_CASE("opaque UDP flows in use stay at a leaving upstream for longer than 5 min", "[steering]")
+{
+    // Guards against a home that forgets UDP flows, which have no mark of their begin.
+    constexpr std::uint32_t datagrams = 3;
+    steering_fixture fixture(policy_kind::Tracked, 46);
+    fixture.addService(datagrams, 4, service_protocol::Udp);
+    fixture.apply(milliseconds(0));
+    fixture.openFlows(datagrams, 2000, seconds(5));
+    fixture.run(seconds(8));
+    const std::size_t open = fixture.openAt(drained);
+    fixture.markLeaving(datagrams, drained);
+    fixture.apply(milliseconds(2500));
+    for (unsigned round = 0; round < 4; ++round) {
+        fixture.sendOnAll(seconds(100));
+        fixture.run(seconds(60));
+        fixture.join(static_cast<domain_id>(round % 3 + 1));
+        fixture.run(seconds(60));
+        fixture.leave(static_cast<instance_id>(round + 1));
+    }
+    const std::uint64_t opened = fixture.synsAt(drained);
+    fixture.run(seconds(10));
+    CHECK(fixture.openAt(drained) == open);
+    CHECK(opened == open);
+    checkNoHarm(fixture, "udp_drain");
+}
