--- a/tests/test_steering_policy.cpp
+++ b/tests/test_steering_policy.cpp
@@ -423,3 +423,39 @@
     one.wait(std::chrono::minutes(31));
     CHECK(one.steer(one.flowAsHome(1, 9), packet_kind::Data, 1).upstream == holder);
 }
+
+TEST_CASE("a record that the other home decided reaches newer and joining homes", "[steering]")
+{
+    // Guards against records stored in the moment in which two homes have different views.
+    lone_policy one;
+    SECTION("this instance is no home any more")
+    {
+        const flow_hash hash = one.flowAsHome(0);
+        one.relayed(hash, packet_kind::Open, 3, exception);
+        const flow_homes homes = one.homes->flowHomes(hash);
+        REQUIRE(one.sent.size() == 2);
+        CHECK(one.sent[0] == std::pair(homes.first, flow_record {hash, exception}));
+        CHECK(one.sent[1] == std::pair(homes.second, flow_record {hash, exception}));
+    }
+    SECTION("a member is joining")
+    {
+        member joining;
+        joining.id = static_cast<instance_id>(4);
+        joining.domain = static_cast<domain_id>(4);
+        joining.state = member_state::Joining;
+        one.board.members[joining.id] = joining;
+        ++one.board.membersRevision;
+        one.policy->onChange();
+        std::size_t copies = 0;
+        for (std::uint64_t bucket = 1; bucket < 60; ++bucket) {
+            const flow_hash hash = bucket << 48;
+            if (one.homes->flowHomes(hash).first != self)
+                continue;
+            one.relayed(hash, packet_kind::Open, 3, exception);
+            const flow_homes then = one.homes->homesWith(hash, joining);
+            copies += then.first == joining.id || then.second == joining.id ? 1 : 0;
+        }
+        CHECK(copies > 0);
+        CHECK(one.sent.size() == copies);
+    }
+}
