Fix: unused parameter of isTracked()

Cause: the parameter was left from a draft. Change: removed. Figures: all 46 test cases pass, the 39 of [steering] and [flow] also with the sanitizers. Conclusion: no change of behaviour.

--- a/src/steering/tracked_slot.cpp
+++ b/src/steering/tracked_slot.cpp
@@ -141,7 +141,7 @@
 
         const slot_entry &slot = slotOf(input);
         const packet_kind kind = input.packet.kind;
-        if (!isTracked(*input.service, slot)) {
+        if (!isTracked(slot)) {
             if (!m_isDomainLost || kind == packet_kind::Open)
                 return steerUntracked(input, slot);
             const flow_entry *entry = findFlow(input.hash);
@@ -194,7 +194,7 @@
 
         const slot_entry &slot = slotOf(input);
         if (kind == packet_kind::Reset) {
-            if (isTracked(*input.service, slot) || m_isDomainLost)
+            if (isTracked(slot) || m_isDomainLost)
                 return throughHomeToCaller(input, upstream);
             if (upstream != slot.holder)
                 return dropMismatch();
@@ -292,7 +292,7 @@
     }
 
     /** Whether other instances may hold records for the slot, as far as this one can tell. */
-    bool isTracked(const service_config &, const slot_entry &slot) const
+    bool isTracked(const slot_entry &slot) const
     {
         return isTrackedHere(slot) || m_isVersionLate || m_now < m_resumedUntil
             || m_now - m_tickedAt > pauseLimit;
