Fix: keys are listed with ?keys=true

Cause: in a trial with the platform's stand-in the list of keys was empty, because its query parser drops parameters without a value; trimming and the audit trail would then have found nothing, without an error. Change: the parameter has a value; its presence is what counts.

--- a/src/platform/http_store.cpp
+++ b/src/platform/http_store.cpp
@@ -194,7 +194,8 @@
 
     void listKeys(const std::string &prefix, keys_handler handler) override
     {
-        call<std::vector<std::string>>(makeRequest("GET", keyUrl(prefix) + "?keys"),
+        // With a value, because some servers drop query parameters that have none.
+        call<std::vector<std::string>>(makeRequest("GET", keyUrl(prefix) + "?keys=true"),
                                        std::move(handler), parseKeys);
     }
 
--- a/tests/test_config_http_store.cpp
+++ b/tests/test_config_http_store.cpp
@@ -163,8 +163,11 @@
         server.settings(), [](auto &store, auto done) { store.listKeys("a/", std::move(done)); });
     REQUIRE(keys);
     CHECK(keys.value() == std::vector<std::string> {"a/1", "a/2"});
+    // A parameter without a value got lost in a server's parser, which then listed nothing.
+    const std::string keysRequest = "GET /v1/kv/a/?keys=true";
     const auto instances = await<std::vector<listed_instance>>(
         server.settings(), [](auto &store, auto done) { store.listInstances(std::move(done)); });
+    CHECK(server.requests().starts_with(keysRequest));
     REQUIRE(instances);
     REQUIRE(instances.value().size() == 1);
     CHECK(instances.value()[0].id == instance_id(12));
