Feature: the demo's path delays, loses and doubles packets on demand

Cause: the demo ran over a path without delay or faults, and took a patch's time from its acceptance on, which leaves out the way to the instance.

The faults on a lossy path are open and reported.

--- a/standin/demo.cpp
+++ b/standin/demo.cpp
@@ -20,6 +20,10 @@
 
 DEFINE_string(programs, "build", "build folder that holds the programs");
 DEFINE_string(logs, "", "folder for logs and settings; empty for a temporary one");
+DEFINE_double(loss, 0, "share of packets that the fabric loses");
+DEFINE_double(duplicate, 0, "share of packets that the fabric doubles");
+DEFINE_int32(delay_ms, 3, "delay of a packet between callers, upstreams and instances");
+DEFINE_int32(jitter_ms, 1, "uniform addition to the delay");
 DEFINE_uint64(seed, 1, "seed of the callers and the fabric");
 
 using namespace standin;
@@ -285,9 +289,9 @@
         await("the end of a pause", seconds + 1, [end] { return nowTick() >= end; });
     }
 
-    /** Waits until a condition holds; throws when it does not hold in time. Returns seconds. */
-    static double await(const std::string &what, double seconds,
-                        const std::function<bool()> &condition)
+    /** Waits until a condition holds; throws when it does not hold in time. */
+    static void await(const std::string &what, double seconds,
+                      const std::function<bool()> &condition)
     {
         const tick start = nowTick();
         while (!condition()) {
@@ -297,7 +301,6 @@
                 throw demo_error("waited in vain for " + what);
             std::this_thread::sleep_for(tick(50));
         }
-        return static_cast<double>((nowTick() - start).count()) / 1000;
     }
 
     // Processes
@@ -387,7 +390,13 @@
         for (const instance &item : m_instances)
             if (!item.isLeaving)
                 list.push_back(toString(item.data));
-        httpCall("POST", m_fabricUrl + "/spray", json {{"instances", list}}.dump());
+        httpCall("POST", m_fabricUrl + "/spray",
+                 json {{"instances", list},
+                       {"loss", FLAGS_loss},
+                       {"duplicate", FLAGS_duplicate},
+                       {"delay_ms", FLAGS_delay_ms},
+                       {"jitter_ms", FLAGS_jitter_ms}}
+                     .dump());
     }
 
     void startCallers()
@@ -451,7 +460,7 @@
         return document.is_object() ? document.value("version", std::uint64_t {0}) : 0;
     }
 
-    /** Submits a patch by the client and waits until it is in force on every instance. */
+    /** Submits a patch by the client and takes the time until it is in force everywhere. */
     void submit(const std::string &reason, const json &operations)
     {
         const std::uint64_t version = ++m_version;
@@ -463,17 +472,19 @@
             {"base_version", version - 1},
             {"operations",
              operations}}.dump(2);
+        const tick submitted = nowTick();
         const auto client =
             start("src/cli/chicoryhead", "patch-" + std::to_string(version),
                   {"--server=" + m_instances.front().url, std::string("--token=") + operatorToken,
                    "patch", "submit", file.string()});
         if (!client->wait(tick(15000)) || client->exitCode() != 0)
             throw demo_error("patch was not accepted: " + client->output());
-        const double seconds = await("version " + std::to_string(version), 30, [&] {
+        await("version " + std::to_string(version), 30, [&] {
             return std::all_of(m_instances.begin(), m_instances.end(), [&](const instance &item) {
                 return item.isLeaving || versionAt(item) >= version;
             });
         });
+        const double seconds = static_cast<double>((nowTick() - submitted).count()) / 1000;
         m_patchSeconds = std::max(m_patchSeconds, seconds);
         std::ostringstream text;
         text << std::fixed << std::setprecision(1) << "version " << version << " (" << reason
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iostream>
 #include <set>
 
 DEFINE_string(tunnels, "127.0.0.1:7000", "tunnel addresses, one for each upstream");
@@ -42,6 +43,7 @@
 /** Runs of one request. */
 struct run_count
 {
+    tick first {0};
     int runs = 0;
     bool isIdempotent = false;
 };
@@ -310,7 +312,13 @@
     {
         ++m_counts.runs;
         run_count &counted = m_runCounts[next.key];
+        if (counted.runs == 0)
+            counted.first = nowTick();
         ++counted.runs;
+        if (counted.runs > 1 && !next.isIdempotent)
+            std::cerr << "event=run_twice caller=" << toString(next.key.first)
+                      << " request=" << next.key.second << " first_ms=" << counted.first.count()
+                      << " now_ms=" << nowTick().count() << '\n';
         counted.isIdempotent = next.isIdempotent;
         std::exponential_distribution<double> workMs(1 / FLAGS_work_ms);
         const auto duration = std::chrono::microseconds(
