Fix: a caller's cancel carries the header of its request

Cause: the caller sent cancels with attempt 0 and without the idempotent flag, whatever the request was.

Change: a cancel has the attempt, the idempotent flag and the remaining time of its request.

--- a/standin/caller.cpp
+++ b/standin/caller.cpp
@@ -306,7 +306,7 @@
         if (share(m_random) < FLAGS_cancel_share) {
             started.isCancelled = true;
             count("cancelled");
-            sendFrame(chosen, makeFrame(frame_kind::Cancel, id));
+            sendCancel(chosen, started, now);
         }
     }
 
@@ -321,6 +321,16 @@
         sendFrame(chosen, frame);
     }
 
+    /** The header is that of the request: the home decides by its attempt and idempotent flag. */
+    void sendCancel(const flow &chosen, const open_request &item, tick now)
+    {
+        request_frame frame = makeFrame(frame_kind::Cancel, item.request.id);
+        frame.attempt = item.attempt;
+        frame.idempotent = item.isIdempotent;
+        frame.remainingMs = static_cast<std::uint32_t>((item.deadline - now).count());
+        sendFrame(chosen, frame);
+    }
+
     void onRequestTimer(flow &item, tick now)
     {
         for (auto i = item.requests.begin(); i != item.requests.end();) {
@@ -347,7 +357,7 @@
         count("retransmissions");
         sendRequest(item, waiting, now);
         if (waiting.isCancelled)
-            sendFrame(item, makeFrame(frame_kind::Cancel, waiting.request.id));
+            sendCancel(item, waiting, now);
     }
 
     // Packets
