--- a/src/balance/placement_base.h
+++ b/src/balance/placement_base.h
@@ -59,6 +59,9 @@
     /// of an upstream have its reports, and one sample of a few slots is mostly noise
     /// (docs/balance-rounds.md, round 13), so reports act through conditions alone.
     double maxLoadFactor = 1;
+    /// The holder, which needs no record, is preferred up to this multiple of the other's estimate;
+    /// 0 for no preference (docs/balance-rounds.md, round 24).
+    double holderPreference = 0;
     double fullShare = 0.98; ///< share of max_flows at which an upstream has no room
 };
 
@@ -125,6 +128,7 @@
     enum class panic_scope : std::uint8_t { None, Reachable, All };
 
     const service_view &viewOf(const service_config &service);
+    void dropRemoved();
     void updateRecords(const service_config &service);
     void updateRecord(const upstream_config &upstream, record &entry, monotonic_time now);
     bool isAccepting(const upstream_config &upstream, panic_scope panic) const;
