Fix: one ledger decides for a request, and a retry learns its outcome at once

The ledger was asked where a packet left for its upstream; when home 1 relayed the first copy to home 2 to repair its record and forwarded the second copy itself, each copy met another ledger. Later attempts of a request that was passed on whole were dropped silently. Change: home 1 asks its ledger before it relays, and the relay header says so; a later attempt of which nothing can be passed on any more gets 'unknown' at once. Ruled out: loss of ledger entries at handover (the second runs came 1 ms after the first ones).

--- a/src/instance/instance_base.h
+++ b/src/instance/instance_base.h
@@ -150,9 +150,11 @@
     void onPayload(instance_id sender, const peer_payload &payload);
     std::optional<classified_packet> classify(const packet_view &packet,
                                               const service_config &service, bool isReply);
-    void carryOut(const classified_packet &packet, const steering_decision &decision);
+    void carryOut(const classified_packet &packet, const steering_decision &decision,
+                  bool isAdmitted);
+    void relay(const classified_packet &packet, const steering_decision &decision, bool isAdmitted);
     void carryOutReply(const packet_view &packet, const steering_decision &decision);
-    void forward(const classified_packet &packet, upstream_id upstream);
+    void forward(const classified_packet &packet, upstream_id upstream, bool isAdmitted);
     bool passesLedger(const classified_packet &packet);
     void refuse(const classified_packet &packet);
     void answer(const classified_packet &packet, request_outcome outcome);
--- a/src/instance/instance_packets.cpp
+++ b/src/instance/instance_packets.cpp
@@ -93,16 +93,17 @@
 {
     const auto classified = classify(packet, service, false);
     if (classified)
-        carryOut(*classified, m_steering->steer(classified->input));
+        carryOut(*classified, m_steering->steer(classified->input), false);
 }
 
-void instance::carryOut(const classified_packet &packet, const steering_decision &decision)
+void instance::carryOut(const classified_packet &packet, const steering_decision &decision,
+                        bool isAdmitted)
 {
     switch (decision.verdict) {
     case steering_verdict::Forward:
-        return forward(packet, decision.upstream);
+        return forward(packet, decision.upstream, isAdmitted);
     case steering_verdict::Relay:
-        return m_messenger.relay(decision.relayTo, decision.relay, packet.input.packet.bytes);
+        return relay(packet, decision, isAdmitted);
     case steering_verdict::Drop:
         return drop(drop_reason::Unplaced);
     case steering_verdict::Refuse:
@@ -110,12 +111,27 @@
     }
 }
 
-void instance::forward(const classified_packet &packet, upstream_id upstream)
+void instance::relay(const classified_packet &packet, const steering_decision &decision,
+                     bool isAdmitted)
+{
+    relay_header header = decision.relay;
+    header.isAdmitted = isAdmitted;
+    const bool isDecidedHere = packet.input.needsHome && !isAdmitted
+        && m_homes.flowHomes(packet.input.hash).first == m_board.self.id;
+    if (isDecidedHere) {
+        if (!passesLedger(packet))
+            return;
+        header.isAdmitted = true;
+    }
+    m_messenger.relay(decision.relayTo, header, packet.input.packet.bytes);
+}
+
+void instance::forward(const classified_packet &packet, upstream_id upstream, bool isAdmitted)
 {
     const upstream_config *target = packet.input.service->findUpstream(upstream);
     if (!target)
         return drop(drop_reason::NoUpstream);
-    if (packet.frame && !passesLedger(packet))
+    if (packet.frame && !isAdmitted && !passesLedger(packet))
         return;
     ++m_board.counters.packetsForwarded;
     m_environment.packets.sendToUpstream(target->address, packet.input.packet.bytes);
@@ -238,7 +254,7 @@
         return;
     if (isReply)
         return carryOutReply(view, m_steering->steerRelayedReply(classified->input, header));
-    carryOut(*classified, m_steering->steerRelayed(classified->input, header));
+    carryOut(*classified, m_steering->steerRelayed(classified->input, header), header.isAdmitted);
 }
 
 void instance::onPeerDatagram(std::span<const std::byte> datagram, const endpoint &from)
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::uint8_t messageFormat = 1;
 constexpr std::size_t relayHeaderBytes = 12;
+constexpr std::byte admittedFlag {0x80}; ///< in the direction byte of a relay
 constexpr std::size_t maxItems = 128;
 
 using tag_bytes = std::array<unsigned char, EVP_MAX_MD_SIZE>;
@@ -273,6 +274,8 @@
     datagram[0] = static_cast<std::byte>(peer_datagram_kind::Relay);
     datagram[1] = std::byte {messageFormat};
     datagram[2] = static_cast<std::byte>(header.direction);
+    if (header.isAdmitted)
+        datagram[2] |= admittedFlag;
     datagram[3] = static_cast<std::byte>(header.hops);
     const std::uint32_t senderValue = idValue(sender);
     const std::uint32_t upstreamValue = idValue(header.upstream);
@@ -296,7 +299,8 @@
     if (std::to_integer<std::uint8_t>(bytes[1]) != messageFormat)
         return error::Unsupported;
     relay_message relay;
-    relay.header.direction = static_cast<relay_direction>(bytes[2]);
+    relay.header.isAdmitted = (bytes[2] & admittedFlag) != std::byte {0};
+    relay.header.direction = static_cast<relay_direction>(bytes[2] & ~admittedFlag);
     relay.header.hops = std::to_integer<std::uint8_t>(bytes[3]);
     if (relay.header.direction > relay_direction::ToCaller)
         return error::Malformed;
--- a/src/request/ledger.cpp
+++ b/src/request/ledger.cpp
@@ -52,6 +52,11 @@
     return std::uint64_t {1} << frame.part;
 }
 
+std::uint64_t allParts(const request_frame &frame)
+{
+    return ~std::uint64_t {0} >> (maxRequestParts - frame.partCount);
+}
+
 bool hasValidParts(const request_frame &frame)
 {
     return frame.partCount <= maxRequestParts && frame.part < frame.partCount;
@@ -254,9 +259,14 @@
 ledger_verdict request_ledger::passPart(const request_key &key, record &entry,
                                         const request_frame &frame)
 {
-    if ((entry.parts & bitOf(frame)) != 0)
-        return {};
+    if ((entry.parts & bitOf(frame)) != 0) {
+        // Nothing of a later attempt can be passed on any more, so its outcome is known now:
+        // the answer may still come, but nobody here can say whether it will.
+        const bool isRetry = frame.attempt > entry.attempt && entry.parts == allParts(frame);
+        return {false, isRetry ? request_outcome::Unknown : request_outcome::None};
+    }
     entry.parts |= bitOf(frame);
+    entry.attempt = std::max(entry.attempt, frame.attempt);
     extend(key, entry, keepUntil(frame));
     publish(key, entry);
     return {true, request_outcome::None};
--- a/src/request/ledger_base.h
+++ b/src/request/ledger_base.h
@@ -153,6 +153,7 @@
         ledger_state state = ledger_state::Refused;
         std::uint64_t parts = 0;
         monotonic_time keepUntil {0};
+        std::uint8_t attempt = 0; ///< highest attempt of which a part was passed on
     };
 
     /** Hash of a key. */
--- a/src/steering/steering_base.h
+++ b/src/steering/steering_base.h
@@ -37,6 +37,9 @@
     relay_direction direction = relay_direction::ToUpstream;
     std::uint8_t hops = 0;             ///< relays so far; at most maxRelayHops
     upstream_id upstream = noUpstream; ///< decided upstream, or sender of a reply
+    /// Home 1's ledger has let the request pass. Only one ledger may decide, else a copy that goes
+    /// another way passes the other one.
+    bool isAdmitted = false;
 
     bool operator==(const relay_header &) const = default;
 };
--- a/tests/test_peer.cpp
+++ b/tests/test_peer.cpp
@@ -160,7 +160,7 @@
 {
     const peer_codec codec(sharedKey);
     const std::vector<std::byte> packet(40, std::byte {0x45});
-    const relay_header header {relay_direction::ToCaller, 2, upstream_id {77}};
+    const relay_header header {relay_direction::ToCaller, 2, upstream_id {77}, true};
     const auto datagram = codec.encodeRelay(instance_id {3}, header, packet);
     const auto relay = codec.decodeRelay(datagram);
     REQUIRE(relay);
--- a/tests/test_request.cpp
+++ b/tests/test_request.cpp
@@ -84,6 +84,19 @@
     CHECK(f.ledger.onRequest(flow + 1, makeFrame(1)) == passed);
 }
 
+TEST_CASE("a later attempt of a request that was passed on whole gets `unknown` at once",
+          "[request]")
+{
+    // It was dropped before, and a caller whose answer was lost never learnt any outcome.
+    fixture f;
+    CHECK(f.ledger.onRequest(flow, makeFrame(1, 0, 0, 2)) == passed);
+    CHECK(f.ledger.onRequest(flow, makeFrame(1, 1, 0, 2)) == dropped);
+    CHECK(f.ledger.onRequest(flow, makeFrame(1, 1, 1, 2)) == passed);
+    CHECK(f.ledger.onRequest(flow, makeFrame(1, 1, 1, 2)) == dropped);
+    CHECK(f.ledger.onRequest(flow, makeFrame(1, 2, 0, 2)) == unknown);
+    CHECK(f.ledger.onRequest(flow, makeFrame(1, 0, 1, 2)) == dropped);
+}
+
 TEST_CASE("a later attempt without an entry may have run", "[request]")
 {
     fixture f;
