Fix: a leaving instance hands over its records itself

Cause: the home that stays ready sends the records of a leaving home. Open flows then went to their slot's holder, which reset them.

Conclusion: the death of one home and the leaving of the other no longer lose records. A handover after a leaving mark may be sent twice; receivers ignore the second copy.

--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -229,7 +229,8 @@
     if (m_leavingSince.count() == 0)
         return false;
     const monotonic_time now = m_environment.clock.now();
-    return now - m_lastPacketAt >= m_settings.drainQuiet
+    const bool isHandedOver = m_messenger.queuedRecords() == 0;
+    return (isHandedOver && now - m_lastPacketAt >= m_settings.drainQuiet)
         || now - m_leavingSince >= m_settings.drainLimit;
 }
 
--- a/src/instance/instance_base.h
+++ b/src/instance/instance_base.h
@@ -110,7 +110,10 @@
     /** Tells the peers that this instance leaves; it goes on serving until isGone(). */
     void beginLeaving();
 
-    /** Whether a leaving instance may stop: no packet for drainQuiet, or drainLimit passed. */
+    /**
+     * Whether a leaving instance may stop: no packet for drainQuiet and all records handed over, or
+     * drainLimit passed.
+     */
     bool isGone() const;
 
     /** Whether the fabric may send packets here. */
--- a/src/steering/tracked_slot.cpp
+++ b/src/steering/tracked_slot.cpp
@@ -800,7 +800,10 @@
 
     void handOverRecord(const flow_record &record, const pending_handover &pending)
     {
-        if (!isSenderOf(pending.origin) && !isSenderOf(pending.last))
+        // The other home of a leaving instance may have died unnoticed, and is then noticed only
+        // when this instance is gone.
+        const bool isLeaving = m_board.self.state == member_state::Leaving;
+        if (!isLeaving && !isSenderOf(pending.origin) && !isSenderOf(pending.last))
             return;
         const flow_homes now = m_homes.flowHomes(record.hash);
         for (const instance_id home : {now.first, now.second}) {
--- a/tests/test_steering_policy.cpp
+++ b/tests/test_steering_policy.cpp
@@ -423,3 +423,26 @@
     one.wait(std::chrono::minutes(31));
     CHECK(one.steer(one.flowAsHome(1, 9), packet_kind::Data, 1).upstream == holder);
 }
+
+TEST_CASE("a leaving home hands its records over itself", "[steering]")
+{
+    // Guards against records that are lost because the other home, which would have sent them, died
+    // unnoticed just before.
+    lone_policy one;
+    std::size_t placed = 0;
+    for (std::uint64_t flow = 0; flow < 60; ++flow) {
+        const flow_hash hash = (flow + 1) << 48;
+        if (one.homes->flowHomes(hash).first != self)
+            continue;
+        one.steer(hash, packet_kind::Open);
+        ++placed;
+    }
+    REQUIRE(one.policy->countRecords() == placed);
+    REQUIRE(placed > 0);
+    one.sent.clear();
+    one.board.self.state = member_state::Leaving;
+    one.board.members[self].state = member_state::Leaving;
+    ++one.board.membersRevision;
+    one.policy->onChange();
+    CHECK(one.sent.size() == placed);
+}
