Fix: a newcomer during a partition learns of the lost domain

Cause: a sync page leaves out dead members. An instance that joined during a partition knew only its own side, did not count a domain as lost, and sent packets of unknown flows to their holder at once, which reset them.

Change: a sync page includes the dead members of a failure domain of which no member is left, if the sender knew them alive. The newcomer doesn't pass them on, so that they are forgotten in the end.

Conclusion: the rule for lost domains holds at newcomers too.

--- a/src/blackboard/blackboard_type.h
+++ b/src/blackboard/blackboard_type.h
@@ -35,6 +35,7 @@
     member_state stateBeforeSuspicion = member_state::Joining;
     config_version version = 0; ///< last version that it reported in force
     monotonic_time since {0};   ///< when the state was entered
+    bool wasAlive = false;      ///< false if this instance only learnt that it is dead
 };
 
 /** Whether new flows are placed on an upstream, apart from the configuration. */
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -160,13 +160,17 @@
     }
     const auto found = m_board.members.find(update.id);
     if (found == m_board.members.end()) {
-        if (update.state == member_state::Dead)
+        if (update.state == member_state::Dead) {
+            if (!m_isSynced)
+                addLostMember(update);
             return;
+        }
         member peer;
         peer.id = update.id;
         peer.address = update.address;
         peer.domain = update.domain;
         peer.incarnation = update.incarnation;
+        peer.wasAlive = true;
         enter(m_board.members[update.id] = peer, update.state);
         queue(update);
         return;
@@ -177,11 +181,23 @@
     known.address = update.address;
     known.domain = update.domain;
     known.incarnation = update.incarnation;
+    known.wasAlive = known.wasAlive || update.state != member_state::Dead;
     if (known.state != update.state)
         enter(known, update.state);
     queue(update);
 }
 
+/** Takes a dead member from a sync page: its failure domain is cut off, or was lost. */
+void membership::addLostMember(const member_update &update)
+{
+    member &peer = m_board.members[update.id];
+    peer.id = update.id;
+    peer.address = update.address;
+    peer.domain = update.domain;
+    peer.incarnation = update.incarnation;
+    enter(peer, member_state::Dead);
+}
+
 void membership::onMessage(const peer_message &message, const endpoint &from)
 {
     if (message.sender.id == m_board.self.id)
@@ -285,7 +301,7 @@
     peer_probe probe {probe_kind::SyncPage, 0, noInstance};
     auto next = m_board.members.upper_bound(above);
     while (next != m_board.members.end() && page.updates.size() < syncPageMembers) {
-        if (next->second.state != member_state::Dead)
+        if (next->second.state != member_state::Dead || isLastOfLostDomain(next->second))
             page.updates.push_back(updateOf(next->second));
         probe.target = next->first;
         ++next;
@@ -298,6 +314,20 @@
     m_messages.send(asker, std::move(page));
 }
 
+/**
+ * Whether a dead member tells a newcomer of a failure domain that nobody reaches. Only members that
+ * this instance knew alive are passed on, else newcomers would tell each other of them for ever.
+ */
+bool membership::isLastOfLostDomain(const member &dead) const
+{
+    if (!dead.wasAlive)
+        return false;
+    return std::none_of(m_board.members.begin(), m_board.members.end(), [&](const auto &entry) {
+        const member &one = entry.second;
+        return one.domain == dead.domain && one.state != member_state::Dead;
+    });
+}
+
 void membership::appendNotices(peer_message &message) const
 {
     for (const auto &[id, state] : m_board.upstreams) {
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -109,6 +109,8 @@
     void onProbe(const peer_message &message, const endpoint &from);
     void onAck(const peer_message &message);
     void apply(const member_update &update);
+    void addLostMember(const member_update &update);
+    bool isLastOfLostDomain(const member &dead) const;
     void applyToSelf(const member_update &update);
     void setSelfState(member_state state);
     void enter(member &peer, member_state state);
--- a/tests/test_peer.cpp
+++ b/tests/test_peer.cpp
@@ -300,3 +300,29 @@
         WARN("instance " << id << ": " << sent / (rounds * 6) << " B/s");
     }
 }
+
+TEST_CASE("a newcomer during a partition learns of the lost domain", "[membership]")
+{
+    // Guards against a newcomer that takes its side of the partition for the whole deployment and
+    // places unknown flows at their holders.
+    fleet instances(6);
+    instances.run(seconds(10));
+    for (const std::uint32_t id : {3U, 6U})
+        instances.network.setSide(instances.nodes[id]->address(), 1);
+    instances.run(seconds(20));
+    REQUIRE(instances.nodes[1]->stateOf(3) == member_state::Dead);
+    instances.start(7);
+    instances.run(seconds(10));
+    const auto &members = instances.nodes[7]->board.members;
+    const auto lost = members.find(instance_id {3});
+    REQUIRE(lost != members.end());
+    CHECK(lost->second.state == member_state::Dead);
+    CHECK(lost->second.domain == domain_id {0});
+
+    // Known only as dead, they are not passed on, so that they are forgotten in the end.
+    CHECK_FALSE(lost->second.wasAlive);
+    for (const std::uint32_t id : {3U, 6U})
+        instances.network.setSide(instances.nodes[id]->address(), 0);
+    instances.run(seconds(30));
+    CHECK(instances.allReady());
+}
