Fix: a refuted guess ends no flow in an untracked slot

Cause: with a domain lost, the third transmission of an unknown flow goes to the holder, and the holder's RST is dropped, but only in slots that are tracked here. The other side of the partition may track the slot by a newer version; the RST then ended the flow.

Change: the RST is dropped for each flow that was placed by a guess.

Conclusion: a guess no longer breaks flows of the other side.

--- a/src/steering/tracked_slot.cpp
+++ b/src/steering/tracked_slot.cpp
@@ -643,10 +643,13 @@
 
         const flow_entry *entry = findFlow(input.hash);
         const bool isKnown = isTrusted(entry) && isUsable(entry, input);
-        // The holder may have got a packet of a flow that only the lost side can place.
-        const bool isGuess = !isKnown && m_isDomainLost && isTrackedHere(slot);
-        if (isGuess && upstream == slot.holder && m_unplaced.contains(input.hash))
-            m_unplaced[input.hash].isRefuted = true;
+        // The holder may have got a packet of a flow that only the lost side can place; that side
+        // may track the slot by a version that is not in force here.
+        const auto unplaced = m_unplaced.find(input.hash);
+        const bool isUnplaced = unplaced != m_unplaced.end();
+        const bool isGuess = !isKnown && m_isDomainLost && (isTrackedHere(slot) || isUnplaced);
+        if (isGuess && isUnplaced && upstream == slot.holder)
+            unplaced->second.isRefuted = true;
         if (isGuess || upstream != (isKnown ? entry->upstream : slot.holder))
             return dropMismatch();
         learn(input, upstream, true);
--- a/tests/test_steering_policy.cpp
+++ b/tests/test_steering_policy.cpp
@@ -446,3 +446,25 @@
     one.policy->onChange();
     CHECK(one.sent.size() == placed);
 }
+
+TEST_CASE("with a domain lost, a refuted guess in an untracked slot ends no flow", "[steering]")
+{
+    // Guards against a RST that reaches the caller although only the version of the other side of a
+    // partition tracks the slot of the flow.
+    lone_policy one;
+    one.service.slots = {{holder, holder, false}};
+    one.apply(2);
+    one.wait(seconds(40));
+    one.board.members[static_cast<instance_id>(2)].state = member_state::Dead;
+    one.board.members[static_cast<instance_id>(2)].since = one.clock.time;
+    ++one.board.membersRevision;
+    one.policy->onChange();
+    one.wait(seconds(40));
+    const flow_hash hash = one.flowAsHome(1);
+    one.steer(hash, packet_kind::Data, 8);
+    one.steer(hash, packet_kind::Data, 8);
+    REQUIRE(one.steer(hash, packet_kind::Data, 8).upstream == holder);
+    CHECK(one.policy->steerReply(one.input(hash, packet_kind::Reset), holder).verdict
+          == steering_verdict::Drop);
+    CHECK(one.steer(hash, packet_kind::Data, 8).verdict == steering_verdict::Drop);
+}
