--- a/tests/test_steering_policy.cpp
+++ b/tests/test_steering_policy.cpp
@@ -459,3 +459,48 @@
         CHECK(one.sent.size() == copies);
     }
 }
+
+TEST_CASE("a leaving home hands its records over itself", "[steering]")
+{
+    // Guards against records that are lost because the other home, which would have sent them, died
+    // unnoticed just before.
+    lone_policy one;
+    std::size_t placed = 0;
+    for (std::uint64_t flow = 0; flow < 60; ++flow) {
+        const flow_hash hash = (flow + 1) << 48;
+        if (one.homes->flowHomes(hash).first != self)
+            continue;
+        one.steer(hash, packet_kind::Open);
+        ++placed;
+    }
+    REQUIRE(one.policy->countRecords() == placed);
+    REQUIRE(placed > 0);
+    one.sent.clear();
+    one.board.self.state = member_state::Leaving;
+    one.board.members[self].state = member_state::Leaving;
+    ++one.board.membersRevision;
+    one.policy->onChange();
+    CHECK(one.sent.size() == placed);
+}
+
+TEST_CASE("with a domain lost, a refuted guess in an untracked slot ends no flow", "[steering]")
+{
+    // Guards against a RST that reaches the caller although only the version of the other side of a
+    // partition tracks the slot of the flow.
+    lone_policy one;
+    one.service.slots = {{holder, holder, false}};
+    one.apply(2);
+    one.wait(seconds(40));
+    one.board.members[static_cast<instance_id>(2)].state = member_state::Dead;
+    one.board.members[static_cast<instance_id>(2)].since = one.clock.time;
+    ++one.board.membersRevision;
+    one.policy->onChange();
+    one.wait(seconds(40));
+    const flow_hash hash = one.flowAsHome(1);
+    one.steer(hash, packet_kind::Data, 8);
+    one.steer(hash, packet_kind::Data, 8);
+    REQUIRE(one.steer(hash, packet_kind::Data, 8).upstream == holder);
+    CHECK(one.policy->steerReply(one.input(hash, packet_kind::Reset), holder).verdict
+          == steering_verdict::Drop);
+    CHECK(one.steer(hash, packet_kind::Data, 8).verdict == steering_verdict::Drop);
+}
