Fix: bounds for times in a trace, tests of answers and keys

Cause: a step of ticks or a time near the end of 64 bits would overflow in the reader; no test covered store answers that fit no call, nor the key of recorded peer datagrams.

Change: times above 300 years and steps above an hour are refused with their line. Tests give answers to unknown calls, of the wrong kind and twice, and check the tags of recorded datagrams with the traces' key.

Conclusion: damaged traces are refused or differ, without overflow.

--- a/src/replay/trace.cpp
+++ b/src/replay/trace.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::string_view firstLine = "chicoryhead-trace 1";
 constexpr std::size_t maxTicks = 1'000'000; ///< of one line; about 3 hours
+/// Bounds that keep sums of times within 64 bits.
+constexpr std::int64_t maxTime = 10'000'000'000'000'000; ///< about 300 years, in microseconds
+constexpr std::int64_t maxStep = 3'600'000'000;          ///< one hour, in microseconds
 
 /** Number of words that an input has, its name included; the least one for "list" and "keys". */
 const std::map<std::string, std::size_t> &inputWords()
@@ -104,6 +107,8 @@
     event.words = split(text);
     if (!assign<std::int64_t>(event.words[0], event.time))
         return "time is not a number of microseconds: " + event.words[0];
+    if (event.time.count() < 0 || event.time.count() > maxTime)
+        return "time is out of range: " + event.words[0];
     event.words.erase(event.words.begin());
     if (event.words.empty())
         return "input is missing after the time";
@@ -119,8 +124,9 @@
         return {};
     const auto count = parseNumber<std::size_t>(event.words[1]);
     const auto step = parseNumber<std::int64_t>(event.words[2]);
-    if (!count || !step || count.value() == 0 || count.value() > maxTicks || step.value() < 0)
-        return "ticks needs a count from 1 to 1000000 and a step in microseconds";
+    if (!count || !step || count.value() == 0 || count.value() > maxTicks || step.value() < 0
+        || step.value() > maxStep)
+        return "ticks needs a count from 1 to 1000000 and a step of at most an hour";
     return {};
 }
 
--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -157,6 +157,48 @@
     checkFoundAt(changed, at);
 }
 
+// Guards against an answer of the store that is dropped because no call waits for it.
+TEST_CASE("a replay finds an answer that fits no call of the store", "[replay]")
+{
+    const trace recorded = readFile(pathOf("drain"));
+    std::size_t at = 0;
+    while (recorded.events[at].words[0] != "answer")
+        ++at;
+    for (const char *number : {"0", "9999", "x"}) {
+        trace changed = recorded;
+        changed.events[at].words[1] = number;
+        checkFoundAt(changed, at);
+    }
+    trace wrongKind = recorded;
+    wrongKind.events[at].words = {"answer", recorded.events[at].words[1], "gone", "1"};
+    checkFoundAt(wrongKind, at);
+    trace twice = recorded;
+    twice.events.insert(twice.events.begin() + static_cast<std::ptrdiff_t>(at) + 1,
+                        recorded.events[at]);
+    checkFoundAt(twice, at + 1);
+}
+
+// Guards against traces from which tags made with the deployment's own key could be taken.
+TEST_CASE("peer datagrams of a trace are signed with the key of traces", "[replay]")
+{
+    const peer_codec codec(tracePeerKey);
+    std::size_t messages = 0;
+    std::size_t relays = 0;
+    for (const auto &event : readFile(pathOf("drain")).events) {
+        if (event.words[0] != "peer")
+            continue;
+        const auto datagram = parseBytes(event.words[2]).value();
+        const bool isRelay = peerDatagramKind(datagram).value() == peer_datagram_kind::Relay;
+        if (isRelay)
+            CHECK(codec.decodeRelay(datagram));
+        else
+            CHECK(codec.decode(datagram));
+        ++(isRelay ? relays : messages);
+    }
+    CHECK(messages > 0);
+    CHECK(relays > 0);
+}
+
 // Guards against a report that doesn't show where a trace differs.
 TEST_CASE("a difference is described with the events around it", "[replay]")
 {
@@ -188,5 +230,7 @@
     CHECK(problemOf(validHeader + "1 start\n9 tick\n8 tick\n").line == 11);
     CHECK(problemOf(validHeader + "1 start\n2 ticks 0 10\n").line == 10);
     CHECK(problemOf(validHeader + "1 start\n2 ticks 5000000 10\n").line == 10);
+    CHECK(problemOf(validHeader + "1 start\n2 ticks 5 9000000000000000000\n").line == 10);
+    CHECK(problemOf(validHeader + "1 start\n9000000000000000000 tick\n").line == 10);
     CHECK(problemOf(validHeader + "1 start\n2 tick\n2 start\n").line == 11);
 }
