Fix: traces of a pause cover the time after waking

Cause: few packets reached the woken instance, so no trace noticed a core that trusts its old view at once after a pause.

The declaration of instance::submit is formatted.

--- a/src/instance/instance_base.h
+++ b/src/instance/instance_base.h
@@ -103,7 +103,8 @@
     virtual void tick();
 
     /** Submits a patch; the handler runs later in the core's thread. */
-    virtual void submit(const config_patch &patch, std::function<void(const patch_outcome &)> handler);
+    virtual void submit(const config_patch &patch,
+                        std::function<void(const patch_outcome &)> handler);
 
     /** Reads the audit trail; the handler runs later in the core's thread. */
     virtual void readAudit(std::function<void(result<std::vector<audit_entry>>)> handler);
--- a/tests/support/trace_scenario.cpp
+++ b/tests/support/trace_scenario.cpp
@@ -244,6 +244,8 @@
     openFirst(fleet);
     fleet.pause(2);
     fleet.run(seconds(4));
+    fleet.openFlows("desk", 4 * flowCount, seconds(1));
+    fleet.run(milliseconds(100));
     fleet.resume(2);
     fleet.run(seconds(6));
     openMore(fleet);
@@ -256,6 +258,8 @@
     fleet.run(milliseconds(500));
     fleet.markLeaving("desk", "u3");
     fleet.run(seconds(4));
+    fleet.openFlows("desk", 4 * flowCount, seconds(1));
+    fleet.run(milliseconds(100));
     fleet.resume(2);
     fleet.run(seconds(5));
     openMore(fleet);
@@ -400,11 +404,12 @@
          {" ping_request ", "> version 2"}},
         {"pause_resume",
          "the recorded instance is paused for 4 s",
-         "it refutes its suspicion and serves again",
+         "packets are dropped until it has heard of its peers, then it serves again; no flow "
+         "breaks",
          2,
          pauseResume,
          nothingBroken,
-         {}},
+         {"> drop not_ready"}},
         {"pause_drain",
          "the recorded instance is paused while an upstream drains",
          "it learns the new version after it is resumed, no flow breaks",
