Fix: a newcomer keeps notices about upstreams of later versions

Cause: an instance that joins may get the notice that an upstream was deflected before the version that contains the upstream. Change: states of upstreams with ids above the version's highest are kept; two tests.

--- a/src/balance/health_probe.cpp
+++ b/src/balance/health_probe.cpp
@@ -45,8 +45,11 @@
         }
     }
     m_records = std::move(records);
-    std::erase_if(m_board.upstreams,
-                  [this](const auto &item) { return !m_records.contains(item.first); });
+    // A notice may concern an upstream that only a later version contains; without its state, the
+    // slots of that upstream would count as untracked once the version arrives.
+    std::erase_if(m_board.upstreams, [this](const auto &item) {
+        return idValue(item.first) <= m_config->lastUpstreamId && !m_records.contains(item.first);
+    });
     chooseProbers();
 }
 
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -74,6 +74,7 @@
     flow_limiter limiter;
     load_aware_placement placement;
     std::uint64_t sequence = 0;
+    std::uint32_t highestId; ///< of the upstreams so far
     std::uint32_t otherBusy =
         0; ///< slots that reportFor() reports for upstreams 2 to 4; 0 for none
 
@@ -82,6 +83,7 @@
         , health(clock, random, board, prober, outlet)
         , limiter(clock, random, board)
         , placement(clock, board, limiter)
+        , highestId(upstreams)
     {
         for (std::uint32_t i = 1; i <= members; ++i) {
             member item;
@@ -100,6 +102,7 @@
         auto config = std::make_shared<configuration>();
         config->version = version;
         config->services[service->id] = service;
+        config->lastUpstreamId = highestId;
         board.config = config;
         board.configAppliedAt = clock.time;
     }
@@ -324,6 +327,29 @@
     CHECK(f.isOpen(first));
 }
 
+TEST_CASE("a notice about an upstream of a later version is kept until that version comes",
+          "[balance]")
+{
+    // A newcomer that forgot it took the slots of the upstream for untracked and broke flows.
+    fixture f;
+    const upstream_id later {9};
+    f.health.onNotice({later, true, 3});
+    f.setConfig(2);
+    f.health.tick();
+    REQUIRE(f.board.upstreams.contains(later));
+    CHECK(f.board.upstreams.at(later).incarnation == 3);
+}
+
+TEST_CASE("states of removed upstreams are dropped, so that they don't pile up", "[balance]")
+{
+    fixture f;
+    REQUIRE(f.board.upstreams.contains(upstream_id {4}));
+    f.service->upstreams.pop_back();
+    f.setConfig(2);
+    f.health.tick();
+    CHECK_FALSE(f.board.upstreams.contains(upstream_id {4}));
+}
+
 TEST_CASE("a shedding upstream is held off with jitter, longer each time", "[balance]")
 {
     fixture f;
