Fix: control work no longer grows with members at each tick and upstreams at each version

Membership looked through all members 100 times a second; the health controller rebuilt all records at each version. Change: members are expired four times a second; health records follow the services that a version changed, told by pointer, as versions share the rest. The benchmark of forwarding delivers to 14 addresses in both loops (its packets went to unbound addresses before, which made the kernel answer each with an error).

--- a/bench/bench_forwarding.cpp
+++ b/bench/bench_forwarding.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t batch = 64;
 constexpr std::size_t flowCount = 100'000;
 constexpr std::size_t payloadBytes = 200;
+constexpr std::uint32_t upstreamCount = 14;
 const endpoint service {0x0a0a0001, 443};
 
 double threadSeconds()
@@ -69,7 +70,7 @@
     explicit rig(bool isBare)
         : m_isBare(isBare)
         , m_generator(m_context, asio::ip::udp::endpoint(asio::ip::address_v4(loopback), 0))
-        , m_target(m_context, asio::ip::udp::endpoint(asio::ip::address_v4(loopback), 0))
+        , m_target(m_context, asio::ip::udp::endpoint(asio::ip::udp::v4(), 0))
         , m_data(m_context, {loopback, 0},
                  [this](auto bytes, const endpoint &from) { onDatagram(bytes, from); })
     {
@@ -125,6 +126,12 @@
 private:
     endpoint targetAddress() const { return {loopback, m_target.local_endpoint().port()}; }
 
+    /** Addresses that all reach the target socket, so that both loops send to 14 addresses. */
+    endpoint upstreamAddress(std::uint32_t index) const
+    {
+        return {loopback + (index << 8), m_target.local_endpoint().port()};
+    }
+
     asio::ip::udp::endpoint dataEndpoint() const
     {
         return {asio::ip::address_v4(loopback), m_data.localPort()};
@@ -134,7 +141,8 @@
     {
         ++m_received;
         if (m_isBare)
-            m_data.send(targetAddress(), bytes);
+            m_data.send(upstreamAddress(1 + static_cast<std::uint32_t>(m_received % upstreamCount)),
+                        bytes);
         else
             m_instance->onFabricPacket(bytes, from);
     }
@@ -165,12 +173,11 @@
         create.newService.name = "desk";
         create.newService.address = service;
         create.newService.protocol = service_protocol::Udp;
-        for (int index = 1; index <= 14; ++index) {
+        for (int index = 1; index <= static_cast<int>(upstreamCount); ++index) {
             upstream_config upstream;
             upstream.name = "u" + std::to_string(index);
             upstream.domain = domain_id {1};
-            upstream.address = targetAddress();
-            upstream.address.address += static_cast<std::uint32_t>(index) << 8;
+            upstream.address = upstreamAddress(static_cast<std::uint32_t>(index));
             create.newService.upstreams.push_back(upstream);
         }
         patch.operations.push_back(create);
--- a/src/balance/health_base.h
+++ b/src/balance/health_base.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -123,6 +124,10 @@
     };
 
     void refreshUpstreams();
+    void removeService(const service_config &service);
+    void replaceService(const service_config &before, const service_config &service);
+    void addUpstreams(const service_config &service);
+    void dropStrayStates();
     void chooseProbers();
     bool choosesSelf(upstream_id upstream, const std::vector<instance_id> &candidates) const;
     void startProbes(monotonic_time now);
@@ -159,10 +164,10 @@
     health_settings m_settings;
     std::unordered_map<upstream_id, record> m_records; ///< one per upstream of the configuration
     std::unordered_map<service_id, std::vector<upstream_id>> m_services; ///< keys of m_records
-    std::vector<upstream_id> m_probed;       ///< upstreams of which this instance is a prober
-    monotonic_time m_comparisonDue {0};      ///< earliest time of the next comparison probe
-    const configuration *m_config = nullptr; ///< configuration m_records was built from
-    config_version m_version = 0;
+    std::vector<upstream_id> m_probed;  ///< upstreams of which this instance is a prober
+    monotonic_time m_comparisonDue {0}; ///< earliest time of the next comparison probe
+    /// Configuration that m_records was built from; never null.
+    std::shared_ptr<const configuration> m_config = std::make_shared<const configuration>();
     std::uint64_t m_membersRevision = ~std::uint64_t {0};
 };
 
--- a/src/balance/health_probe.cpp
+++ b/src/balance/health_probe.cpp
@@ -23,34 +23,73 @@
 
 void health_controller::refreshUpstreams()
 {
-    if (m_config == m_board.config.get() && m_version == m_board.config->version)
+    if (m_config == m_board.config)
         return;
-    m_config = m_board.config.get();
-    m_version = m_config->version;
-    std::unordered_map<upstream_id, record> records;
-    m_services.clear();
+    // Versions share the services that they don't change, so equal pointers need no work; at 59,000
+    // upstreams a whole rebuild took most of the time of a change.
+    const auto &services = m_board.config->services;
     for (const auto &[id, service] : m_config->services) {
-        for (const upstream_config &upstream : service->upstreams) {
-            const auto found = m_records.find(upstream.id);
-            record entry = found != m_records.end() ? found->second : record {};
-            entry.service = id;
-            entry.domain = upstream.domain;
-            entry.health = upstream.health;
-            entry.weight = upstream.weight;
-            entry.isLeaving = upstream.mode == upstream_mode::Leaving;
-            entry.slots = std::max<std::uint16_t>(upstream.slots, 1);
-            records.emplace(upstream.id, entry);
-            m_services[id].push_back(upstream.id);
-            m_board.upstreams.try_emplace(upstream.id);
-        }
+        const auto now = services.find(id);
+        if (now == services.end())
+            removeService(*service);
+        else if (now->second != service)
+            replaceService(*service, *now->second);
+    }
+    for (const auto &[id, service] : services) {
+        if (!m_config->services.contains(id))
+            addUpstreams(*service);
     }
-    m_records = std::move(records);
+    m_config = m_board.config;
+    dropStrayStates();
+    chooseProbers();
+}
+
+void health_controller::removeService(const service_config &service)
+{
+    for (const upstream_config &upstream : service.upstreams) {
+        m_records.erase(upstream.id);
+        m_board.upstreams.erase(upstream.id);
+    }
+    m_services.erase(service.id);
+}
+
+void health_controller::replaceService(const service_config &before, const service_config &service)
+{
+    for (const upstream_config &upstream : before.upstreams) {
+        if (service.findUpstream(upstream.id))
+            continue;
+        m_records.erase(upstream.id);
+        m_board.upstreams.erase(upstream.id);
+    }
+    addUpstreams(service);
+}
+
+void health_controller::addUpstreams(const service_config &service)
+{
+    auto &ids = m_services[service.id];
+    ids.clear();
+    for (const upstream_config &upstream : service.upstreams) {
+        record &entry = m_records[upstream.id];
+        entry.service = service.id;
+        entry.domain = upstream.domain;
+        entry.health = upstream.health;
+        entry.weight = upstream.weight;
+        entry.isLeaving = upstream.mode == upstream_mode::Leaving;
+        entry.slots = std::max<std::uint16_t>(upstream.slots, 1);
+        ids.push_back(upstream.id);
+        m_board.upstreams.try_emplace(upstream.id);
+    }
+}
+
+void health_controller::dropStrayStates()
+{
+    if (m_board.upstreams.size() <= m_records.size())
+        return;
     // A notice may concern an upstream that only a later version contains; without its state, the
     // slots of that upstream would count as untracked once the version arrives.
     std::erase_if(m_board.upstreams, [this](const auto &item) {
         return idValue(item.first) <= m_config->lastUpstreamId && !m_records.contains(item.first);
     });
-    chooseProbers();
 }
 
 void health_controller::chooseProbers()
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -25,6 +25,8 @@
 /// of each member for each version would cost bytes in proportion to the square of the members.
 constexpr std::size_t maxMembersForVersionGossip = 64;
 constexpr unsigned repeatFactor = 3;
+/// All members are looked through, so at 5,100 of them this must not happen at each tick.
+constexpr monotonic_time expiryInterval = std::chrono::milliseconds(250);
 
 member_update updateOf(const member &peer)
 {
@@ -439,6 +441,7 @@
 void membership::expireStates()
 {
     const monotonic_time now = m_clock.now();
+    m_expiredAt = now;
     std::erase_if(m_board.members, [&](const auto &entry) {
         const member &peer = entry.second;
         return peer.state == member_state::Dead && now - peer.since > m_settings.forget;
@@ -507,7 +510,8 @@
 {
     detectPause();
     const monotonic_time now = m_clock.now();
-    expireStates();
+    if (now - m_expiredAt >= expiryInterval)
+        expireStates();
     const bool isOldEnough = now - m_startedAt >= m_settings.joining;
     if (m_board.self.state == member_state::Joining && m_isReadyAllowed && isOldEnough)
         setSelfState(member_state::Ready);
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -156,6 +156,7 @@
     monotonic_time m_startedAt;
     monotonic_time m_periodStartedAt {0};
     monotonic_time m_reconnectedAt {0};
+    monotonic_time m_expiredAt {0};
     monotonic_time m_tickedAt;
 };
 
--- a/tests/test_balance.cpp
+++ b/tests/test_balance.cpp
@@ -101,7 +101,8 @@
     {
         auto config = std::make_shared<configuration>();
         config->version = version;
-        config->services[service->id] = service;
+        // Versions are immutable: tests edit their own copy.
+        config->services[service->id] = std::make_shared<service_config>(*service);
         config->lastUpstreamId = highestId;
         board.config = config;
         board.configAppliedAt = clock.time;
