--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -9,6 +9,7 @@
 #include "table/bounds.h"
 
 #include <benchmark/benchmark.h>
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
@@ -165,6 +166,7 @@
 
 int main(int argc, char **argv)
 {
+    FLAGS_minloglevel = google::GLOG_FATAL; // events of the code under test are no figures
     bool isJson = false;
     std::vector<char *> arguments;
     for (int index = 0; index < argc; ++index) {
