--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::size_t flowKeyBytes = 13;
 
-constexpr std::array<std::pair<error, const char *>, 11> errorMessages {{
+constexpr std::array<std::pair<error, const char *>, 13> errorMessages {{
     {error::Truncated, "input is truncated"},
     {error::Malformed, "input is malformed"},
     {error::Unsupported, "unsupported version or protocol"},
@@ -34,6 +34,8 @@
     {error::NotFound, "not found"},
     {error::Timeout, "deadline passed"},
     {error::Full, "no room"},
+    {error::HistoryLost, "history is no longer available"},
+    {error::Throttled, "rate limit of the store reached"},
 }};
 
 class library_category : public std::error_category
--- a/src/core/core_error.h
+++ b/src/core/core_error.h
@@ -22,6 +22,8 @@
     NotFound,         ///< no such object
     Timeout,          ///< deadline passed
     Full,             ///< bounded container has no room
+    HistoryLost,      ///< store no longer has the changes that were asked for
+    Throttled,        ///< store refused the call because of its rate limit
 };
 
 /** Category of all codes of the library. */
--- /dev/null
+++ b/src/directory/directory.cpp
@@ -0,0 +1,207 @@
+/**
+ * @file directory.cpp
+ * Records of upstreams and their steering tags.
+ */
+
+#include "directory_base.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace chicoryhead {
+
+namespace {
+
+constexpr std::array<std::pair<upstream_standing, std::string_view>, 4> standingNames {{
+    {upstream_standing::Ready, "ready"},
+    {upstream_standing::Draining, "draining"},
+    {upstream_standing::Missing, "missing"},
+    {upstream_standing::Gone, "gone"},
+}};
+
+bool isRestarted(const upstream_announcement &before, const upstream_announcement &after)
+{
+    return before.startedAtMs != after.startedAtMs || after.announcements < before.announcements
+        || before.address != after.address || before.service != after.service;
+}
+
+} // namespace
+
+std::string_view toString(upstream_standing standing)
+{
+    for (const auto &[value, name] : standingNames) {
+        if (value == standing)
+            return name;
+    }
+    return "unknown";
+}
+
+bool takesNewFlows(const upstream_record &record)
+{
+    const bool isAnnounced = record.standing == upstream_standing::Ready
+        || record.standing == upstream_standing::Missing;
+    return isAnnounced && !record.hasSharedTag;
+}
+
+steering_tag tagOfName(std::string_view name)
+{
+    const auto hash = static_cast<steering_tag>(XXH3_64bits(name.data(), name.size()));
+    return hash == noTag ? 1 : hash;
+}
+
+steering_tag bindTag(steering_tag tag, const endpoint &service)
+{
+    const auto mask = static_cast<steering_tag>(mixHash(service.address, service.port));
+    return tag ^ mask;
+}
+
+directory_change upstream_directory::announce(const upstream_announcement &announced,
+                                              monotonic_time now)
+{
+    const auto known = m_byName.find(announced.name);
+    const bool isNew = known == m_byName.end();
+    upstream_record &record = isNew ? addRecord(announced) : m_records.find(known->second)->second;
+    const bool isRestart = !isNew && isRestarted(record.announced, announced);
+    const auto standing =
+        announced.isDraining ? upstream_standing::Draining : upstream_standing::Ready;
+    if (isNew || isRestart || standing != record.standing)
+        record.changedAt = now;
+    if (isRestart && record.announced.service != announced.service)
+        moveToService(record, announced.service);
+    record.standing = standing;
+    record.warmUntil = now + announced.warmupLeft;
+    record.announced = announced;
+    return {record.id, isRestart};
+}
+
+directory_change upstream_directory::withdraw(const std::string &name, bool mayReturn,
+                                              monotonic_time now)
+{
+    const auto known = m_byName.find(name);
+    if (known == m_byName.end())
+        return {};
+    upstream_record &record = m_records.find(known->second)->second;
+    // A draining upstream said that it leaves, so its announcement does not come back.
+    const bool mayBeMissing = mayReturn
+        && (record.standing == upstream_standing::Ready
+            || record.standing == upstream_standing::Missing);
+    const auto standing = mayBeMissing ? upstream_standing::Missing : upstream_standing::Gone;
+    if (standing != record.standing)
+        record.changedAt = now;
+    record.standing = standing;
+    return {record.id, false};
+}
+
+std::vector<upstream_id> upstream_directory::expire(monotonic_time now)
+{
+    std::vector<upstream_id> expired;
+    for (auto &[id, record] : m_records) {
+        if (record.standing == upstream_standing::Missing
+            && now - record.changedAt > m_settings.returnTime) {
+            record.standing = upstream_standing::Gone;
+            record.changedAt = now;
+        } else if (record.standing == upstream_standing::Gone
+                   && now - record.changedAt > m_settings.flowLifetime) {
+            expired.push_back(id);
+        }
+    }
+    for (const upstream_id id : expired)
+        drop(id);
+    return expired;
+}
+
+const upstream_record *upstream_directory::findByTag(steering_tag tag) const
+{
+    const auto found = m_byTag.find(tag);
+    return found == m_byTag.end() ? nullptr : find(found->second);
+}
+
+const upstream_record *upstream_directory::find(upstream_id id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+const upstream_record *upstream_directory::find(const std::string &name) const
+{
+    const auto found = m_byName.find(name);
+    return found == m_byName.end() ? nullptr : find(found->second);
+}
+
+std::span<const upstream_id> upstream_directory::ofService(const std::string &service) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return {};
+    return found->second;
+}
+
+std::vector<std::string> upstream_directory::announcedNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[id, record] : m_records) {
+        if (record.standing != upstream_standing::Gone)
+            names.push_back(record.announced.name);
+    }
+    return names;
+}
+
+upstream_record &upstream_directory::addRecord(const upstream_announcement &announced)
+{
+    const upstream_id id {++m_lastId};
+    upstream_record &record = m_records[id];
+    record.id = id;
+    record.announced = announced;
+    record.tag = tagOfName(announced.name);
+    m_byName[announced.name] = id;
+    m_byService[announced.service].push_back(id);
+    indexTag(record);
+    return record;
+}
+
+void upstream_directory::moveToService(upstream_record &record, const std::string &service)
+{
+    std::erase(m_byService[record.announced.service], record.id);
+    m_byService[service].push_back(record.id);
+}
+
+void upstream_directory::indexTag(upstream_record &record)
+{
+    const auto [entry, isFirst] = m_byTag.try_emplace(record.tag, record.id);
+    record.hasSharedTag = !isFirst;
+}
+
+void upstream_directory::drop(upstream_id id)
+{
+    const auto found = m_records.find(id);
+    assert(found != m_records.end());
+    const upstream_record &record = found->second;
+    m_byName.erase(record.announced.name);
+    const bool ownsTag = !record.hasSharedTag;
+    const steering_tag tag = record.tag;
+    auto &siblings = m_byService[record.announced.service];
+    std::erase(siblings, id);
+    if (siblings.empty())
+        m_byService.erase(record.announced.service);
+    m_records.erase(found);
+    if (ownsTag)
+        passTagOn(tag);
+}
+
+void upstream_directory::passTagOn(steering_tag tag)
+{
+    m_byTag.erase(tag);
+    upstream_record *heir = nullptr;
+    for (auto &[id, record] : m_records) {
+        if (record.tag == tag && (heir == nullptr || id < heir->id))
+            heir = &record;
+    }
+    if (heir != nullptr)
+        indexTag(*heir);
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/entry_metrics.cpp
@@ -0,0 +1,87 @@
+/**
+ * @file entry_metrics.cpp
+ * Metrics of an entry process as text.
+ */
+
+#include "entry_metrics_base.h"
+
+#include "table/entry_metrics_table.h"
+
+#include <sstream>
+
+namespace chicoryhead {
+
+namespace {
+
+constexpr const char *prefix = "chicoryhead_";
+
+void writeHead(std::ostream &out, std::string_view name, std::string_view type,
+               std::string_view help)
+{
+    out << "# HELP " << prefix << name << ' ' << help << '\n';
+    out << "# TYPE " << prefix << name << ' ' << type << '\n';
+}
+
+double seconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+void writePackets(std::ostream &out, const entry_metrics &metrics)
+{
+    writeHead(out, "packets_total", "counter", "Packets of callers by what was decided.");
+    for (std::size_t i = 0; i < metrics.packets.size(); ++i)
+        out << prefix << "packets_total{reason=\"" << toString(static_cast<packet_reason>(i))
+            << "\"} " << metrics.packets[i] << '\n';
+    writeHead(out, "resets_sent_total", "counter", "Attempts to open a flow that were refused.");
+    out << prefix << "resets_sent_total " << metrics.resetsSent << '\n';
+}
+
+void writeHistogram(std::ostream &out, const latency_histogram &histogram)
+{
+    constexpr std::string_view name = "answer_seconds";
+    writeHead(out, name, "histogram", "Time from a request to the acknowledgement of its answer.");
+    const auto counts = histogram.counts();
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        total += counts[i];
+        out << prefix << name << "_bucket{le=\"";
+        if (i < histogram.bounds().size())
+            out << seconds(histogram.bounds()[i]);
+        else
+            out << "+Inf";
+        out << "\"} " << total << '\n';
+    }
+    out << prefix << name << "_sum " << seconds(histogram.sum()) << '\n';
+    out << prefix << name << "_count " << total << '\n';
+}
+
+void writeGauges(std::ostream &out, const entry_gauges &gauges)
+{
+    for (const detail::gauge_row &row : detail::gaugeTable) {
+        writeHead(out, row.name, "gauge", row.help);
+        out << prefix << row.name << ' ' << gauges.*row.member << '\n';
+    }
+    writeHead(out, "ready", "gauge", "Whether the fabric may send packets here.");
+    out << prefix << "ready " << (gauges.isReady ? 1 : 0) << '\n';
+    writeHead(out, "belief_age_seconds", "gauge", "Time since the store's state was confirmed.");
+    out << prefix << "belief_age_seconds " << gauges.beliefAgeSeconds << '\n';
+    writeHead(out, "store_calls_total", "counter", "Calls of the store by outcome.");
+    for (const auto &[outcome, count] : gauges.storeCalls)
+        out << prefix << "store_calls_total{outcome=\"" << outcome << "\"} " << count << '\n';
+}
+
+} // namespace
+
+entry_metrics::entry_metrics() : answer(detail::entryAnswerBounds) { }
+
+std::string renderEntryMetrics(const entry_metrics &metrics, const entry_gauges &gauges)
+{
+    std::ostringstream out;
+    writePackets(out, metrics);
+    writeHistogram(out, metrics.answer);
+    writeGauges(out, gauges);
+    return out.str();
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/entry_metrics_base.h
@@ -0,0 +1,48 @@
+/**
+ * @file entry_metrics_base.h
+ * Counters and histograms of an entry process.
+ */
+
+#pragma once
+
+#include "forward/forwarder_base.h"
+#include "metrics/metrics_type.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chicoryhead {
+
+/** What is counted while the process runs. */
+struct entry_metrics
+{
+    entry_metrics();
+
+    std::array<std::uint64_t, packetReasonCount> packets {}; ///< by packet_reason
+    std::uint64_t resetsSent = 0;
+    latency_histogram answer; ///< from a request to the acknowledgement of its answer
+};
+
+/** Values that are read when metrics are asked for. */
+struct entry_gauges
+{
+    std::uint64_t configVersion = 0;
+    std::uint64_t routes = 0;
+    std::uint64_t upstreams = 0;
+    std::uint64_t upstreamsSuspected = 0;
+    std::uint64_t flowsObserved = 0;
+    std::uint64_t instances = 0;
+    std::uint64_t storeItemsMalformed = 0;
+    std::uint64_t logLinesDropped = 0;
+    double beliefAgeSeconds = 0; ///< since the store's newest revision was last confirmed
+    bool isReady = false;
+    std::vector<std::pair<std::string, std::uint64_t>> storeCalls; ///< by outcome
+};
+
+/** Renders everything in the Prometheus text format 0.0.4. */
+std::string renderEntryMetrics(const entry_metrics &metrics, const entry_gauges &gauges);
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,360 @@
+/**
+ * @file entry_process.cpp
+ * Event handlers of an entry process.
+ */
+
+#include "entry_process_base.h"
+
+#include "core/log_func.h"
+#include "platform/platform_names.h"
+
+#include <xxhash.h>
+
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <utility>
+
+namespace chicoryhead {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickTime {50};
+/// A process that handled nothing for this long was suspended; ticks come every 50 ms, and a
+/// processor quota stops it for at most a tenth of a second at a time.
+constexpr monotonic_time suspensionGap = std::chrono::milliseconds(300);
+/// Time to read the packets that waited during a suspension.
+constexpr monotonic_time distrustTime = std::chrono::milliseconds(30);
+/// A belief is confirmed at least every watchWait; older ones are not told to callers.
+constexpr monotonic_time freshTime = std::chrono::milliseconds(3000);
+
+std::string formatFlow(const flow_key &flow)
+{
+    return toString(flow.caller) + '>' + toString(flow.service);
+}
+
+std::string formatMilliseconds(monotonic_time duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+stop_settings stopSettings(const entry_settings &settings)
+{
+    stop_settings made;
+    made.grace = settings.stopGrace;
+    return made;
+}
+
+directory_settings directorySettings(const entry_settings &settings)
+{
+    directory_settings made;
+    made.flowLifetime = settings.flowLifetime;
+    return made;
+}
+
+std::uint64_t seedOf(const std::string &name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+} // namespace
+
+monotonic_time boot_clock_source::now() const
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<monotonic_time>(std::chrono::seconds(time.tv_sec)
+                                                      + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+wall_time boot_clock_source::wallNow() const
+{
+    return wall_time(::time(nullptr));
+}
+
+entry_process::entry_process(const entry_settings &settings, settings_source reread)
+    : m_settings(settings)
+    , m_reread(std::move(reread))
+    , m_log(STDOUT_FILENO, m_clock)
+    , m_directory(directorySettings(settings))
+    , m_placement(m_directory, settings.domain, seedOf(settings.name))
+    , m_forwarder(m_routes, m_directory, m_placement)
+    , m_state(m_routes, m_directory, m_placement, m_log)
+    , m_store(m_context, settings.storeAddress)
+    , m_follower(m_store, m_state, m_clock, m_random, m_log)
+    , m_data(m_context, settings.dataAddress,
+             [this](std::span<const std::byte> bytes, const endpoint & /*from*/) {
+                 onDatagram(bytes);
+             })
+    , m_status(m_context, settings.statusAddress,
+               [this](std::string_view path) { return page(path); })
+    , m_timer(m_context)
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_stop(stopSettings(settings))
+    , m_startedAt(m_clock.now())
+{
+    if (const auto failure = m_status.start())
+        throw std::system_error(failure, "status address " + toString(settings.statusAddress));
+    if (settings.metricsPort != 0) {
+        const endpoint address {settings.dataAddress.address, settings.metricsPort};
+        m_metricsServer = std::make_unique<status_server>(
+            m_context, address, [this](std::string_view path) { return page(path); });
+        if (const auto failure = m_metricsServer->start())
+            throw std::system_error(failure, "metrics address " + toString(address));
+    }
+}
+
+void entry_process::run()
+{
+    m_log.write("started",
+                {{"instance", m_settings.name},
+                 {"domain", m_settings.domain},
+                 {"data", toString(m_settings.dataAddress)},
+                 {"store", toString(m_settings.storeAddress)}});
+    m_activeAt = m_clock.now();
+    m_data.start();
+    m_follower.setUpdateHandler([this] { onUpdate(); });
+    awaitSignal();
+    m_follower.tick();
+    scheduleTick();
+    m_context.run();
+    m_log.write("stopped",
+                {{"instance", m_settings.name},
+                 {"uptime_ms", formatMilliseconds(m_clock.now() - m_startedAt)}});
+    m_log.flush();
+}
+
+bool entry_process::noteActivity()
+{
+    const auto now = m_clock.now();
+    const auto gap = now - m_activeAt;
+    m_activeAt = now;
+    if (gap < suspensionGap)
+        return false;
+    m_distrustUntil = now + distrustTime;
+    m_log.write("resumed", {{"gap_ms", formatMilliseconds(gap)}});
+    return true;
+}
+
+void entry_process::onDatagram(std::span<const std::byte> bytes)
+{
+    noteActivity();
+    const auto now = m_activeAt;
+    m_packetAt = now;
+    const auto packet = platform::decodePacket(bytes);
+    if (!packet) {
+        ++m_metrics.packets[static_cast<std::size_t>(packet_reason::Malformed)];
+        m_log.write("packet_dropped",
+                    {{"reason", "malformed"},
+                     {"bytes", std::to_string(bytes.size())},
+                     {"error", packet.error().message()}});
+        return;
+    }
+    if (m_state.isSynchronised() || !m_arrivals.add(bytes, now))
+        forwardPacket(packet.value(), bytes);
+}
+
+void entry_process::onUpdate()
+{
+    if (!m_state.isSynchronised() || m_arrivals.isEmpty())
+        return;
+    const auto waiting = m_arrivals.take(m_clock.now());
+    m_log.write("synchronised",
+                {{"version", std::to_string(m_routes.version())},
+                 {"revision", std::to_string(m_state.revision())},
+                 {"held_packets", std::to_string(waiting.size())}});
+    for (const auto &bytes : waiting) {
+        if (const auto packet = platform::decodePacket(bytes))
+            forwardPacket(packet.value(), bytes);
+    }
+    m_data.flush();
+}
+
+void entry_process::forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes)
+{
+    const auto now = m_activeAt;
+    packet_decision decision;
+    if (!m_state.isSynchronised())
+        decision.reason = packet_reason::NotSynchronised;
+    else if (packet.isOpening && now < m_distrustUntil)
+        decision.reason = packet_reason::StaleOpening;
+    else
+        decision = m_forwarder.decide(packet, isBeliefFresh(now), now);
+    ++m_metrics.packets[static_cast<std::size_t>(decision.reason)];
+    if (decision.latency.count() > 0)
+        m_metrics.answer.record(decision.latency);
+    carryOut(packet, bytes, decision);
+    logDecision(packet, bytes, decision);
+}
+
+void entry_process::carryOut(const caller_packet &packet, std::span<const std::byte> bytes,
+                             const packet_decision &decision)
+{
+    switch (decision.action) {
+    case packet_action::Forward: {
+        std::array<std::byte, platform::prefixBytes + platform::headBytes + platform::maxDataBytes>
+            buffer;
+        const auto &announced = decision.upstream->announced;
+        const std::size_t size =
+            platform::encodeForUpstream(bytes, announced.wireId, decision.tag, buffer);
+        m_data.send(announced.address, std::span(buffer).first(size));
+        break;
+    }
+    case packet_action::Reset:
+        sendReset(packet);
+        break;
+    case packet_action::Drop:
+        break;
+    }
+}
+
+void entry_process::sendReset(const caller_packet &packet)
+{
+    const auto reset = platform::encodeReset(packet);
+    m_data.send({packet.flow.caller.address, m_settings.dataAddress.port}, reset);
+    ++m_metrics.resetsSent;
+}
+
+void entry_process::logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
+                                const packet_decision &decision)
+{
+    const auto age = [this] {
+        return formatMilliseconds(m_activeAt - m_state.confirmedAt());
+    };
+    if (decision.reason == packet_reason::Steered) {
+        if (!decision.isFirstRequestPacket || !m_log.isEnabled("request_forwarded"))
+            return;
+        m_log.write("request_forwarded",
+                    {{"request", std::string(platform::requestIdOf(bytes))},
+                     {"flow", formatFlow(packet.flow)},
+                     {"upstream", decision.upstream->announced.name},
+                     {"standing", std::string(toString(decision.upstream->standing))}});
+        return;
+    }
+    const bool isForwarded = decision.action == packet_action::Forward;
+    const std::string_view event = isForwarded    ? "flow_placed"
+        : decision.action == packet_action::Reset ? "flow_refused"
+                                                  : "packet_dropped";
+    if (!m_log.isEnabled(event))
+        return;
+    m_log.write(event,
+                {{"flow", formatFlow(packet.flow)},
+                 {"reason", std::string(toString(decision.reason))},
+                 {"upstream", isForwarded ? decision.upstream->announced.name : "none"},
+                 {"copy", packet.isOpening ? std::to_string(packet.acknowledged) : "none"},
+                 {"version", std::to_string(m_routes.version())},
+                 {"belief_age_ms", age()}});
+}
+
+void entry_process::scheduleTick()
+{
+    m_timer.expires_after(tickTime);
+    m_timer.async_wait([this](std::error_code code) {
+        if (code)
+            return;
+        tick();
+        if (!m_context.stopped())
+            scheduleTick();
+    });
+}
+
+void entry_process::tick()
+{
+    if (noteActivity())
+        m_follower.refresh();
+    m_follower.tick();
+    if (m_activeAt >= m_nextSecond)
+        tickSecond();
+    m_log.flush();
+    if (m_stop.mayEnd(m_packetAt, m_activeAt))
+        m_context.stop();
+}
+
+void entry_process::tickSecond()
+{
+    m_nextSecond = m_activeAt + std::chrono::seconds(1);
+    m_forwarder.expire(m_activeAt);
+    m_state.expire(m_activeAt);
+}
+
+void entry_process::awaitSignal()
+{
+    m_signals.async_wait([this](std::error_code code, int signal) {
+        if (code)
+            return;
+        if (signal == SIGHUP)
+            reloadSettings();
+        else
+            beginStop(signal);
+        awaitSignal();
+    });
+}
+
+void entry_process::beginStop(int signal)
+{
+    m_stop.begin(m_clock.now());
+    m_log.write("stopping", {{"signal", std::to_string(signal)}});
+}
+
+void entry_process::reloadSettings()
+{
+    const auto reread = m_reread();
+    if (!reread) {
+        m_log.write("settings_rejected", {{"kept", "1"}});
+        return;
+    }
+    if (*reread == m_settings)
+        return;
+    m_store.setServer(reread->storeAddress);
+    const bool needsRestart = reread->dataAddress != m_settings.dataAddress
+        || reread->statusAddress != m_settings.statusAddress || reread->domain != m_settings.domain
+        || reread->name != m_settings.name;
+    m_settings.storeAddress = reread->storeAddress;
+    m_log.write("settings_reloaded",
+                {{"store", toString(m_settings.storeAddress)},
+                 {"needs_restart", needsRestart ? "1" : "0"}});
+}
+
+bool entry_process::isReady() const
+{
+    return m_state.isSynchronised() && !m_stop.isStopping();
+}
+
+bool entry_process::isBeliefFresh(monotonic_time now) const
+{
+    return now - m_state.confirmedAt() < freshTime;
+}
+
+status_page entry_process::page(std::string_view path)
+{
+    if (path == platform::names::readyPath)
+        return isReady() ? status_page {200, "ready\n"} : status_page {503, "not ready\n"};
+    if (path == "/metrics")
+        return {200, renderEntryMetrics(m_metrics, gauges())};
+    return {};
+}
+
+entry_gauges entry_process::gauges() const
+{
+    const auto now = m_clock.now();
+    entry_gauges gauges;
+    gauges.configVersion = m_routes.version();
+    gauges.routes = m_routes.config().routes.size();
+    gauges.upstreams = m_directory.size();
+    gauges.upstreamsSuspected = m_placement.countSuspected(now);
+    gauges.flowsObserved = m_forwarder.observedFlows();
+    gauges.instances = m_state.instances().size();
+    gauges.storeItemsMalformed = m_store.itemsMalformed();
+    gauges.logLinesDropped = m_log.linesDropped();
+    gauges.beliefAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
+    gauges.isReady = isReady();
+    const auto &calls = m_store.calls();
+    for (std::size_t i = 0; i < calls.size(); ++i)
+        gauges.storeCalls.emplace_back(toString(static_cast<platform::call_outcome>(i)), calls[i]);
+    return gauges;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/entry_process_base.h
@@ -0,0 +1,112 @@
+/**
+ * @file entry_process_base.h
+ * The process of an entry instance: sockets, timers and signals around the data path.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+#include "daemon/system_base.h"
+#include "daemon/udp_socket_base.h"
+#include "directory/directory_base.h"
+#include "entry_metrics_base.h"
+#include "entry_settings_type.h"
+#include "eventlog/event_log_base.h"
+#include "forward/arrival_queue_base.h"
+#include "forward/forwarder_base.h"
+#include "placement/placement_base.h"
+#include "platform/packet_codec.h"
+#include "platform/platform_store.h"
+#include "routing/routing_base.h"
+#include "status_server.h"
+#include "stop_sequence_base.h"
+#include "sync/fleet_state_base.h"
+#include "sync/store_follower_base.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace chicoryhead {
+
+/** Time of the boot-time clock, which counts the time that the machine was suspended. */
+class boot_clock_source : public clock_source
+{
+public:
+    monotonic_time now() const override;
+    wall_time wallNow() const override;
+};
+
+/** Reads settings again; nothing when they can't be used. */
+using settings_source = std::function<std::optional<entry_settings>()>;
+
+/** Runs one entry instance until it is told to stop. */
+class entry_process
+{
+public:
+    /**
+     * @param reread gives the settings in force now; called after SIGHUP and once per second.
+     * @throw std::system_error when an address can't be bound.
+     */
+    entry_process(const entry_settings &settings, settings_source reread);
+
+    /** Serves until the process has stopped as asked. */
+    void run();
+
+private:
+    void onDatagram(std::span<const std::byte> bytes);
+    void onUpdate();
+    void forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes);
+    void carryOut(const caller_packet &packet, std::span<const std::byte> bytes,
+                  const packet_decision &decision);
+    void logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
+                     const packet_decision &decision);
+    void sendReset(const caller_packet &packet);
+    bool noteActivity();
+
+    void scheduleTick();
+    void tick();
+    void tickSecond();
+    void awaitSignal();
+    void beginStop(int signal);
+    void reloadSettings();
+
+    bool isReady() const;
+    bool isBeliefFresh(monotonic_time now) const;
+    status_page page(std::string_view path);
+    entry_gauges gauges() const;
+
+    entry_settings m_settings;
+    settings_source m_reread;
+    asio::io_context m_context {1};
+    boot_clock_source m_clock;
+    system_random_source m_random;
+    event_log m_log;
+    routing_table m_routes;
+    upstream_directory m_directory;
+    domain_first_placement m_placement;
+    forwarder m_forwarder;
+    arrival_queue m_arrivals;
+    fleet_state m_state;
+    platform::platform_store m_store;
+    store_follower m_follower;
+    udp_socket m_data;
+    status_server m_status;
+    std::unique_ptr<status_server> m_metricsServer; ///< null when there is no metrics port
+    asio::steady_timer m_timer;
+    asio::signal_set m_signals;
+    entry_metrics m_metrics;
+    stop_sequence m_stop;
+    monotonic_time m_startedAt;
+    monotonic_time m_activeAt {0};      ///< when an event was last handled
+    monotonic_time m_distrustUntil {0}; ///< opening packets read before may have waited for long
+    monotonic_time m_nextSecond {0};
+    monotonic_time m_packetAt {0}; ///< when the last packet of a caller came
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,83 @@
+/**
+ * @file main.cpp
+ * chicoryhead-entry, the daemon of an entry instance on the platform.
+ */
+
+#include "entry_process_base.h"
+#include "platform/settings_codec.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+DEFINE_string(settings, "", "settings file (JSON); the environment names it when this is empty");
+DEFINE_bool(check, false, "validate the settings file and exit");
+DEFINE_int32(metrics_port, 0, "port for metrics on the data address; 0 for none");
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr int exitInvalidSettings = 3;
+
+std::optional<chicoryhead::entry_settings> readSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        std::cerr << "chicoryhead-entry: " << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    std::vector<chicoryhead::platform::settings_problem> problems;
+    auto settings = chicoryhead::platform::decodeSettings(text.str(), problems);
+    for (const auto &problem : problems)
+        std::cerr << "chicoryhead-entry: " << path << ": " << problem.path << ' ' << problem.reason
+                  << '\n';
+    if (!problems.empty())
+        return std::nullopt;
+    settings.metricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port);
+    return settings;
+}
+
+int serve(const chicoryhead::entry_settings &settings, const std::string &path)
+{
+    try {
+        chicoryhead::entry_process process(settings, [path] { return readSettings(path); });
+        process.run();
+    } catch (const std::exception &failure) {
+        std::cerr << "chicoryhead-entry: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(
+        "entry instance of chicoryhead on the platform\n\nusage: chicoryhead-entry "
+        "[--settings FILE] [--check] [--metrics_port PORT]\n\nexit codes: 0 stopped as asked, 1 "
+        "could not start, 2 usage, 3 settings are not valid");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string path =
+        FLAGS_settings.empty() ? chicoryhead::platform::settingsPath() : FLAGS_settings;
+    if (path.empty() || FLAGS_metrics_port < 0 || FLAGS_metrics_port > UINT16_MAX) {
+        std::cerr << "chicoryhead-entry: no settings file, or a port out of range; see --help\n";
+        return exitUsage;
+    }
+    const auto settings = readSettings(path);
+    if (!settings)
+        return exitInvalidSettings;
+    if (FLAGS_check) {
+        std::cout << path << ": valid\n";
+        return EXIT_SUCCESS;
+    }
+    return serve(*settings, path);
+}
--- /dev/null
+++ b/src/entry/stop_sequence_base.h
@@ -0,0 +1,47 @@
+/**
+ * @file stop_sequence_base.h
+ * When a process that was told to stop may end.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+
+#include <chrono>
+
+namespace chicoryhead {
+
+/** Times of a stop. */
+struct stop_settings
+{
+    /// The fabric asks twice per second and takes an instance out of rotation after two misses.
+    monotonic_time rotationTime = std::chrono::milliseconds(1500);
+    /// No packet for this long means that the fabric sends none any more.
+    monotonic_time quietTime = std::chrono::milliseconds(300);
+    monotonic_time grace = std::chrono::seconds(6);   ///< until the process is killed
+    monotonic_time reserve = std::chrono::seconds(1); ///< of the grace, for a slow machine
+};
+
+/**
+ * A stopping instance says that it is not ready and goes on forwarding until the fabric has
+ * noticed, so that no packet is lost.
+ */
+class stop_sequence
+{
+public:
+    explicit stop_sequence(stop_settings settings = {}) : m_settings(settings) { }
+
+    void begin(monotonic_time now);
+
+    bool isStopping() const { return m_isStopping; }
+
+    /** @param packetAt when the last packet came. */
+    bool mayEnd(monotonic_time packetAt, monotonic_time now) const;
+
+private:
+    stop_settings m_settings;
+    bool m_isStopping = false;
+    monotonic_time m_begunAt {0};
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/table/entry_metrics_table.h
@@ -0,0 +1,48 @@
+/**
+ * @file entry_metrics_table.h
+ * Bounds of histograms and names of gauges.
+ */
+
+#pragma once
+
+#include "entry/entry_metrics_base.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace chicoryhead::detail {
+
+/// From the way to an upstream and back, a few milliseconds, to callers' deadlines of seconds.
+inline constexpr std::array<std::chrono::nanoseconds, 12> entryAnswerBounds {
+    std::chrono::milliseconds {5},    std::chrono::milliseconds {10},
+    std::chrono::milliseconds {20},   std::chrono::milliseconds {50},
+    std::chrono::milliseconds {100},  std::chrono::milliseconds {200},
+    std::chrono::milliseconds {400},  std::chrono::milliseconds {800},
+    std::chrono::milliseconds {1600}, std::chrono::milliseconds {3200},
+    std::chrono::milliseconds {6400}, std::chrono::milliseconds {12800}};
+
+/** A gauge and how it appears. */
+struct gauge_row
+{
+    std::string_view name;
+    std::string_view help;
+    std::uint64_t entry_gauges::*member;
+};
+
+inline constexpr std::array<gauge_row, 8> gaugeTable {{
+    {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
+    {"routes", "Routes in force.", &entry_gauges::routes},
+    {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
+    {"upstreams_suspected", "Upstreams that get no new flows because they did not answer.",
+     &entry_gauges::upstreamsSuspected},
+    {"flows_observed", "Flows seen lately.", &entry_gauges::flowsObserved},
+    {"instances", "Instances known to this one.", &entry_gauges::instances},
+    {"store_items_malformed", "Items of the store that could not be decoded, since the start.",
+     &entry_gauges::storeItemsMalformed},
+    {"log_lines_dropped", "Log lines that were left out, since the start.",
+     &entry_gauges::logLinesDropped},
+}};
+
+} // namespace chicoryhead::detail
--- /dev/null
+++ b/src/eventlog/event_log.cpp
@@ -0,0 +1,83 @@
+/**
+ * @file event_log.cpp
+ * Budget per kind of event, and writes that never wait.
+ */
+
+#include "event_log_base.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <limits.h>
+
+#include <algorithm>
+
+namespace chicoryhead {
+
+namespace {
+
+/// A pipe that is ready takes this many bytes at once.
+constexpr std::size_t writeBytes = PIPE_BUF;
+
+bool isWritable(int descriptor)
+{
+    pollfd state {descriptor, POLLOUT, 0};
+    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+event_log::event_log(int descriptor, const clock_source &clock, event_log_settings settings)
+    : m_descriptor(descriptor), m_clock(clock), m_settings(settings)
+{
+}
+
+event_log::budget &event_log::budgetOf(std::string_view event)
+{
+    budget &allowed = m_budgets[event];
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(m_clock.now()).count();
+    if (allowed.second != second) {
+        allowed.second = second;
+        allowed.lines = 0;
+    }
+    return allowed;
+}
+
+bool event_log::isEnabled(std::string_view event)
+{
+    budget &allowed = budgetOf(event);
+    if (allowed.lines < m_settings.linesPerSecond && m_buffer.size() < m_settings.bufferBytes)
+        return true;
+    ++allowed.dropped;
+    ++m_dropped;
+    return false;
+}
+
+void event_log::write(std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (!isEnabled(event))
+        return;
+    budget &allowed = budgetOf(event);
+    ++allowed.lines;
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now()).count();
+    m_buffer += "t_ms=" + std::to_string(now) + ' ' + formatEvent(event, fields);
+    if (allowed.dropped > 0)
+        m_buffer += " left_out=" + std::to_string(allowed.dropped);
+    allowed.dropped = 0;
+    m_buffer += '\n';
+}
+
+void event_log::flush()
+{
+    std::size_t written = 0;
+    while (written < m_buffer.size() && isWritable(m_descriptor)) {
+        const std::size_t bytes = std::min(m_buffer.size() - written, writeBytes);
+        const ssize_t taken = ::write(m_descriptor, m_buffer.data() + written, bytes);
+        if (taken <= 0)
+            break;
+        written += static_cast<std::size_t>(taken);
+    }
+    m_buffer.erase(0, written);
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/forward/flow_observer.cpp
@@ -0,0 +1,36 @@
+/**
+ * @file flow_observer.cpp
+ * The bounded table of observed flows.
+ */
+
+#include "flow_observer_base.h"
+
+namespace chicoryhead {
+
+observed_flow *flow_observer::find(const flow_key &flow)
+{
+    const auto found = m_flows.find(flow);
+    return found == m_flows.end() ? nullptr : &found->second;
+}
+
+observed_flow *flow_observer::add(const flow_key &flow, monotonic_time now)
+{
+    if (m_flows.size() >= m_capacity)
+        return nullptr;
+    observed_flow &added = m_flows[flow];
+    added = {};
+    added.seenAt = now;
+    return &added;
+}
+
+void flow_observer::remove(const flow_key &flow)
+{
+    m_flows.erase(flow);
+}
+
+void flow_observer::expire(monotonic_time maxIdle, monotonic_time now)
+{
+    std::erase_if(m_flows, [&](const auto &entry) { return now - entry.second.seenAt > maxIdle; });
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/forward/forwarder.cpp
@@ -0,0 +1,192 @@
+/**
+ * @file forwarder.cpp
+ * Steering by tags, and placement of new flows.
+ */
+
+#include "forwarder_base.h"
+
+#include <cassert>
+#include <utility>
+
+namespace chicoryhead {
+
+namespace {
+
+constexpr std::array<std::pair<packet_reason, std::string_view>, packetReasonCount> reasonNames {{
+    {packet_reason::Steered, "steered"},
+    {packet_reason::Placed, "placed"},
+    {packet_reason::PlacedAgain, "placed_again"},
+    {packet_reason::Repeated, "repeated"},
+    {packet_reason::NoRoute, "no_route"},
+    {packet_reason::NoUpstream, "no_upstream"},
+    {packet_reason::NoTag, "no_tag"},
+    {packet_reason::UnknownTag, "unknown_tag"},
+    {packet_reason::FromUpstream, "from_upstream"},
+    {packet_reason::StaleOpening, "stale_opening"},
+    {packet_reason::NotSynchronised, "not_synchronised"},
+    {packet_reason::Malformed, "malformed"},
+}};
+
+packet_decision dropFor(packet_reason reason)
+{
+    return {packet_action::Drop, reason, nullptr, noTag};
+}
+
+/// A refused caller comes back at once or gives up; one that gets no answer asks again.
+packet_decision refuseFor(packet_reason reason, bool isBeliefFresh)
+{
+    return {isBeliefFresh ? packet_action::Reset : packet_action::Drop, reason, nullptr, noTag};
+}
+
+/// Whether a 32-bit position is behind another one, with wraparound.
+bool isAfter(std::uint32_t position, std::uint32_t other)
+{
+    return static_cast<std::int32_t>(position - other) > 0;
+}
+
+} // namespace
+
+std::string_view toString(packet_reason reason)
+{
+    for (const auto &[value, name] : reasonNames) {
+        if (value == reason)
+            return name;
+    }
+    return "unknown";
+}
+
+forwarder::forwarder(const routing_table &routes, const upstream_directory &directory,
+                     flow_placement &placement, forwarder_settings settings)
+    : m_routes(routes)
+    , m_directory(directory)
+    , m_placement(placement)
+    , m_settings(settings)
+    , m_observer(settings.maxObservedFlows)
+{
+}
+
+packet_decision forwarder::decide(const caller_packet &packet, bool isBeliefFresh,
+                                  monotonic_time now)
+{
+    if (packet.isFromUpstream)
+        return dropFor(packet_reason::FromUpstream);
+    if (packet.isOpening)
+        return decideOpening(packet, isBeliefFresh, now);
+    return decideOpen(packet, now);
+}
+
+void forwarder::expire(monotonic_time now)
+{
+    m_observer.expire(m_settings.observationTime, now);
+}
+
+packet_decision forwarder::decideOpening(const caller_packet &packet, bool isBeliefFresh,
+                                         monotonic_time now)
+{
+    const route *selected = m_routes.find(packet.flow.service);
+    if (selected == nullptr)
+        return refuseFor(packet_reason::NoRoute, isBeliefFresh);
+
+    observed_flow *flow = m_observer.find(packet.flow);
+    const bool isCopy = flow != nullptr && flow->start == packet.sequence && flow->triedCount > 0;
+    if (isCopy) {
+        flow->seenAt = now;
+        if (const upstream_record *upstream = repeatTarget(*flow, now))
+            return forwardTo(packet, *upstream, packet_reason::Repeated);
+        m_placement.noteUnanswered(flow->upstream, now);
+    }
+    const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
+    const std::string &service = routing_table::selectService(*selected, hash);
+    const auto tried = isCopy ? flow->triedUpstreams() : std::span<const upstream_id> {};
+    const auto chosen = m_placement.choose(service, tried, now);
+    if (!chosen)
+        return refuseFor(packet_reason::NoUpstream, isBeliefFresh);
+
+    if (!isCopy) {
+        m_observer.remove(packet.flow);
+        flow = m_observer.add(packet.flow, now);
+    }
+    if (flow != nullptr) {
+        flow->start = packet.sequence;
+        flow->seenAt = now;
+        flow->placedAt = now;
+        flow->upstream = *chosen;
+        if (flow->triedCount < observed_flow::maxTried)
+            flow->tried[flow->triedCount++] = *chosen;
+    }
+    const auto *upstream = m_directory.find(*chosen);
+    assert(upstream != nullptr);
+    return forwardTo(packet, *upstream,
+                     isCopy ? packet_reason::PlacedAgain : packet_reason::Placed);
+}
+
+const upstream_record *forwarder::repeatTarget(const observed_flow &flow, monotonic_time now) const
+{
+    const upstream_record *upstream = m_directory.find(flow.upstream);
+    if (upstream == nullptr || flow.isOpen)
+        return upstream;
+    const bool mayAnswer = now - flow.placedAt < m_settings.answerTime;
+    return mayAnswer && takesNewFlows(*upstream) ? upstream : nullptr;
+}
+
+packet_decision forwarder::decideOpen(const caller_packet &packet, monotonic_time now)
+{
+    if (packet.tag == noTag)
+        return dropFor(packet_reason::NoTag);
+    const upstream_record *upstream =
+        m_directory.findByTag(bindTag(packet.tag, packet.flow.service));
+    if (upstream == nullptr)
+        return dropFor(packet_reason::UnknownTag);
+    auto decision = forwardTo(packet, *upstream, packet_reason::Steered);
+    observeOpen(packet, now, decision);
+    return decision;
+}
+
+packet_decision forwarder::forwardTo(const caller_packet &packet, const upstream_record &upstream,
+                                     packet_reason reason) const
+{
+    return {packet_action::Forward, reason, &upstream, bindTag(upstream.tag, packet.flow.service)};
+}
+
+void forwarder::observeOpen(const caller_packet &packet, monotonic_time now,
+                            packet_decision &decision)
+{
+    const upstream_id upstream = decision.upstream->id;
+    observed_flow *flow = m_observer.find(packet.flow);
+    if (packet.isReset || packet.isClosing) {
+        if (flow != nullptr)
+            m_observer.remove(packet.flow);
+        return;
+    }
+    if (flow == nullptr) {
+        flow = m_observer.add(packet.flow, now);
+        if (flow == nullptr)
+            return;
+        flow->acknowledged = packet.acknowledged;
+    }
+    flow->seenAt = now;
+    if (!flow->isOpen && flow->triedCount > 0)
+        m_placement.noteAnswered(upstream);
+    if (!flow->isOpen)
+        flow->acknowledged = packet.acknowledged;
+    flow->isOpen = true;
+    flow->upstream = upstream;
+
+    if (isAfter(packet.acknowledged, flow->acknowledged)) {
+        flow->acknowledged = packet.acknowledged;
+        const auto latency = now - flow->requestAt;
+        if (flow->requestAt.count() > 0 && latency < m_settings.maxLatency) {
+            m_placement.noteLatency(upstream, latency, now);
+            decision.latency = latency;
+        }
+        flow->requestAt = monotonic_time {0};
+    }
+    decision.isFirstRequestPacket = packet.dataBytes > 0 && flow->requestAt.count() == 0
+        && (flow->requestSequence == 0 || isAfter(packet.sequence, flow->requestSequence));
+    if (decision.isFirstRequestPacket) {
+        flow->requestAt = now;
+        flow->requestSequence = packet.sequence;
+    }
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/forward/forwarder_base.h
@@ -0,0 +1,112 @@
+/**
+ * @file forwarder_base.h
+ * Decides where each packet of a caller goes.
+ */
+
+#pragma once
+
+#include "caller_packet_type.h"
+#include "core/core_type.h"
+#include "directory/directory_base.h"
+#include "flow_observer_base.h"
+#include "placement/placement_base.h"
+#include "routing/routing_base.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace chicoryhead {
+
+/** What happens to a packet. */
+enum class packet_action : std::uint8_t {
+    Forward, ///< to the upstream
+    Reset,   ///< dropped, and the caller's attempt is ended
+    Drop,
+};
+
+/** Why a packet goes where it goes. */
+enum class packet_reason : std::uint8_t {
+    Steered,         ///< its tag names the upstream
+    Placed,          ///< opening packet, an upstream was chosen
+    PlacedAgain,     ///< copy of an opening packet, to another upstream
+    Repeated,        ///< copy of an opening packet, to the same upstream
+    NoRoute,         ///< no route has this service address
+    NoUpstream,      ///< the service has no upstream that takes new flows
+    NoTag,           ///< packet of an open flow without tag
+    UnknownTag,      ///< its tag names no upstream on this service address
+    FromUpstream,    ///< looks like an upstream's answer
+    StaleOpening,    ///< opening packet that waited while this process did not run
+    NotSynchronised, ///< this instance has no configuration yet
+    Malformed,       ///< not a packet
+};
+
+/** Number of reasons, for tables of counters. */
+inline constexpr std::size_t packetReasonCount = 12;
+
+/** Name of a reason for logs and metrics. */
+std::string_view toString(packet_reason reason);
+
+/** Outcome for one packet. */
+struct packet_decision
+{
+    packet_action action = packet_action::Drop;
+    packet_reason reason = packet_reason::Malformed;
+    const upstream_record *upstream = nullptr; ///< not null if and only if forwarded
+    steering_tag tag = noTag;                  ///< to write into the packet when forwarded
+    bool isFirstRequestPacket = false;         ///< first data of a request as far as seen here
+    monotonic_time latency {0}; ///< of a request whose answer this packet acknowledges; 0 for none
+};
+
+/** Times of the data path. */
+struct forwarder_settings
+{
+    /// A copy of an opening packet goes to another upstream only if the first one was sent on at
+    /// least this long ago. An upstream answers within milliseconds, so a later answer was lost;
+    /// sooner, both copies may have waited here, and two upstreams would answer.
+    monotonic_time answerTime = std::chrono::milliseconds(150);
+    std::size_t maxObservedFlows = 16384; ///< 2 MB
+    /// Flows that are idle longer are not observed any more.
+    monotonic_time observationTime = std::chrono::seconds(15);
+    /// A request that takes longer says more about a lost packet than about the upstream.
+    monotonic_time maxLatency = std::chrono::seconds(10);
+};
+
+/** The data path of one instance, without sockets. */
+class forwarder
+{
+public:
+    forwarder(const routing_table &routes, const upstream_directory &directory,
+              flow_placement &placement, forwarder_settings settings = {});
+
+    /**
+     * Decides about one packet.
+     * @param isBeliefFresh the configuration was confirmed lately, so that a missing route or
+     * upstream can be told to the caller.
+     */
+    packet_decision decide(const caller_packet &packet, bool isBeliefFresh, monotonic_time now);
+
+    /** Forgets flows that are idle; called about once per second. */
+    void expire(monotonic_time now);
+
+    std::size_t observedFlows() const { return m_observer.size(); }
+
+private:
+    packet_decision decideOpening(const caller_packet &packet, bool isBeliefFresh,
+                                  monotonic_time now);
+    packet_decision decideOpen(const caller_packet &packet, monotonic_time now);
+    /** Where a copy of an opening packet goes again; null if it needs another upstream. */
+    const upstream_record *repeatTarget(const observed_flow &flow, monotonic_time now) const;
+    packet_decision forwardTo(const caller_packet &packet, const upstream_record &upstream,
+                              packet_reason reason) const;
+    void observeOpen(const caller_packet &packet, monotonic_time now, packet_decision &decision);
+
+    const routing_table &m_routes;
+    const upstream_directory &m_directory;
+    flow_placement &m_placement;
+    forwarder_settings m_settings;
+    flow_observer m_observer;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/placement/placement.cpp
@@ -0,0 +1,179 @@
+/**
+ * @file placement/placement.cpp
+ * Round robin that prefers the own failure domain.
+ */
+
+#include "placement_base.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace chicoryhead {
+
+domain_first_placement::domain_first_placement(const upstream_directory &directory,
+                                               std::string ownDomain, std::uint64_t seed,
+                                               placement_limits limits)
+    : m_directory(directory), m_ownDomain(std::move(ownDomain)), m_seed(seed), m_limits(limits)
+{
+}
+
+std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
+                                                          std::span<const upstream_id> tried,
+                                                          monotonic_time now)
+{
+    const auto upstreams = m_directory.ofService(service);
+    auto best = choice_group::None;
+    std::vector<upstream_id> options;
+    for (const upstream_id id : upstreams) {
+        const auto group = groupOf(*m_directory.find(id), tried, now);
+        if (group == choice_group::None || group > best)
+            continue;
+        if (group < best)
+            options.clear();
+        best = group;
+        options.push_back(id);
+    }
+    if (options.empty())
+        return std::nullopt;
+    return takeTurn(options, medianLatency(upstreams, now), now);
+}
+
+void domain_first_placement::noteUnanswered(upstream_id upstream, monotonic_time now)
+{
+    experience &known = experienceOf(upstream);
+    const unsigned doublings = std::min(known.unanswered, 8U);
+    known.suspectedUntil =
+        now + std::min(m_limits.suspicion * (1U << doublings), m_limits.maxSuspicion);
+    ++known.unanswered;
+}
+
+void domain_first_placement::noteAnswered(upstream_id upstream)
+{
+    const auto found = m_experience.find(upstream);
+    if (found == m_experience.end())
+        return;
+    found->second.unanswered = 0;
+    found->second.suspectedUntil = monotonic_time {0};
+}
+
+void domain_first_placement::noteLatency(upstream_id upstream, monotonic_time latency,
+                                         monotonic_time now)
+{
+    experience &known = experienceOf(upstream);
+    const auto sample = static_cast<double>(latency.count());
+    const bool isStale = now - known.latencyAt > m_limits.latencyMemory;
+    if (known.latencies == 0 || isStale) {
+        known.latency = sample;
+        known.latencies = 1;
+    } else {
+        known.latency += m_limits.latencySmoothing * (sample - known.latency);
+        ++known.latencies;
+    }
+    known.latencyAt = now;
+}
+
+void domain_first_placement::forget(upstream_id upstream)
+{
+    m_experience.erase(upstream);
+}
+
+std::size_t domain_first_placement::countSuspected(monotonic_time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_experience.begin(), m_experience.end(),
+                      [&](const auto &entry) { return entry.second.suspectedUntil > now; }));
+}
+
+bool domain_first_placement::isSuspected(upstream_id upstream, monotonic_time now) const
+{
+    const auto found = m_experience.find(upstream);
+    return found != m_experience.end() && found->second.suspectedUntil > now;
+}
+
+domain_first_placement::choice_group
+domain_first_placement::groupOf(const upstream_record &record, std::span<const upstream_id> tried,
+                                monotonic_time now) const
+{
+    if (!takesNewFlows(record))
+        return choice_group::None;
+    if (std::find(tried.begin(), tried.end(), record.id) != tried.end())
+        return choice_group::Tried;
+    if (isSuspected(record.id, now))
+        return choice_group::Suspected;
+    if (record.standing == upstream_standing::Missing)
+        return choice_group::Missing;
+    return record.announced.domain == m_ownDomain ? choice_group::OwnDomain
+                                                  : choice_group::OtherDomain;
+}
+
+double domain_first_placement::weightOf(const upstream_record &record, double medianLatency,
+                                        monotonic_time now) const
+{
+    double weight = record.announced.slots;
+    if (record.warmUntil > now)
+        weight *= m_limits.coldShare;
+    const auto found = m_experience.find(record.id);
+    if (found == m_experience.end() || medianLatency <= 0)
+        return weight;
+    const experience &known = found->second;
+    const bool isMeasured =
+        known.latencies >= m_limits.minLatencies && now - known.latencyAt <= m_limits.latencyMemory;
+    const double ratio = known.latency / medianLatency;
+    if (isMeasured && ratio > m_limits.slowRatio)
+        weight *= std::max(m_limits.slowShare, 1 / (ratio * ratio));
+    return weight;
+}
+
+double domain_first_placement::medianLatency(std::span<const upstream_id> upstreams,
+                                             monotonic_time now) const
+{
+    std::vector<double> latencies;
+    for (const upstream_id id : upstreams) {
+        const auto found = m_experience.find(id);
+        if (found != m_experience.end() && found->second.latencies >= m_limits.minLatencies
+            && now - found->second.latencyAt <= m_limits.latencyMemory)
+            latencies.push_back(found->second.latency);
+    }
+    if (latencies.empty())
+        return 0;
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+upstream_id domain_first_placement::takeTurn(std::span<const upstream_id> options, double median,
+                                             monotonic_time now)
+{
+    assert(!options.empty());
+    double total = 0;
+    experience *chosen = nullptr;
+    upstream_id chosenId = noUpstream;
+    for (const upstream_id id : options) {
+        const double weight = weightOf(*m_directory.find(id), median, now);
+        experience &known = experienceOf(id);
+        known.credit += weight;
+        total += weight;
+        if (chosen == nullptr || known.credit > chosen->credit) {
+            chosen = &known;
+            chosenId = id;
+        }
+    }
+    chosen->credit -= total;
+    return chosenId;
+}
+
+domain_first_placement::experience &domain_first_placement::experienceOf(upstream_id upstream)
+{
+    const auto [entry, isNew] = m_experience.try_emplace(upstream);
+    if (isNew) {
+        // Credits between 0 and 1 give each instance an order of its own.
+        constexpr std::uint64_t steps = 1024;
+        entry->second.credit = static_cast<double>(mixHash(m_seed, idValue(upstream)) % steps)
+            / static_cast<double>(steps);
+    }
+    return entry->second;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/placement/placement_base.h
@@ -0,0 +1,139 @@
+/**
+ * @file placement/placement_base.h
+ * Which upstream a new flow goes to.
+ *
+ * An instance sees the packets of callers only, so it judges upstreams by what callers do: a copy
+ * of an opening packet means that the first one was not answered, a packet that carries a steering
+ * tag means that it was.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "directory/directory_base.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicoryhead {
+
+/** Chooses upstreams for new flows and learns from how they turn out. */
+class flow_placement
+{
+public:
+    virtual ~flow_placement() = default;
+
+    /**
+     * Chooses an upstream for a flow that is being opened.
+     * @param tried upstreams that did not answer this flow; they are chosen only if no other is
+     * left.
+     * @return nothing if the service has no upstream that may get new flows.
+     */
+    virtual std::optional<upstream_id>
+    choose(const std::string &service, std::span<const upstream_id> tried, monotonic_time now) = 0;
+
+    /** An upstream did not answer an opening packet. */
+    virtual void noteUnanswered(upstream_id upstream, monotonic_time now) = 0;
+
+    /** An upstream answered an opening packet. */
+    virtual void noteAnswered(upstream_id upstream) = 0;
+
+    /** An upstream answered a request after some time. */
+    virtual void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) = 0;
+
+    /** An upstream is gone or was restarted; what was learnt of it holds no more. */
+    virtual void forget(upstream_id upstream) = 0;
+
+    /** Upstreams that are avoided at this time, for metrics. */
+    virtual std::size_t countSuspected(monotonic_time now) const = 0;
+};
+
+/** Times and thresholds of domain_first_placement. */
+struct placement_limits
+{
+    /// After an unanswered opening packet, an upstream gets no new flow for this time, which
+    /// doubles with each further one. Single datagrams are lost on any network, so it starts short.
+    monotonic_time suspicion = std::chrono::milliseconds(500);
+    monotonic_time maxSuspicion = std::chrono::seconds(8);
+    /// Share of its weight that an upstream gets while it is slow after its start.
+    double coldShare = 0.5;
+    /// An upstream counts as slow when its latency is above this multiple of its service's median.
+    double slowRatio = 2.0;
+    /// Smallest share of its weight that a slow upstream gets; some flows must go on to measure it.
+    double slowShare = 0.05;
+    /// Weight of the newest latency in the moving average.
+    double latencySmoothing = 0.25;
+    /// Latencies that are older say nothing about the upstream of now.
+    monotonic_time latencyMemory = std::chrono::seconds(4);
+    /// Latencies needed before an upstream can count as slow.
+    unsigned minLatencies = 4;
+};
+
+/**
+ * Smooth weighted round robin over the upstreams of the own failure domain, and over those of the
+ * other domains when the own one has none that answers. A flow that stays in its domain survives
+ * when the domain is cut off, and no packet of it crosses domains.
+ */
+class domain_first_placement : public flow_placement
+{
+public:
+    /**
+     * @param seed differs between instances, so that they do not all begin with the same upstream.
+     */
+    domain_first_placement(const upstream_directory &directory, std::string ownDomain,
+                           std::uint64_t seed, placement_limits limits = {});
+
+    std::optional<upstream_id> choose(const std::string &service,
+                                      std::span<const upstream_id> tried,
+                                      monotonic_time now) override;
+    void noteUnanswered(upstream_id upstream, monotonic_time now) override;
+    void noteAnswered(upstream_id upstream) override;
+    void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
+    void forget(upstream_id upstream) override;
+    std::size_t countSuspected(monotonic_time now) const override;
+
+    /** Whether an upstream is avoided because it did not answer. */
+    bool isSuspected(upstream_id upstream, monotonic_time now) const;
+
+private:
+    /** What was learnt of one upstream. */
+    struct experience
+    {
+        double credit = 0;       ///< of the smooth round robin; the highest one is chosen next
+        unsigned unanswered = 0; ///< opening packets without answer since the last answer
+        monotonic_time suspectedUntil {0};
+        double latency = 0;     ///< moving average, in microseconds
+        unsigned latencies = 0; ///< in the average
+        monotonic_time latencyAt {0};
+    };
+
+    /** How good a choice an upstream is; a lower group is chosen only when the others are empty. */
+    enum class choice_group : std::uint8_t {
+        OwnDomain,
+        OtherDomain,
+        Missing, ///< announcement lapsed
+        Suspected,
+        Tried,
+        None,
+    };
+
+    choice_group groupOf(const upstream_record &record, std::span<const upstream_id> tried,
+                         monotonic_time now) const;
+    double weightOf(const upstream_record &record, double medianLatency, monotonic_time now) const;
+    double medianLatency(std::span<const upstream_id> upstreams, monotonic_time now) const;
+    upstream_id takeTurn(std::span<const upstream_id> options, double median, monotonic_time now);
+    experience &experienceOf(upstream_id upstream);
+
+    const upstream_directory &m_directory;
+    std::string m_ownDomain;
+    std::uint64_t m_seed;
+    placement_limits m_limits;
+    std::unordered_map<upstream_id, experience> m_experience;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/sync/fleet_state.cpp
@@ -0,0 +1,126 @@
+/**
+ * @file fleet_state.cpp
+ * Applies changes and logs what they change.
+ */
+
+#include "fleet_state_base.h"
+
+#include <algorithm>
+#include <set>
+#include <variant>
+
+namespace chicoryhead {
+
+fleet_state::fleet_state(routing_table &routes, upstream_directory &directory,
+                         flow_placement &placement, event_log &log)
+    : m_routes(routes), m_directory(directory), m_placement(placement), m_log(log)
+{
+}
+
+void fleet_state::apply(const fleet_changes &changes, bool mayLapse, monotonic_time now)
+{
+    for (const fleet_change &change : changes.changes)
+        std::visit([&](const auto &item) { applyOne(item, mayLapse, now); }, change);
+    confirm(changes.revision, now);
+}
+
+void fleet_state::replace(const fleet_changes &everything, bool mayLapse, monotonic_time now)
+{
+    std::set<std::string> upstreams;
+    std::set<std::string> instances;
+    for (const fleet_change &change : everything.changes) {
+        if (const auto *upstream = std::get_if<upstream_announcement>(&change))
+            upstreams.insert(upstream->name);
+        if (const auto *other = std::get_if<instance_registration>(&change))
+            instances.insert(other->name);
+    }
+    for (const std::string &name : m_directory.announcedNames()) {
+        if (!upstreams.contains(name))
+            withdraw(name, "not_listed", mayLapse, now);
+    }
+    std::erase_if(m_instances, [&](const auto &entry) { return !instances.contains(entry.first); });
+    apply(everything, mayLapse, now);
+}
+
+void fleet_state::confirm(store_revision revision, monotonic_time at)
+{
+    m_revision = std::max(m_revision, revision);
+    m_confirmedAt = std::max(m_confirmedAt, at);
+}
+
+void fleet_state::expire(monotonic_time now)
+{
+    for (const upstream_id id : m_directory.expire(now))
+        m_placement.forget(id);
+}
+
+void fleet_state::applyOne(const routing_config &config, bool /*mayLapse*/, monotonic_time now)
+{
+    const config_version before = m_routes.version();
+    if (!m_routes.apply(config, now))
+        return;
+    m_log.write("config_applied",
+                {{"version", std::to_string(config.version)},
+                 {"before", std::to_string(before)},
+                 {"routes", std::to_string(config.routes.size())}});
+}
+
+void fleet_state::applyOne(const upstream_announcement &announced, bool /*mayLapse*/,
+                           monotonic_time now)
+{
+    const auto *known = m_directory.find(announced.name);
+    const bool isNew = known == nullptr;
+    const auto before = isNew ? upstream_standing::Gone : known->standing;
+    const auto change = m_directory.announce(announced, now);
+    if (change.isRestart)
+        m_placement.forget(change.id);
+    const auto *record = m_directory.find(change.id);
+    if (!isNew && !change.isRestart && record->standing == before)
+        return;
+    m_log.write("upstream_changed",
+                {{"upstream", announced.name},
+                 {"service", announced.service},
+                 {"address", toString(announced.address)},
+                 {"domain", announced.domain},
+                 {"before", isNew ? "unknown" : std::string(toString(before))},
+                 {"standing", std::string(toString(record->standing))},
+                 {"restarted", change.isRestart ? "1" : "0"}});
+    if (record->hasSharedTag)
+        m_log.write("upstream_excluded", {{"upstream", announced.name}, {"reason", "shared_tag"}});
+}
+
+void fleet_state::applyOne(const upstream_withdrawal &withdrawal, bool mayLapse, monotonic_time now)
+{
+    withdraw(withdrawal.name, withdrawal.isMalformed ? "malformed" : "removed",
+             mayLapse && !withdrawal.isMalformed, now);
+}
+
+void fleet_state::applyOne(const instance_registration &registration, bool /*mayLapse*/,
+                           monotonic_time /*now*/)
+{
+    m_instances[registration.name] = registration;
+}
+
+void fleet_state::applyOne(const instance_withdrawal &withdrawal, bool /*mayLapse*/,
+                           monotonic_time /*now*/)
+{
+    m_instances.erase(withdrawal.name);
+}
+
+void fleet_state::withdraw(const std::string &name, std::string_view cause, bool mayLapse,
+                           monotonic_time now)
+{
+    const auto *known = m_directory.find(name);
+    if (known == nullptr || known->standing == upstream_standing::Gone)
+        return;
+    const auto before = known->standing;
+    m_directory.withdraw(name, mayLapse, now);
+    if (known->standing != before)
+        m_log.write("upstream_changed",
+                    {{"upstream", name},
+                     {"before", std::string(toString(before))},
+                     {"standing", std::string(toString(known->standing))},
+                     {"cause", std::string(cause)}});
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/sync/fleet_state_base.h
@@ -0,0 +1,73 @@
+/**
+ * @file fleet_state_base.h
+ * What this instance believes about configuration, upstreams and other instances.
+ *
+ * Beliefs carry the store's revision that they include and the time when that was last confirmed.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "directory/directory_base.h"
+#include "eventlog/event_log_base.h"
+#include "fleet_store_base.h"
+#include "placement/placement_base.h"
+#include "routing/routing_base.h"
+
+#include <map>
+#include <string>
+
+namespace chicoryhead {
+
+/** Applies changes to the routing table and the directory. */
+class fleet_state
+{
+public:
+    fleet_state(routing_table &routes, upstream_directory &directory, flow_placement &placement,
+                event_log &log);
+
+    /**
+     * Applies changes that follow what is known.
+     * @param mayLapse the store was away, so a missing announcement may come back.
+     */
+    void apply(const fleet_changes &changes, bool mayLapse, monotonic_time now);
+
+    /** Replaces what is known by a full reading. */
+    void replace(const fleet_changes &everything, bool mayLapse, monotonic_time now);
+
+    /** The store or an instance that follows it confirmed that nothing is newer. */
+    void confirm(store_revision revision, monotonic_time at);
+
+    /** Lets time pass for announcements that lapsed. */
+    void expire(monotonic_time now);
+
+    /** Whether a configuration is in force. */
+    bool isSynchronised() const { return m_routes.version() > 0; }
+
+    store_revision revision() const { return m_revision; }
+
+    /** When the revision was last confirmed; 0 for never. */
+    monotonic_time confirmedAt() const { return m_confirmedAt; }
+
+    /** Registered instances by name; this one included. */
+    const std::map<std::string, instance_registration> &instances() const { return m_instances; }
+
+private:
+    void applyOne(const routing_config &config, bool mayLapse, monotonic_time now);
+    void applyOne(const upstream_announcement &announced, bool mayLapse, monotonic_time now);
+    void applyOne(const upstream_withdrawal &withdrawal, bool mayLapse, monotonic_time now);
+    void applyOne(const instance_registration &registration, bool mayLapse, monotonic_time now);
+    void applyOne(const instance_withdrawal &withdrawal, bool mayLapse, monotonic_time now);
+    void withdraw(const std::string &name, std::string_view cause, bool mayLapse,
+                  monotonic_time now);
+
+    routing_table &m_routes;
+    upstream_directory &m_directory;
+    flow_placement &m_placement;
+    event_log &m_log;
+    std::map<std::string, instance_registration> m_instances;
+    store_revision m_revision = 0; ///< never goes down
+    monotonic_time m_confirmedAt {0};
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/sync/store_follower.cpp
@@ -0,0 +1,111 @@
+/**
+ * @file store_follower.cpp
+ * The sequence of loads and watches, with retries.
+ */
+
+#include "store_follower_base.h"
+
+#include <algorithm>
+#include <string>
+
+namespace chicoryhead {
+
+store_follower::store_follower(fleet_store &store, fleet_state &state, const clock_source &clock,
+                               random_source &random, event_log &log, follower_settings settings)
+    : m_store(store)
+    , m_state(state)
+    , m_clock(clock)
+    , m_random(random)
+    , m_log(log)
+    , m_settings(settings)
+{
+}
+
+void store_follower::tick()
+{
+    if (!m_isWaiting && m_clock.now() >= m_nextCall)
+        startCall();
+}
+
+void store_follower::refresh()
+{
+    if (m_isWaiting)
+        m_store.abandon();
+    m_isWaiting = false;
+    m_nextCall = m_clock.now();
+    tick();
+}
+
+void store_follower::startCall()
+{
+    m_isWaiting = true;
+    ++m_calls;
+    const bool isLoad = m_needsLoad;
+    auto done = [this, isLoad](const result<fleet_changes> &answer) {
+        finish(answer, isLoad);
+    };
+    if (isLoad)
+        m_store.load(done);
+    else
+        m_store.watch(m_state.revision(), m_settings.watchWait, done);
+}
+
+void store_follower::finish(const result<fleet_changes> &answer, bool isLoad)
+{
+    m_isWaiting = false;
+    const monotonic_time now = m_clock.now();
+    if (!answer) {
+        noteFailure(answer.error(), now);
+        return;
+    }
+    noteSuccess(now);
+    const fleet_changes &changes = answer.value();
+    if (isLoad)
+        m_state.replace(changes, mayLapse(now), now);
+    else
+        m_state.apply(changes, mayLapse(now), now);
+    m_needsLoad = false;
+    m_nextCall = changes.changes.empty() || isLoad ? now : now + m_settings.batchTime;
+    if (m_updateHandler)
+        m_updateHandler();
+    tick();
+}
+
+void store_follower::noteSuccess(monotonic_time now)
+{
+    if (m_failures > 0) {
+        m_hasReturned = true;
+        m_returnedAt = now;
+        m_log.write("store_regained",
+                    {{"failures", std::to_string(m_failures)},
+                     {"revision", std::to_string(m_state.revision())}});
+    }
+    m_failures = 0;
+}
+
+void store_follower::noteFailure(std::error_code code, monotonic_time now)
+{
+    if (code == error::HistoryLost) {
+        m_needsLoad = true;
+        m_nextCall = now;
+        m_log.write("store_history_lost", {{"revision", std::to_string(m_state.revision())}});
+        return;
+    }
+    if (m_failures == 0)
+        m_log.write("store_lost",
+                    {{"reason", code.message()}, {"revision", std::to_string(m_state.revision())}});
+    const unsigned doublings = std::min(m_failures, 8U);
+    const auto pause = std::min(m_settings.firstRetry * (1U << doublings), m_settings.maxRetry);
+    // Instances that lost the store together must not all come back in the same moment.
+    const auto jitter = monotonic_time {
+        static_cast<std::int64_t>(m_random.next() % static_cast<std::uint64_t>(pause.count()))};
+    m_nextCall = now + pause / 2 + jitter / 2;
+    ++m_failures;
+}
+
+bool store_follower::mayLapse(monotonic_time now) const
+{
+    return m_hasReturned && now - m_returnedAt < m_settings.returnTime;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/sync/store_follower_base.h
@@ -0,0 +1,80 @@
+/**
+ * @file store_follower_base.h
+ * Keeps the beliefs of this instance in step with the store.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+#include "eventlog/event_log_base.h"
+#include "fleet_state_base.h"
+#include "fleet_store_base.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <utility>
+
+namespace chicoryhead {
+
+/** Times of the store follower. */
+struct follower_settings
+{
+    /// How long the store may hold a watch open. It bounds how long a connection that fell silent
+    /// goes unnoticed, so it stays below the times within which changes must be in force.
+    std::chrono::milliseconds watchWait {2000};
+    /// Pause after an answer with changes, so that one call fetches what changes together.
+    monotonic_time batchTime = std::chrono::milliseconds(150);
+    monotonic_time firstRetry = std::chrono::milliseconds(100);
+    /// Longest pause between two calls to a store that does not answer.
+    monotonic_time maxRetry = std::chrono::milliseconds(1000);
+    /// Time after the store's return within which lapsed announcements may come back.
+    monotonic_time returnTime = std::chrono::milliseconds(2200);
+};
+
+/** Loads once, then watches; loads again when the store has dropped the history. */
+class store_follower
+{
+public:
+    store_follower(fleet_store &store, fleet_state &state, const clock_source &clock,
+                   random_source &random, event_log &log, follower_settings settings = {});
+
+    /** Starts a call if one is due. */
+    void tick();
+
+    /** Abandons the call under way and asks at once; for a process that was suspended. */
+    void refresh();
+
+    /** Sets what is called after an answer was applied. */
+    void setUpdateHandler(std::function<void()> handler) { m_updateHandler = std::move(handler); }
+
+    /** Whether the last call was answered. */
+    bool isStoreReachable() const { return m_failures == 0; }
+
+    std::uint64_t callsStarted() const { return m_calls; }
+
+private:
+    void startCall();
+    void finish(const result<fleet_changes> &answer, bool isLoad);
+    void noteSuccess(monotonic_time now);
+    void noteFailure(std::error_code code, monotonic_time now);
+    bool mayLapse(monotonic_time now) const;
+
+    fleet_store &m_store;
+    fleet_state &m_state;
+    const clock_source &m_clock;
+    random_source &m_random;
+    event_log &m_log;
+    follower_settings m_settings;
+    bool m_isWaiting = false;   ///< a call is under way
+    bool m_needsLoad = true;    ///< the history after our revision is unknown
+    bool m_hasReturned = false; ///< the store was away and came back at m_returnedAt
+    unsigned m_failures = 0;    ///< since the last answer
+    std::uint64_t m_calls = 0;
+    monotonic_time m_nextCall {0};
+    monotonic_time m_returnedAt {0};
+    std::function<void()> m_updateHandler; ///< may be empty
+};
+
+} // namespace chicoryhead
