--- /dev/null
+++ b/tests/entry/entry_support.h
@@ -0,0 +1,133 @@
+/**
+ * @file entry_support.h
+ * A store and builders for the tests of the entry instance.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+#include "directory/directory_base.h"
+#include "forward/caller_packet_type.h"
+#include "routing/routing_base.h"
+#include "support/virtual_time.h"
+#include "sync/fleet_store_base.h"
+
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chicoryhead::test {
+
+using namespace std::chrono_literals;
+
+/** A store whose answers a test gives one by one. */
+class scripted_store : public fleet_store
+{
+public:
+    enum class call_kind { Load, Watch };
+
+    struct pending_call
+    {
+        call_kind kind;
+        store_revision after = 0;
+        handler done;
+    };
+
+    void load(handler done) override { m_pending = {call_kind::Load, 0, std::move(done)}; }
+    void watch(store_revision after, std::chrono::milliseconds /*wait*/, handler done) override
+    {
+        m_pending = {call_kind::Watch, after, std::move(done)};
+    }
+    void abandon() override
+    {
+        m_pending.reset();
+        ++abandoned;
+    }
+    void registerInstance(const instance_registration &own, write_handler done) override
+    {
+        registered.push_back(own);
+        writes.push_back(std::move(done));
+    }
+    void removeInstance(const std::string &name, write_handler done) override
+    {
+        removed.push_back(name);
+        writes.push_back(std::move(done));
+    }
+
+    bool isCalled() const { return m_pending.has_value(); }
+    const pending_call &call() const { return *m_pending; }
+
+    void answer(result<fleet_changes> outcome)
+    {
+        const handler done = std::move(m_pending->done);
+        m_pending.reset();
+        done(std::move(outcome));
+    }
+
+    int abandoned = 0;
+    std::vector<instance_registration> registered;
+    std::vector<std::string> removed;
+    std::vector<write_handler> writes;
+
+private:
+    std::optional<pending_call> m_pending;
+};
+
+/** An upstream that is ready. */
+inline upstream_announcement makeUpstream(const std::string &name, const std::string &service,
+                                          const std::string &domain, unsigned slots = 2)
+{
+    upstream_announcement made;
+    made.name = name;
+    made.wireId = tagOfName(name);
+    made.service = service;
+    made.address = {0x0a000001U + tagOfName(name) % 65536, 8080};
+    made.domain = domain;
+    made.slots = slots;
+    made.announcements = 1;
+    return made;
+}
+
+inline const endpoint deskAddress {0xc6120001, 443};   ///< of the service "desk"
+inline const endpoint proofsAddress {0xc6120002, 443}; ///< of the service "proofs"
+
+/** Routes to "desk" and "proofs". */
+inline routing_config makeConfig(config_version version)
+{
+    routing_config config;
+    config.version = version;
+    config.routes.push_back({"desk", deskAddress, {{"desk", 1}}, 200ms, 1200ms, 1, true});
+    config.routes.push_back({"proofs", proofsAddress, {{"proofs", 1}}, 500ms, 3000ms, 2, true});
+    return config;
+}
+
+/** The opening packet of a flow; copies differ in their number. */
+inline caller_packet makeOpening(std::uint16_t port, std::uint32_t copy = 0,
+                                 const endpoint &service = deskAddress)
+{
+    caller_packet packet;
+    packet.flow = {{0x64400007, port}, service, transport::Tcp};
+    packet.isOpening = true;
+    packet.sequence = 1000U + port;
+    packet.acknowledged = copy;
+    return packet;
+}
+
+/** A later packet of a flow. */
+inline caller_packet makeData(std::uint16_t port, steering_tag tag, std::uint32_t sequence,
+                              std::uint32_t acknowledged, std::uint16_t bytes,
+                              const endpoint &service = deskAddress)
+{
+    caller_packet packet;
+    packet.flow = {{0x64400007, port}, service, transport::Tcp};
+    packet.tag = tag;
+    packet.sequence = sequence;
+    packet.acknowledged = acknowledged;
+    packet.dataBytes = bytes;
+    return packet;
+}
+
+} // namespace chicoryhead::test
--- /dev/null
+++ b/tests/entry/test_entry_parts.cpp
@@ -0,0 +1,140 @@
+/**
+ * @file test_entry_parts.cpp
+ * Event log, arrival queue, stop sequence and metrics of the entry instance.
+ */
+
+#include "entry/entry_metrics_base.h"
+#include "entry/stop_sequence_base.h"
+#include "entry_support.h"
+#include "eventlog/event_log_base.h"
+#include "forward/arrival_queue_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+
+namespace {
+
+/** A pipe whose reader a test controls. */
+struct pipe_fixture
+{
+    pipe_fixture()
+    {
+        REQUIRE(::pipe(ends.data()) == 0);
+        // Only the reader's end: an empty pipe must not block the test.
+        REQUIRE(::fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+    }
+    ~pipe_fixture()
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    std::string readAvailable() const
+    {
+        std::array<char, 65536> buffer {};
+        const auto size = ::read(ends[0], buffer.data(), buffer.size());
+        return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
+    }
+
+    std::array<int, 2> ends {};
+    stepped_clock clock;
+};
+
+std::size_t countLines(const std::string &text)
+{
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+} // namespace
+
+TEST_CASE("Lines of one kind are bounded per second, and left ones are counted", "[eventlog]")
+{
+    pipe_fixture pipe;
+    event_log log(pipe.ends[1], pipe.clock, {5, 32768});
+    for (int i = 0; i < 12; ++i)
+        log.write("flow_placed", {{"n", std::to_string(i)}});
+    log.write("config_applied", {{"version", "1"}});
+    log.flush();
+    CHECK(countLines(pipe.readAvailable()) == 6);
+    CHECK(log.linesDropped() == 7);
+    pipe.clock.advance(1s);
+    log.write("flow_placed", {{"n", "12"}});
+    log.flush();
+    const auto line = pipe.readAvailable();
+    CHECK(line.find("event=flow_placed n=12 left_out=7") != std::string::npos);
+}
+
+TEST_CASE("A reader that stops reading blocks nothing", "[eventlog]")
+{
+    // Guards against a data path that waits for a full pipe; this test hangs if it does.
+    pipe_fixture pipe;
+    event_log log(pipe.ends[1], pipe.clock, {1000000, 32768});
+    const std::string filler(200, 'x');
+    for (int i = 0; i < 5000; ++i) {
+        log.write("flow_placed", {{"filler", filler}});
+        log.flush();
+    }
+    CHECK(log.linesDropped() > 3000);
+    while (countLines(pipe.readAvailable()) > 0)
+        log.flush();
+    log.write("flow_placed", {{"filler", "last"}});
+    log.flush();
+    CHECK(pipe.readAvailable().find("filler=last") != std::string::npos);
+}
+
+TEST_CASE("Packets wait for the configuration, within bounds of bytes and age", "[arrival]")
+{
+    arrival_queue queue({1000ms, 250});
+    const std::vector<std::byte> packet(100);
+    CHECK(queue.add(packet, 1000ms));
+    CHECK(queue.add(packet, 1900ms));
+    CHECK_FALSE(queue.add(packet, 1900ms));
+    CHECK(queue.take(2500ms).size() == 1);
+    CHECK(queue.isEmpty());
+    CHECK(queue.add(packet, 3000ms));
+    CHECK(queue.add(packet, 3000ms));
+}
+
+TEST_CASE("A stopping process forwards until the fabric has noticed", "[stop]")
+{
+    // Guards against packets that are lost because the process ends while it is in rotation.
+    stop_sequence stop({1500ms, 300ms, 6s, 1s});
+    CHECK_FALSE(stop.mayEnd(0s, 100s));
+    stop.begin(10s);
+    CHECK_FALSE(stop.mayEnd(9s, 11s));
+    CHECK_FALSE(stop.mayEnd(11400ms, 11600ms));
+    CHECK(stop.mayEnd(11400ms, 11700ms));
+    stop.begin(14s);
+    CHECK(stop.mayEnd(15s, 15s));
+}
+
+TEST_CASE("Metrics name every reason and add up the histogram", "[metrics]")
+{
+    entry_metrics metrics;
+    metrics.packets[static_cast<std::size_t>(packet_reason::Placed)] = 7;
+    metrics.answer.record(30ms);
+    metrics.answer.record(30s);
+    entry_gauges gauges;
+    gauges.configVersion = 12;
+    gauges.storeCalls = {{"answered", 3}};
+    const auto text = renderEntryMetrics(metrics, gauges);
+    CHECK(text.find("chicoryhead_packets_total{reason=\"placed\"} 7\n") != std::string::npos);
+    for (std::size_t i = 0; i < packetReasonCount; ++i) {
+        const auto name = toString(static_cast<packet_reason>(i));
+        CHECK(name != "unknown");
+        CHECK(text.find("reason=\"" + std::string(name) + "\"") != std::string::npos);
+    }
+    CHECK(text.find("chicoryhead_answer_seconds_bucket{le=\"0.05\"} 1\n") != std::string::npos);
+    CHECK(text.find("chicoryhead_answer_seconds_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+    CHECK(text.find("chicoryhead_config_version 12\n") != std::string::npos);
+    CHECK(text.find("chicoryhead_store_calls_total{outcome=\"answered\"} 3\n")
+          != std::string::npos);
+}
--- /dev/null
+++ b/tests/entry/test_forwarder.cpp
@@ -0,0 +1,218 @@
+/**
+ * @file test_forwarder.cpp
+ * Decisions about packets: opening packets, their copies and packets of open flows.
+ */
+
+#include "entry_support.h"
+#include "forward/forwarder_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+
+namespace {
+
+/** One instance in domain "a", without sockets. */
+struct forwarder_fixture
+{
+    forwarder_fixture()
+    {
+        routes.apply(makeConfig(1), 0s);
+        for (int i = 0; i < 4; ++i)
+            directory.announce(makeUpstream("i-d" + std::to_string(i), "desk", "a"), 0s);
+        for (int i = 0; i < 2; ++i)
+            directory.announce(makeUpstream("i-e" + std::to_string(i), "proofs", "a"), 0s);
+    }
+
+    packet_decision decide(const caller_packet &packet, monotonic_time now, bool isFresh = true)
+    {
+        return path.decide(packet, isFresh, now);
+    }
+
+    routing_table routes;
+    upstream_directory directory;
+    domain_first_placement placement {directory, "a", 7};
+    forwarder path {routes, directory, placement};
+};
+
+} // namespace
+
+TEST_CASE("Packets of an open flow go to its upstream at any instance", "[forwarder]")
+{
+    // Guards against flows that break when the fabric hands their packets to another instance.
+    forwarder_fixture first;
+    forwarder_fixture second;
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+        const auto opened = first.decide(makeOpening(port), 1s);
+        REQUIRE(opened.action == packet_action::Forward);
+        const auto data = makeData(port, opened.tag, 1, 1, 100);
+        for (forwarder_fixture *instance : {&first, &second}) {
+            const auto steered = instance->decide(data, 2s);
+            REQUIRE(steered.action == packet_action::Forward);
+            CHECK(steered.upstream->announced.name == opened.upstream->announced.name);
+            CHECK(steered.tag == opened.tag);
+            CHECK(steered.reason == packet_reason::Steered);
+        }
+    }
+}
+
+TEST_CASE("An open flow stays where it is when its upstream leaves or its route changes",
+          "[forwarder]")
+{
+    forwarder_fixture fixture;
+    const auto opened = fixture.decide(makeOpening(1), 1s);
+    const std::string name = opened.upstream->announced.name;
+    SECTION("the upstream drains")
+    {
+        auto announced = opened.upstream->announced;
+        announced.isDraining = true;
+        fixture.directory.announce(announced, 2s);
+    }
+    SECTION("the upstream's announcement is removed")
+    {
+        fixture.directory.withdraw(name, false, 2s);
+        fixture.directory.expire(30s);
+    }
+    SECTION("the route goes to another service")
+    {
+        auto config = makeConfig(2);
+        config.routes[0].targets = {{"proofs", 1}};
+        fixture.routes.apply(config, 2s);
+    }
+    const auto steered = fixture.decide(makeData(1, opened.tag, 1, 1, 10), 31s);
+    REQUIRE(steered.action == packet_action::Forward);
+    CHECK(steered.upstream->announced.name == name);
+}
+
+TEST_CASE("New flows go only to upstreams of the route's service", "[forwarder]")
+{
+    forwarder_fixture fixture;
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        CHECK(fixture.decide(makeOpening(port), 1s).upstream->announced.service == "desk");
+        CHECK(fixture.decide(makeOpening(port, 0, proofsAddress), 1s).upstream->announced.service
+              == "proofs");
+    }
+}
+
+TEST_CASE("A tag of another service address, an invented tag and no tag are dropped", "[forwarder]")
+{
+    // Guards against packets that reach an upstream of another service.
+    forwarder_fixture fixture;
+    const auto opened = fixture.decide(makeOpening(1), 1s);
+    const auto moved = fixture.decide(makeData(1, opened.tag, 1, 1, 10, proofsAddress), 1s);
+    CHECK(moved.action == packet_action::Drop);
+    CHECK(moved.reason == packet_reason::UnknownTag);
+    CHECK(fixture.decide(makeData(1, 0x12345678, 1, 1, 10), 1s).reason
+          == packet_reason::UnknownTag);
+    CHECK(fixture.decide(makeData(1, noTag, 1, 1, 10), 1s).reason == packet_reason::NoTag);
+}
+
+TEST_CASE("What looks like an upstream's answer is dropped", "[forwarder]")
+{
+    forwarder_fixture fixture;
+    auto packet = makeOpening(1);
+    packet.isFromUpstream = true;
+    CHECK(fixture.decide(packet, 1s).reason == packet_reason::FromUpstream);
+}
+
+TEST_CASE("A copy soon after the first goes to the same upstream, a later one to another",
+          "[forwarder]")
+{
+    // Guards against two upstreams that both answer: the caller keeps the tag of the last answer.
+    forwarder_fixture fixture;
+    const auto first = fixture.decide(makeOpening(1), 1s);
+    const auto soon = fixture.decide(makeOpening(1, 1), 1140ms);
+    CHECK(soon.upstream == first.upstream);
+    CHECK(soon.reason == packet_reason::Repeated);
+    const auto second = fixture.decide(makeOpening(1, 1), 1200ms);
+    CHECK(second.upstream != first.upstream);
+    CHECK(second.reason == packet_reason::PlacedAgain);
+    const auto third = fixture.decide(makeOpening(1, 2), 1600ms);
+    CHECK(third.upstream != first.upstream);
+    CHECK(third.upstream != second.upstream);
+    CHECK(fixture.placement.countSuspected(1600ms) == 2);
+}
+
+TEST_CASE("A late copy of a flow that is open goes to the flow's upstream", "[forwarder]")
+{
+    forwarder_fixture fixture;
+    const auto opened = fixture.decide(makeOpening(1), 1s);
+    fixture.decide(makeData(1, opened.tag, 1, 1, 0), 1010ms);
+    const auto copy = fixture.decide(makeOpening(1, 1), 1300ms);
+    CHECK(copy.upstream == opened.upstream);
+    CHECK(fixture.placement.countSuspected(1300ms) == 0);
+}
+
+TEST_CASE("A copy does not go again to an upstream that started to leave", "[forwarder]")
+{
+    // Guards against an opening packet that reaches a leaving upstream after the bound.
+    forwarder_fixture fixture;
+    const auto first = fixture.decide(makeOpening(1), 1s);
+    auto announced = first.upstream->announced;
+    announced.isDraining = true;
+    fixture.directory.announce(announced, 1050ms);
+    const auto copy = fixture.decide(makeOpening(1, 1), 1100ms);
+    CHECK(copy.upstream != first.upstream);
+}
+
+TEST_CASE("A port that is used again opens another flow", "[forwarder]")
+{
+    forwarder_fixture fixture;
+    const auto first = fixture.decide(makeOpening(1), 1s);
+    fixture.decide(makeData(1, first.tag, 1, 1, 0), 1010ms);
+    auto again = makeOpening(1);
+    again.sequence += 5000;
+    CHECK(fixture.decide(again, 2s).reason == packet_reason::Placed);
+}
+
+TEST_CASE("A refusal is said only when the belief is fresh", "[forwarder]")
+{
+    // Guards against a reset for a route that was added while this instance could not know.
+    forwarder_fixture fixture;
+    const auto unknown = makeOpening(1, 0, {0xc6120009, 1});
+    CHECK(fixture.decide(unknown, 1s, true).action == packet_action::Reset);
+    CHECK(fixture.decide(unknown, 1s, false).action == packet_action::Drop);
+    CHECK(fixture.decide(unknown, 1s, false).reason == packet_reason::NoRoute);
+
+    for (int i = 0; i < 2; ++i)
+        fixture.directory.withdraw("i-e" + std::to_string(i), false, 1s);
+    const auto refused = fixture.decide(makeOpening(2, 0, proofsAddress), 1s, true);
+    CHECK(refused.action == packet_action::Reset);
+    CHECK(refused.reason == packet_reason::NoUpstream);
+}
+
+TEST_CASE("The time from a request to the acknowledgement of its answer is measured", "[forwarder]")
+{
+    forwarder_fixture fixture;
+    const auto opened = fixture.decide(makeOpening(1), 1s);
+    fixture.decide(makeData(1, opened.tag, 1001, 500, 0), 1010ms);
+    const auto request = fixture.decide(makeData(1, opened.tag, 1001, 500, 300), 2s);
+    CHECK(request.isFirstRequestPacket);
+    CHECK(request.latency == 0s);
+    // The same data again is a retransmission and begins nothing.
+    CHECK_FALSE(
+        fixture.decide(makeData(1, opened.tag, 1001, 500, 300), 2200ms).isFirstRequestPacket);
+    CHECK(fixture.decide(makeData(1, opened.tag, 1301, 900, 0), 2500ms).latency == 500ms);
+    CHECK(fixture.decide(makeData(1, opened.tag, 1301, 1400, 0), 2600ms).latency == 0s);
+    CHECK(fixture.decide(makeData(1, opened.tag, 1301, 1400, 300), 3s).isFirstRequestPacket);
+}
+
+TEST_CASE("Flows beyond the bound are steered without being observed", "[forwarder]")
+{
+    forwarder_fixture fixture;
+    forwarder_settings settings;
+    settings.maxObservedFlows = 10;
+    forwarder path(fixture.routes, fixture.directory, fixture.placement, settings);
+    for (std::uint16_t port = 1; port <= 40; ++port) {
+        const auto opened = path.decide(makeOpening(port), true, 1s);
+        REQUIRE(opened.action == packet_action::Forward);
+        CHECK(path.decide(makeData(port, opened.tag, 1, 1, 9), true, 1s).action
+              == packet_action::Forward);
+    }
+    CHECK(path.observedFlows() == 10);
+    path.expire(17s);
+    CHECK(path.observedFlows() == 0);
+}
--- /dev/null
+++ b/tests/entry/test_placement.cpp
@@ -0,0 +1,211 @@
+/**
+ * @file test_placement.cpp
+ * Which upstream gets a new flow, one test per load pattern.
+ */
+
+#include "entry_support.h"
+#include "placement/placement_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+
+namespace {
+
+/** A service "desk" with upstreams in three failure domains. */
+struct placement_fixture
+{
+    placement_fixture()
+    {
+        for (const char *domain : {"a", "b", "c"}) {
+            for (int i = 0; i < 4; ++i)
+                directory.announce(
+                    makeUpstream(std::string("i-") + domain + std::to_string(i), "desk", domain, 3),
+                    0s);
+        }
+    }
+
+    std::string place(monotonic_time now, std::vector<upstream_id> tried = {})
+    {
+        const auto chosen = placement.choose("desk", tried, now);
+        return chosen ? directory.find(*chosen)->announced.name : std::string();
+    }
+
+    upstream_id idOf(const std::string &name) const { return directory.find(name)->id; }
+
+    std::map<std::string, int> placeMany(int count, monotonic_time now)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < count; ++i)
+            ++counts[place(now)];
+        return counts;
+    }
+
+    void drain(const std::string &name)
+    {
+        auto announced = directory.find(name)->announced;
+        announced.isDraining = true;
+        directory.announce(announced, 0s);
+    }
+
+    upstream_directory directory;
+    domain_first_placement placement {directory, "a", 42};
+};
+
+} // namespace
+
+TEST_CASE("Calm: new flows are shared evenly in the own failure domain", "[placement]")
+{
+    placement_fixture fixture;
+    const auto counts = fixture.placeMany(400, 1s);
+    CHECK(counts.size() == 4);
+    for (const auto &[name, count] : counts) {
+        CHECK(name.substr(0, 3) == "i-a");
+        CHECK(count == 100);
+    }
+}
+
+TEST_CASE("Many instances do not begin with the same upstream", "[placement]")
+{
+    // Guards against the first flows of 60 restarted instances all going to one upstream.
+    placement_fixture fixture;
+    std::map<std::string, int> first;
+    for (std::uint64_t seed = 0; seed < 60; ++seed) {
+        domain_first_placement placement(fixture.directory, "a", mixHash(seed, 9));
+        ++first[fixture.directory.find(*placement.choose("desk", {}, 1s))->announced.name];
+    }
+    CHECK(first.size() == 4);
+    for (const auto &[name, count] : first)
+        CHECK(count < 30);
+}
+
+TEST_CASE("Release: slots and warm-up decide about the share", "[placement]")
+{
+    placement_fixture fixture;
+    auto cold = makeUpstream("i-a9", "desk", "a", 3);
+    cold.warmupLeft = 2s;
+    fixture.directory.announce(cold, 1s);
+    auto counts = fixture.placeMany(450, 2s);
+    CHECK(counts["i-a9"] == 50);
+    CHECK(counts["i-a0"] == 100);
+    counts = fixture.placeMany(500, 4s);
+    CHECK(counts["i-a9"] == 100);
+}
+
+TEST_CASE("Drain: the own domain empties and flows go to the other domains", "[placement]")
+{
+    placement_fixture fixture;
+    for (const char *name : {"i-a0", "i-a1", "i-a2", "i-a3"})
+        fixture.drain(name);
+    const auto counts = fixture.placeMany(80, 1s);
+    CHECK(counts.size() == 8);
+}
+
+TEST_CASE("No upstream that takes new flows: nothing is chosen", "[placement]")
+{
+    placement_fixture fixture;
+    CHECK_FALSE(fixture.placement.choose("unknown", {}, 1s));
+    for (const char *domain : {"a", "b", "c"}) {
+        for (int i = 0; i < 4; ++i)
+            fixture.drain(std::string("i-") + domain + std::to_string(i));
+    }
+    CHECK_FALSE(fixture.placement.choose("desk", {}, 1s));
+}
+
+TEST_CASE("Crash: an upstream that does not answer is avoided, longer each time", "[placement]")
+{
+    placement_fixture fixture;
+    const auto dead = fixture.idOf("i-a0");
+    fixture.placement.noteUnanswered(dead, 1s);
+    CHECK(fixture.placeMany(100, 1400ms).count("i-a0") == 0);
+    CHECK(fixture.placeMany(100, 1600ms).count("i-a0") == 1);
+    fixture.placement.noteUnanswered(dead, 2s);
+    CHECK(fixture.placeMany(100, 2900ms).count("i-a0") == 0);
+    for (int i = 0; i < 20; ++i)
+        fixture.placement.noteUnanswered(dead, 10s);
+    CHECK(fixture.placement.isSuspected(dead, 17900ms));
+    CHECK_FALSE(fixture.placement.isSuspected(dead, 18100ms));
+    fixture.placement.noteAnswered(dead);
+    CHECK(fixture.placement.countSuspected(11s) == 0);
+}
+
+TEST_CASE("Cut: when the own domain does not answer, the other domains get the flows",
+          "[placement]")
+{
+    placement_fixture fixture;
+    for (int i = 0; i < 4; ++i)
+        fixture.placement.noteUnanswered(fixture.idOf("i-a" + std::to_string(i)), 1s);
+    for (const auto &[name, count] : fixture.placeMany(40, 1100ms))
+        CHECK(name.substr(0, 3) != "i-a");
+}
+
+TEST_CASE("Everything is suspected: suspicion is ignored", "[placement]")
+{
+    // Guards against a service that is shut because an instance's own link was cut for a moment.
+    placement_fixture fixture;
+    for (const char *domain : {"a", "b", "c"}) {
+        for (int i = 0; i < 4; ++i)
+            fixture.placement.noteUnanswered(
+                fixture.idOf(std::string("i-") + domain + std::to_string(i)), 1s);
+    }
+    CHECK_FALSE(fixture.place(1100ms).empty());
+}
+
+TEST_CASE("A copy goes to an upstream that was not tried", "[placement]")
+{
+    placement_fixture fixture;
+    std::vector<upstream_id> tried;
+    for (int i = 0; i < 3; ++i)
+        tried.push_back(fixture.idOf("i-a" + std::to_string(i)));
+    CHECK(fixture.place(1s, tried) == "i-a3");
+}
+
+TEST_CASE("Slow upstream: its share falls with its latency and comes back", "[placement]")
+{
+    placement_fixture fixture;
+    for (int sample = 0; sample < 8; ++sample) {
+        for (int i = 0; i < 4; ++i)
+            fixture.placement.noteLatency(fixture.idOf("i-a" + std::to_string(i)),
+                                          i == 0 ? 250ms : 50ms, 1s);
+    }
+    CHECK(fixture.placeMany(300, 2s)["i-a0"] < 20);
+    // Without new latencies the old ones say nothing after four seconds.
+    CHECK(fixture.placeMany(400, 6s)["i-a0"] > 80);
+}
+
+TEST_CASE("Latencies within twice the median change nothing", "[placement]")
+{
+    placement_fixture fixture;
+    for (int sample = 0; sample < 8; ++sample) {
+        for (int i = 0; i < 4; ++i)
+            fixture.placement.noteLatency(fixture.idOf("i-a" + std::to_string(i)),
+                                          std::chrono::milliseconds(40 + 10 * i), 1s);
+    }
+    CHECK(fixture.placeMany(400, 2s)["i-a3"] == 100);
+}
+
+TEST_CASE("Outage of the store: announcements that lapsed are used only when none is left",
+          "[placement]")
+{
+    placement_fixture fixture;
+    fixture.directory.withdraw("i-a0", true, 1s);
+    CHECK(fixture.placeMany(100, 1s).count("i-a0") == 0);
+    for (const char *domain : {"a", "b", "c"}) {
+        for (int i = 0; i < 4; ++i)
+            fixture.directory.withdraw(std::string("i-") + domain + std::to_string(i), true, 1s);
+    }
+    CHECK(fixture.placeMany(120, 1s).size() == 12);
+}
+
+TEST_CASE("What was learnt of an upstream before its restart is forgotten", "[placement]")
+{
+    placement_fixture fixture;
+    const auto id = fixture.idOf("i-a0");
+    fixture.placement.noteUnanswered(id, 1s);
+    fixture.placement.forget(id);
+    CHECK_FALSE(fixture.placement.isSuspected(id, 1s));
+}
--- /dev/null
+++ b/tests/entry/test_platform_codec.cpp
@@ -0,0 +1,313 @@
+/**
+ * @file test_platform_codec.cpp
+ * Formats of the platform: packets, records of the store and settings.
+ */
+
+#include "entry_support.h"
+#include "platform/packet_codec.h"
+#include "platform/record_codec.h"
+#include "platform/settings_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <variant>
+
+using namespace chicoryhead;
+using namespace chicoryhead::platform;
+using namespace chicoryhead::test;
+
+namespace {
+
+constexpr std::array<unsigned char, 36> openingBytes {
+    0x20, 0x00, 0x00, 0x00, 0x00, 0x00, 0xd5, 0xc3, 0xb2, 0xa1, 0x44, 0x33,
+    0x22, 0x11, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x07, 0x00,
+    0x40, 0x64, 0x41, 0x9c, 0x01, 0x00, 0x12, 0xc6, 0xbb, 0x01, 0x00, 0x00};
+
+constexpr std::array<unsigned char, 36> resetBytes {
+    0x40, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0x00,
+    0x12, 0xc6, 0xbb, 0x01, 0x07, 0x00, 0x40, 0x64, 0x41, 0x9c, 0x00, 0x00};
+
+std::vector<std::byte> bytesOf(std::span<const unsigned char> bytes)
+{
+    const auto view = std::as_bytes(bytes);
+    return {view.begin(), view.end()};
+}
+
+std::vector<std::byte> withData(std::string_view data, unsigned char flags = 0x10)
+{
+    auto packet = bytesOf(openingBytes);
+    packet[0] = static_cast<std::byte>(flags);
+    packet[34] = static_cast<std::byte>(data.size() & 255U);
+    packet[35] = static_cast<std::byte>(data.size() >> 8U);
+    const auto view = std::as_bytes(std::span(data));
+    packet.insert(packet.end(), view.begin(), view.end());
+    return packet;
+}
+
+std::string entryText(const std::string &changed = {})
+{
+    const std::string fields =
+        R"("service":"s1","address":"10.1.2.3:8080","zone":"a","version":"v1","slots":3,)"
+        R"("state":"ready","warmup_left_ms":500,"sequence":4)";
+    return "{" + fields + (changed.empty() ? "" : "," + changed) + "}";
+}
+
+/// The text of an entry in which one field has another value, or none when that is empty.
+std::string entryWith(const std::string &field, const std::string &value)
+{
+    std::string text = entryText();
+    const auto begin = text.find("\"" + field + "\":");
+    auto end = text.find_first_of(",}", begin);
+    REQUIRE(begin != std::string::npos);
+    if (value.empty() && text[end] == ',')
+        ++end;
+    return text.substr(0, begin) + (value.empty() ? "" : "\"" + field + "\":" + value)
+        + text.substr(end);
+}
+
+} // namespace
+
+TEST_CASE("An opening packet is decoded", "[platform]")
+{
+    const auto packet = decodePacket(bytesOf(openingBytes));
+    REQUIRE(packet);
+    CHECK(packet.value().isOpening);
+    CHECK(toString(packet.value().flow.caller) == "100.64.0.7:40001");
+    CHECK(toString(packet.value().flow.service) == "198.18.0.1:443");
+    CHECK(packet.value().sequence == 0x11223344);
+    CHECK(packet.value().tag == noTag);
+    CHECK(packet.value().dataBytes == 0);
+}
+
+TEST_CASE("A reset is encoded as the platform describes it", "[platform]")
+{
+    const auto packet = decodePacket(bytesOf(openingBytes));
+    const auto reset = encodeReset(packet.value());
+    CHECK(std::vector<std::byte>(reset.begin(), reset.end()) == bytesOf(resetBytes));
+}
+
+TEST_CASE("A forwarded packet differs only in prefix and tag", "[platform]")
+{
+    // Guards against a packet that reaches an upstream otherwise than its sender wrote it.
+    const auto packet = withData("GET / HTTP/1.1\r\n\r\n");
+    std::vector<std::byte> target(packet.size() + prefixBytes);
+    REQUIRE(encodeForUpstream(packet, 0x7f3a91c2, 0x04030201, target) == target.size());
+    const std::array<unsigned char, 8> prefix {0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
+    CHECK(std::vector<std::byte>(target.begin(), target.begin() + 8) == bytesOf(prefix));
+    for (std::size_t i = 0; i < packet.size(); ++i) {
+        const bool isTag = i >= 18 && i < 22;
+        CHECK(target[i + 8] == (isTag ? static_cast<std::byte>(i - 17) : packet[i]));
+    }
+}
+
+TEST_CASE("Malformed packets are refused", "[platform]")
+{
+    auto bytes = bytesOf(openingBytes);
+    CHECK(decodePacket(std::span(bytes).first(35)).error() == error::Truncated);
+    CHECK(decodePacket({}).error() == error::Truncated);
+    bytes[34] = std::byte {1};
+    CHECK(decodePacket(bytes).error() == error::Malformed);
+    bytes[34] = std::byte {0};
+    bytes[0] = std::byte {0x21};
+    CHECK(decodePacket(bytes).error() == error::Malformed);
+    CHECK(decodePacket(withData(std::string(1201, 'x'))).error() == error::Malformed);
+    CHECK(decodePacket(withData(std::string(1200, 'x'))));
+    CHECK(decodePacket(withData("", 0x30)).value().isFromUpstream);
+    CHECK(decodePacket(withData("", 0x18)).value().isClosing);
+    CHECK(decodePacket(withData("", 0x40)).value().isReset);
+}
+
+TEST_CASE("The identifier of an upstream is read from its name", "[platform]")
+{
+    CHECK(wireIdOfName("i-7f3a91c2") == 0x7f3a91c2U);
+    CHECK(wireIdOfName("i-86AFC28B9F") == 0x86afc28b9fU);
+    CHECK_FALSE(wireIdOfName("i-"));
+    CHECK_FALSE(wireIdOfName("i-00112233445566778"));
+}
+
+TEST_CASE("The id of a request is found for the log", "[platform]")
+{
+    const auto packet = withData("POST /p HTTP/1.1\r\nX-Attempt-Id: 0af3\r\nHost: h\r\n\r\n");
+    CHECK(requestIdOf(packet) == "0af3");
+    CHECK(requestIdOf(withData("GET / HTTP/1.1\r\n\r\n")).empty());
+    CHECK(requestIdOf(withData("X-Attempt-Id: 7")).empty());
+    CHECK(requestIdOf(withData("")).empty());
+}
+
+TEST_CASE("An upstream's entry is decoded", "[platform]")
+{
+    const auto announced = decodeAnnouncement("i-7f", entryText(R"("born":1700000000123)"));
+    REQUIRE(announced);
+    CHECK(announced.value().name == "i-7f");
+    CHECK(announced.value().wireId == 0x7f);
+    CHECK(announced.value().service == "s1");
+    CHECK(toString(announced.value().address) == "10.1.2.3:8080");
+    CHECK(announced.value().domain == "a");
+    CHECK(announced.value().slots == 3);
+    CHECK(announced.value().warmupLeft == 500ms);
+    CHECK(announced.value().startedAtMs == 1700000000123);
+    CHECK_FALSE(announced.value().isDraining);
+    CHECK(decodeAnnouncement("i-7f", entryWith("state", "\"draining\"")).value().isDraining);
+}
+
+TEST_CASE("An entry with a missing field or one of another type names no upstream", "[platform]")
+{
+    // Guards against entries of other writers.
+    for (const char *field : {"service", "address", "zone", "version", "slots", "state",
+                              "warmup_left_ms", "sequence"}) {
+        CAPTURE(field);
+        CHECK_FALSE(decodeAnnouncement("i-7f", entryWith(field, "")));
+        CHECK_FALSE(decodeAnnouncement("i-7f", entryWith(field, "null")));
+        CHECK_FALSE(decodeAnnouncement("i-7f", entryWith(field, "[1]")));
+        CHECK_FALSE(decodeAnnouncement("i-7f", entryWith(field, "1.5")));
+    }
+    CHECK_FALSE(decodeAnnouncement("i-7f", entryWith("state", "\"resting\"")));
+    CHECK_FALSE(decodeAnnouncement("i-7f", entryWith("slots", "0")));
+    CHECK_FALSE(decodeAnnouncement("i-7f", entryWith("slots", "\"3\"")));
+    CHECK_FALSE(decodeAnnouncement("i-7f", entryWith("address", "\"10.1.2.3\"")));
+    CHECK_FALSE(decodeAnnouncement("i-7f", entryText(R"("born":"yesterday")")));
+    CHECK_FALSE(decodeAnnouncement("i-7f", entryText(R"("born":1.5)")));
+    CHECK_FALSE(decodeAnnouncement("i-7f", "\xff\xfe"));
+    CHECK_FALSE(decodeAnnouncement("i-7f", "{\"service\":\"\xff\"}"));
+    CHECK_FALSE(decodeAnnouncement("i-7f", std::string(100000, '[')));
+    CHECK_FALSE(decodeAnnouncement("i-zz", "[]"));
+}
+
+TEST_CASE("The operators' configuration is decoded", "[platform]")
+{
+    const auto config = decodeConfig(
+        R"({"version":7,"routes":[
+            {"name":"r1","host":"198.18.0.1","prefix":"/8443/","route_type":"idempotent",
+             "timeout_ms":1200,"target_latency_ms":200,"priority":2,
+             "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+            {"name":"r2","host":"198.18.0.2","prefix":"/443/","route_type":"non_idempotent",
+             "timeout_ms":1500,"target_latency_ms":250,"priority":1,"service":"s1"},
+            {"name":"no service","host":"198.18.0.3","prefix":"/443/"},
+            {"name":"no port","host":"198.18.0.3","prefix":"443","service":"s1"},
+            {"name":"no host","prefix":"/443/","service":"s1"}, 17],
+           "services":[],"limits":{"idle_timeout_ms":15000}})");
+    REQUIRE(config);
+    CHECK(config.value().version == 7);
+    CHECK(config.value().idleTimeout == 15s);
+    REQUIRE(config.value().routes.size() == 2);
+    const route &first = config.value().routes[0];
+    CHECK(toString(first.address) == "198.18.0.1:8443");
+    CHECK(first.targets == std::vector<route_target> {{"s1", 90}, {"s2", 10}});
+    CHECK(first.isIdempotent);
+    CHECK(first.targetLatency == 200ms);
+    const route &second = config.value().routes[1];
+    CHECK(second.targets == std::vector<route_target> {{"s1", 1}});
+    CHECK_FALSE(second.isIdempotent);
+    CHECK_FALSE(decodeConfig("{}"));
+    CHECK_FALSE(decodeConfig(R"({"version":0,"routes":[]})"));
+    CHECK_FALSE(decodeConfig(R"({"version":1,"routes":{}})"));
+}
+
+TEST_CASE("An answer of the store is decoded item by item", "[platform]")
+{
+    const auto item = [](const std::string &key, const std::string &value) {
+        return R"({"key":")" + key + R"(","value":")" + value + R"(","revision":3})";
+    };
+    const auto reply = decodeReply(R"({"items":[)" + item("servers/i-1", encodeBase64(entryText()))
+                                       + "," + item("servers/i-2", "!!!!") + ","
+                                       + item("op/other", "") + "," + item("op/config", "AAAA")
+                                       + R"(,{"key":"servers/i-3","deleted":true},7],)"
+                                         R"("has_more":true,"at_rev":530})",
+                                   "items");
+    REQUIRE(reply);
+    CHECK(reply.value().changes.revision == 530);
+    CHECK(reply.value().hasMore);
+    CHECK(reply.value().lastKey == "servers/i-3");
+    CHECK(reply.value().malformed == 2);
+    const auto &changes = reply.value().changes.changes;
+    REQUIRE(changes.size() == 3);
+    CHECK(std::get<upstream_announcement>(changes[0]).name == "i-1");
+    CHECK(std::get<upstream_withdrawal>(changes[1]).isMalformed);
+    CHECK(std::get<upstream_withdrawal>(changes[2]).name == "i-3");
+    CHECK_FALSE(std::get<upstream_withdrawal>(changes[2]).isMalformed);
+    CHECK_FALSE(decodeReply(R"({"items":[]})", "items"));
+    CHECK_FALSE(decodeReply(R"({"items":{},"at_rev":1})", "items"));
+    CHECK_FALSE(decodeReply("", "items"));
+}
+
+TEST_CASE("Base64 is checked", "[platform]")
+{
+    for (const char *text : {"", "a", "ab", "abc", "abcd", "\x01\xff"}) {
+        CHECK(decodeBase64(encodeBase64(text)).value() == text);
+    }
+    for (const char *text : {"QQ", "QQ=", "Q===", "QQ==QQ==", "QQ*="})
+        CHECK_FALSE(decodeBase64(text));
+}
+
+TEST_CASE("A registration survives its encoding", "[platform]")
+{
+    const instance_registration own {"f-1", "a\"b", {0x0a000001, 7720}};
+    CHECK(decodeRegistration("f-1", encodeRegistration(own)).value() == own);
+    CHECK_FALSE(decodeRegistration("f-1", "{}"));
+}
+
+namespace {
+
+const std::string settingsText =
+    R"({"node_id":"f1","zone":"a","ip":"10.1.0.10","unknown":{"x":1},
+        "listen_addrs":{"datagram_addr":"10.1.0.10:8172","ready":"10.1.0.10:8167"},
+        "platform":{"address":"10.200.1.7:8169"},"internal_ports":[7720,7735],
+        "seeds":["10.2.0.40:8166","nonsense"],
+        "bounds":{"config_apply_ms":3000,"drain_ms":2500.5,"grace_s":6,"flow_ttl_s":60}})";
+
+std::string settingsWith(const std::string &from, const std::string &to)
+{
+    std::string text = settingsText;
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("Settings are decoded, unknown fields ignored", "[platform]")
+{
+    std::vector<settings_problem> problems;
+    const auto settings = decodeSettings(settingsText, problems);
+    CHECK(problems.empty());
+    CHECK(settings.name == "f1");
+    CHECK(settings.domain == "a");
+    CHECK(toString(settings.dataAddress) == "10.1.0.10:8172");
+    CHECK(toString(settings.statusAddress) == "10.1.0.10:8167");
+    CHECK(toString(settings.storeAddress) == "10.200.1.7:8169");
+    CHECK(toString(settings.peerAddress) == "10.1.0.10:7720");
+    REQUIRE(settings.seeds.size() == 1);
+    CHECK(toString(settings.seeds[0]) == "10.2.0.40:7720");
+    CHECK(settings.drainBound == 2500ms);
+    CHECK(settings.stopGrace == 6s);
+    CHECK(settings.flowLifetime == 60s);
+}
+
+TEST_CASE("A setting that can't be used is named by its path", "[platform]")
+{
+    struct bad_case
+    {
+        const char *from;
+        const char *to;
+        const char *path;
+    };
+    for (const bad_case &item :
+         {bad_case {"\"node_id\":\"f1\"", "\"node_id\":7", "node_id"},
+          bad_case {"10.1.0.10:8172", "10.1.0.10", "listen_addrs.datagram_addr"},
+          bad_case {"10.200.1.7:8169", "10.200.1.7:0", "platform.address"},
+          bad_case {"7720", "80", "internal_ports.0"},
+          bad_case {"\"grace_s\":6", "\"grace_s\":-1", "bounds.grace_s"},
+          bad_case {"\"flow_ttl_s\":60", "\"ttl\":60", "bounds.flow_ttl_s"}}) {
+        CAPTURE(item.path);
+        std::vector<settings_problem> problems;
+        decodeSettings(settingsWith(item.from, item.to), problems);
+        REQUIRE(problems.size() == 1);
+        CHECK(problems[0].path == item.path);
+        CHECK_FALSE(problems[0].reason.empty());
+    }
+    std::vector<settings_problem> problems;
+    decodeSettings("[", problems);
+    CHECK(problems.size() == 1);
+}
--- /dev/null
+++ b/tests/entry/test_platform_store.cpp
@@ -0,0 +1,183 @@
+/**
+ * @file test_platform_store.cpp
+ * The client of the platform's store against its stand-in, over loopback.
+ */
+
+#include "entry_support.h"
+#include "platform/platform_store.h"
+#include "standin/store_standin.h"
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+using chicoryhead::platform::platform_store;
+using chicoryhead::standin::store_behaviour;
+
+namespace {
+
+const std::string entryText =
+    R"({"service":"s1","address":"10.1.2.3:8080","zone":"a","version":"v1","slots":3,)"
+    R"("state":"ready","warmup_left_ms":0,"sequence":4})";
+
+/** A store and its client in one event loop. */
+struct store_fixture
+{
+    template<typename Start>
+    result<fleet_changes> call(Start start)
+    {
+        std::optional<result<fleet_changes>> outcome;
+        start([&](result<fleet_changes> answer) { outcome.emplace(std::move(answer)); });
+        runUntil([&] { return outcome.has_value(); });
+        return *outcome;
+    }
+
+    result<fleet_changes> load()
+    {
+        return call([this](auto done) { client.load(std::move(done)); });
+    }
+
+    result<fleet_changes> watch(store_revision after, std::chrono::milliseconds wait = 50ms)
+    {
+        return call([&](auto done) { client.watch(after, wait, std::move(done)); });
+    }
+
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        context.restart();
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            context.run_one_for(20ms);
+        REQUIRE(condition());
+    }
+
+    asio::io_context context;
+    standin::store_standin store {context, {0x7f000001, 0}};
+    platform_store client {context, store.address()};
+};
+
+} // namespace
+
+TEST_CASE("Everything is loaded page by page", "[store]")
+{
+    store_fixture fixture;
+    for (int i = 0; i < 25; ++i)
+        fixture.store.put("servers/i-" + std::to_string(i), entryText);
+    fixture.store.put("op/config", R"({"version":3,"routes":[]})");
+    fixture.store.setPageSize(4);
+    const auto loaded = fixture.load();
+    REQUIRE(loaded);
+    CHECK(loaded.value().changes.size() == 26);
+    CHECK(loaded.value().revision == 126);
+    CHECK(fixture.store.calls("/chicoryhead/kv-range") == 7);
+}
+
+TEST_CASE("A watch returns changes, or nothing in time", "[store]")
+{
+    store_fixture fixture;
+    const auto revision = fixture.store.put("servers/i-1", entryText);
+    const auto empty = fixture.watch(revision);
+    REQUIRE(empty);
+    CHECK(empty.value().changes.empty());
+    CHECK(empty.value().revision == revision);
+
+    fixture.store.remove("servers/i-1");
+    const auto changes = fixture.watch(revision);
+    REQUIRE(changes);
+    REQUIRE(changes.value().changes.size() == 1);
+    CHECK(std::get<upstream_withdrawal>(changes.value().changes[0]).name == "i-1");
+    CHECK(changes.value().revision == revision + 1);
+}
+
+TEST_CASE("A watch that waits is answered when something changes", "[store]")
+{
+    store_fixture fixture;
+    std::optional<result<fleet_changes>> outcome;
+    fixture.client.watch(100, 5000ms, [&](auto answer) { outcome.emplace(std::move(answer)); });
+    fixture.runUntil([&] { return fixture.store.calls("/chicoryhead/kv-watch") == 1; });
+    fixture.store.put("servers/i-1", entryText);
+    fixture.runUntil([&] { return outcome.has_value(); });
+    CHECK(outcome->value().changes.size() == 1);
+}
+
+TEST_CASE("Refusals and unreadable answers are errors of their own", "[store]")
+{
+    store_fixture fixture;
+    fixture.store.put("servers/i-1", entryText);
+    fixture.store.dropHistory();
+    CHECK(fixture.watch(1).error() == error::HistoryLost);
+    fixture.store.setBehaviour(store_behaviour::Throttled);
+    CHECK(fixture.load().error() == error::Throttled);
+    fixture.store.setBehaviour(store_behaviour::Busy);
+    CHECK(fixture.load().error() == error::StoreUnavailable);
+    fixture.store.setBehaviour(store_behaviour::Garbage);
+    CHECK(fixture.load().error() == error::Malformed);
+    const auto &calls = fixture.client.calls();
+    CHECK(calls[static_cast<std::size_t>(platform::call_outcome::Refused)] == 3);
+    CHECK(calls[static_cast<std::size_t>(platform::call_outcome::Unreadable)] == 1);
+    fixture.store.setBehaviour(store_behaviour::Serving);
+    CHECK(fixture.load());
+}
+
+TEST_CASE("A store that falls silent is noticed within the time of the call", "[store]")
+{
+    // Guards against a connection that is silent for good while new ones work.
+    store_fixture fixture;
+    REQUIRE(fixture.load());
+    fixture.store.setBehaviour(store_behaviour::Silent);
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(fixture.watch(100, 100ms).error() == error::Timeout);
+    CHECK(std::chrono::steady_clock::now() - start < 2s);
+    fixture.store.setBehaviour(store_behaviour::Serving);
+    CHECK(fixture.load());
+}
+
+TEST_CASE("A store that is not there refuses at once", "[store]")
+{
+    asio::io_context context;
+    endpoint address;
+    {
+        const standin::store_standin gone(context, {0x7f000001, 0});
+        address = gone.address();
+    }
+    platform_store client(context, address);
+    std::optional<result<fleet_changes>> outcome;
+    client.load([&](auto answer) { outcome.emplace(std::move(answer)); });
+    context.run_for(2s);
+    REQUIRE(outcome);
+    CHECK(outcome->error() == error::StoreUnavailable);
+}
+
+TEST_CASE("An abandoned call is not answered, and the next one is", "[store]")
+{
+    store_fixture fixture;
+    bool isAnswered = false;
+    fixture.client.watch(100, 5000ms, [&](const auto & /*answer*/) { isAnswered = true; });
+    fixture.runUntil([&] { return fixture.store.calls("/chicoryhead/kv-watch") == 1; });
+    fixture.client.abandon();
+    fixture.store.put("servers/i-1", entryText);
+    CHECK(fixture.load().value().changes.size() == 1);
+    CHECK_FALSE(isAnswered);
+}
+
+TEST_CASE("An instance registers itself and is removed", "[store]")
+{
+    store_fixture fixture;
+    const instance_registration own {"f-1", "a", {0x0a000001, 7720}};
+    std::optional<std::error_code> outcome;
+    fixture.client.registerInstance(own, [&](std::error_code code) { outcome = code; });
+    fixture.runUntil([&] { return outcome.has_value(); });
+    CHECK_FALSE(*outcome);
+    const auto loaded = fixture.load();
+    REQUIRE(loaded.value().changes.size() == 1);
+    CHECK(std::get<instance_registration>(loaded.value().changes[0]) == own);
+
+    outcome.reset();
+    fixture.client.removeInstance("f-1", [&](std::error_code code) { outcome = code; });
+    fixture.runUntil([&] { return outcome.has_value(); });
+    CHECK(fixture.load().value().changes.empty());
+}
--- /dev/null
+++ b/tests/entry/test_sync.cpp
@@ -0,0 +1,203 @@
+/**
+ * @file test_sync.cpp
+ * Beliefs and the calls that keep them in step with the store.
+ */
+
+#include "entry_support.h"
+#include "sync/store_follower_base.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+
+namespace {
+
+/** A follower whose store answers as a test says. */
+struct follower_fixture
+{
+    follower_fixture() { follower.tick(); }
+
+    void step(monotonic_time duration)
+    {
+        clock.advance(duration);
+        follower.tick();
+    }
+
+    void synchronise()
+    {
+        store.answer(fleet_changes {
+            100,
+            {makeConfig(1), makeUpstream("i-1", "desk", "a"), makeUpstream("i-2", "desk", "a")}});
+    }
+
+    /// Steps until the next call is made; returns the time that took.
+    monotonic_time untilCall()
+    {
+        monotonic_time waited {0};
+        while (!store.isCalled()) {
+            step(10ms);
+            waited += 10ms;
+            REQUIRE(waited < 10s);
+        }
+        return waited;
+    }
+
+    upstream_standing standingOf(const std::string &name) const
+    {
+        return directory.find(name)->standing;
+    }
+
+    int sink = ::open("/dev/null", O_WRONLY);
+    stepped_clock clock;
+    stepped_random random {1};
+    event_log log {sink, clock};
+    routing_table routes;
+    upstream_directory directory;
+    domain_first_placement placement {directory, "a", 1};
+    fleet_state state {routes, directory, placement, log};
+    scripted_store store;
+    store_follower follower {store, state, clock, random, log};
+};
+
+} // namespace
+
+TEST_CASE("The follower loads once and then watches from that revision", "[sync]")
+{
+    follower_fixture fixture;
+    REQUIRE(fixture.store.call().kind == scripted_store::call_kind::Load);
+    CHECK_FALSE(fixture.state.isSynchronised());
+    fixture.synchronise();
+    CHECK(fixture.state.isSynchronised());
+    REQUIRE(fixture.store.isCalled());
+    CHECK(fixture.store.call().kind == scripted_store::call_kind::Watch);
+    CHECK(fixture.store.call().after == 100);
+    fixture.store.answer(fleet_changes {100, {}});
+    CHECK(fixture.store.call().after == 100);
+}
+
+TEST_CASE("Changes are applied, and the next watch waits for more of them", "[sync]")
+{
+    follower_fixture fixture;
+    fixture.synchronise();
+    auto leaving = makeUpstream("i-1", "desk", "a");
+    leaving.isDraining = true;
+    fixture.store.answer(fleet_changes {105, {makeConfig(2), leaving}});
+    CHECK(fixture.routes.version() == 2);
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Draining);
+    CHECK_FALSE(fixture.store.isCalled());
+    CHECK(fixture.untilCall() <= 200ms);
+    CHECK(fixture.store.call().after == 105);
+}
+
+TEST_CASE("After lost history everything is loaded again", "[sync]")
+{
+    // Guards against a belief that stays old because the changes in between were dropped.
+    follower_fixture fixture;
+    fixture.synchronise();
+    fixture.store.answer(error::HistoryLost);
+    fixture.follower.tick();
+    REQUIRE(fixture.store.isCalled());
+    REQUIRE(fixture.store.call().kind == scripted_store::call_kind::Load);
+    fixture.store.answer(fleet_changes {200, {makeConfig(3), makeUpstream("i-2", "desk", "a")}});
+    CHECK(fixture.routes.version() == 3);
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+    CHECK(fixture.standingOf("i-2") == upstream_standing::Ready);
+    CHECK(fixture.store.call().after == 200);
+}
+
+TEST_CASE("A store that does not answer is asked with growing pauses, at least each second",
+          "[sync]")
+{
+    follower_fixture fixture;
+    fixture.synchronise();
+    monotonic_time total {0};
+    int calls = 0;
+    while (total < 9s) {
+        fixture.store.answer(error::Timeout);
+        CHECK_FALSE(fixture.follower.isStoreReachable());
+        const auto pause = fixture.untilCall();
+        CHECK(pause <= 1050ms);
+        total += pause;
+        ++calls;
+    }
+    CHECK(calls < 25);
+    CHECK(fixture.state.isSynchronised());
+    fixture.store.answer(fleet_changes {100, {}});
+    CHECK(fixture.follower.isStoreReachable());
+}
+
+TEST_CASE("Announcements that lapsed while the store was away may return", "[sync]")
+{
+    follower_fixture fixture;
+    fixture.synchronise();
+    fixture.store.answer(error::StoreUnavailable);
+    fixture.untilCall();
+    SECTION("the watch tells of them")
+    {
+        fixture.store.answer(fleet_changes {110, {upstream_withdrawal {"i-1", false}}});
+    }
+    SECTION("the history is lost and they are missing from the list")
+    {
+        fixture.store.answer(error::HistoryLost);
+        fixture.follower.tick();
+        fixture.store.answer(
+            fleet_changes {110, {makeConfig(1), makeUpstream("i-2", "desk", "a")}});
+    }
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Missing);
+    fixture.clock.advance(2300ms);
+    fixture.state.expire(fixture.clock.now());
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+}
+
+TEST_CASE("An announcement that is removed while the store answers is gone at once", "[sync]")
+{
+    follower_fixture fixture;
+    fixture.synchronise();
+    fixture.store.answer(fleet_changes {110, {upstream_withdrawal {"i-1", false}}});
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+    fixture.untilCall();
+    fixture.store.answer(fleet_changes {111, {upstream_withdrawal {"unknown", false}}});
+    CHECK(fixture.standingOf("i-2") == upstream_standing::Ready);
+}
+
+TEST_CASE("A malformed entry takes its upstream out, whatever happened to the store", "[sync]")
+{
+    follower_fixture fixture;
+    fixture.synchronise();
+    fixture.store.answer(error::StoreUnavailable);
+    fixture.untilCall();
+    fixture.store.answer(fleet_changes {110, {upstream_withdrawal {"i-1", true}}});
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+}
+
+TEST_CASE("A process that was suspended abandons its watch and asks at once", "[sync]")
+{
+    // Guards against a connection that fell silent during a suspension.
+    follower_fixture fixture;
+    fixture.synchronise();
+    fixture.clock.advance(5s);
+    fixture.follower.refresh();
+    CHECK(fixture.store.abandoned == 1);
+    REQUIRE(fixture.store.isCalled());
+    CHECK(fixture.store.call().kind == scripted_store::call_kind::Watch);
+}
+
+TEST_CASE("Instances that lost the store together do not come back in one moment", "[sync]")
+{
+    std::set<monotonic_time> pauses;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        follower_fixture fixture;
+        fixture.random = stepped_random(seed);
+        for (int failure = 0; failure < 5; ++failure) {
+            fixture.store.answer(error::Throttled);
+            const auto pause = fixture.untilCall();
+            if (failure == 4)
+                pauses.insert(pause);
+        }
+    }
+    CHECK(pauses.size() > 5);
+}
