Fix: a domain with few upstreams sends flows to the others

Ruled out: suspicion of the full upstream (it answers opening packets, only requests are shed); latency as the only signal (a shed request is answered fast).

Change: the own domain keeps its flows down to 0.75 of the mean slots per domain; below, the part beyond goes to the other domains, by a running remainder, so that it is exact.

Conclusion: capacity decides who stays at home.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -80,7 +80,7 @@
     , m_reread(std::move(reread))
     , m_log(STDOUT_FILENO, m_clock)
     , m_directory(directorySettings(settings))
-    , m_placement(m_directory, settings.domain, seedOf(settings.name))
+    , m_placement(m_directory, {settings.domain, settings.domainCount, seedOf(settings.name)})
     , m_forwarder(m_routes, m_directory, m_placement)
     , m_state(m_routes, m_directory, m_placement, m_log)
     , m_store(m_context, settings.storeAddress)
--- a/src/entry/entry_settings_type.h
+++ b/src/entry/entry_settings_type.h
@@ -20,6 +20,7 @@
 {
     std::string name;       ///< of the instance, unique
     std::string domain;     ///< failure domain of the instance
+    std::size_t domainCount = 1; ///< failure domains of the deployment
     endpoint dataAddress;   ///< receives the packets of callers
     endpoint statusAddress; ///< answers whether the instance is ready
     endpoint storeAddress;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -13,9 +13,8 @@
 namespace chicoryhead {
 
 domain_first_placement::domain_first_placement(const upstream_directory &directory,
-                                               std::string ownDomain, std::uint64_t seed,
-                                               placement_limits limits)
-    : m_directory(directory), m_ownDomain(std::move(ownDomain)), m_seed(seed), m_limits(limits)
+                                               placement_position position, placement_limits limits)
+    : m_directory(directory), m_position(std::move(position)), m_limits(limits)
 {
 }
 
@@ -24,20 +23,54 @@
                                                           monotonic_time now)
 {
     const auto upstreams = m_directory.ofService(service);
-    auto best = choice_group::None;
-    std::vector<upstream_id> options;
+    const auto groups = group(upstreams, tried, now);
+    const auto best = std::find_if(groups.begin(), groups.end(),
+                                   [](const auto &options) { return !options.empty(); });
+    if (best == groups.end())
+        return std::nullopt;
+    const bool isOwnDomain = best == groups.begin();
+    const auto &options = isOwnDomain && leavesDomain(service, groups)
+        ? groups.at(static_cast<std::size_t>(choice_group::OtherDomain))
+        : *best;
+    return takeTurn(options, medianLatency(upstreams, now), now);
+}
+
+domain_first_placement::grouped_upstreams
+domain_first_placement::group(std::span<const upstream_id> upstreams,
+                              std::span<const upstream_id> tried, monotonic_time now) const
+{
+    grouped_upstreams groups;
     for (const upstream_id id : upstreams) {
         const auto group = groupOf(*m_directory.find(id), tried, now);
-        if (group == choice_group::None || group > best)
-            continue;
-        if (group < best)
-            options.clear();
-        best = group;
-        options.push_back(id);
+        if (group != choice_group::None)
+            groups.at(static_cast<std::size_t>(group)).push_back(id);
     }
-    if (options.empty())
-        return std::nullopt;
-    return takeTurn(options, medianLatency(upstreams, now), now);
+    return groups;
+}
+
+bool domain_first_placement::leavesDomain(const std::string &service,
+                                          const grouped_upstreams &groups)
+{
+    const auto &others = groups.at(static_cast<std::size_t>(choice_group::OtherDomain));
+    if (others.empty())
+        return false;
+    const double own = slotsOf(groups.at(static_cast<std::size_t>(choice_group::OwnDomain)));
+    const double mean = (own + slotsOf(others)) / static_cast<double>(m_position.domainCount);
+    const double keptShare = std::min(1.0, own / (m_limits.keptCapacity * mean));
+    double &owed = m_owedToOthers[service];
+    owed += 1 - keptShare;
+    if (owed < 1)
+        return false;
+    owed -= 1;
+    return true;
+}
+
+double domain_first_placement::slotsOf(std::span<const upstream_id> upstreams) const
+{
+    double slots = 0;
+    for (const upstream_id id : upstreams)
+        slots += m_directory.find(id)->announced.slots;
+    return slots;
 }
 
 void domain_first_placement::noteUnanswered(upstream_id upstream, monotonic_time now)
@@ -104,8 +137,8 @@
         return choice_group::Suspected;
     if (record.standing == upstream_standing::Missing)
         return choice_group::Missing;
-    return record.announced.domain == m_ownDomain ? choice_group::OwnDomain
-                                                  : choice_group::OtherDomain;
+    return record.announced.domain == m_position.domain ? choice_group::OwnDomain
+                                                        : choice_group::OtherDomain;
 }
 
 double domain_first_placement::weightOf(const upstream_record &record, double medianLatency,
@@ -160,6 +193,7 @@
             chosenId = id;
         }
     }
+    assert(chosen != nullptr);
     chosen->credit -= total;
     return chosenId;
 }
@@ -170,7 +204,8 @@
     if (isNew) {
         // Credits between 0 and 1 give each instance an order of its own.
         constexpr std::uint64_t steps = 1024;
-        entry->second.credit = static_cast<double>(mixHash(m_seed, idValue(upstream)) % steps)
+        entry->second.credit =
+            static_cast<double>(mixHash(m_position.seed, idValue(upstream)) % steps)
             / static_cast<double>(steps);
     }
     return entry->second;
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -12,8 +12,11 @@
 #include "core/core_type.h"
 #include "directory/directory_base.h"
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -72,21 +75,31 @@
     monotonic_time latencyMemory = std::chrono::seconds(4);
     /// Latencies needed before an upstream can count as slow.
     unsigned minLatencies = 4;
+    /// The own domain keeps all its new flows down to this part of the mean number of slots per
+    /// domain. Below it some go to other domains, so that its upstreams are at most 1/0.75 times as
+    /// busy as the mean; at the usual load of 40 to 50% that leaves them room.
+    double keptCapacity = 0.75;
+};
+
+/** Where an instance is. */
+struct placement_position
+{
+    std::string domain;          ///< own failure domain
+    std::size_t domainCount = 1; ///< failure domains of the deployment
+    /// Differs between instances, so that they do not all begin with the same upstream.
+    std::uint64_t seed = 0;
 };
 
 /**
  * Smooth weighted round robin over the upstreams of the own failure domain, and over those of the
- * other domains when the own one has none that answers. A flow that stays in its domain survives
- * when the domain is cut off, and no packet of it crosses domains.
+ * other domains when the own one has none that answers or too few. A flow that stays in its domain
+ * survives when the domain is cut off, and no packet of it crosses domains.
  */
 class domain_first_placement : public flow_placement
 {
 public:
-    /**
-     * @param seed differs between instances, so that they do not all begin with the same upstream.
-     */
-    domain_first_placement(const upstream_directory &directory, std::string ownDomain,
-                           std::uint64_t seed, placement_limits limits = {});
+    domain_first_placement(const upstream_directory &directory, placement_position position,
+                           placement_limits limits = {});
 
     std::optional<upstream_id> choose(const std::string &service,
                                       std::span<const upstream_id> tried,
@@ -121,6 +134,15 @@
         Tried,
         None,
     };
+    static constexpr std::size_t groupCount = 5; ///< without None
+
+    /** Upstreams of one service by group. */
+    using grouped_upstreams = std::array<std::vector<upstream_id>, groupCount>;
+
+    grouped_upstreams group(std::span<const upstream_id> upstreams,
+                            std::span<const upstream_id> tried, monotonic_time now) const;
+    bool leavesDomain(const std::string &service, const grouped_upstreams &groups);
+    double slotsOf(std::span<const upstream_id> upstreams) const;
 
     choice_group groupOf(const upstream_record &record, std::span<const upstream_id> tried,
                          monotonic_time now) const;
@@ -130,10 +152,11 @@
     experience &experienceOf(upstream_id upstream);
 
     const upstream_directory &m_directory;
-    std::string m_ownDomain;
-    std::uint64_t m_seed;
+    placement_position m_position;
     placement_limits m_limits;
     std::unordered_map<upstream_id, experience> m_experience;
+    /// By service: part of a flow that is owed to other domains; at 1 the next flow goes there.
+    std::map<std::string, double> m_owedToOthers;
 };
 
 } // namespace chicoryhead
--- a/tests/entry/test_forwarder.cpp
+++ b/tests/entry/test_forwarder.cpp
@@ -34,7 +34,7 @@
 
     routing_table routes;
     upstream_directory directory;
-    domain_first_placement placement {directory, "a", 7};
+    domain_first_placement placement {directory, {"a", 3, 7}};
     forwarder path {routes, directory, placement};
 };
 
--- a/tests/entry/test_placement.cpp
+++ b/tests/entry/test_placement.cpp
@@ -53,7 +53,7 @@
     }
 
     upstream_directory directory;
-    domain_first_placement placement {directory, "a", 42};
+    domain_first_placement placement {directory, {"a", 3, 42}};
 };
 
 } // namespace
@@ -75,7 +75,7 @@
     placement_fixture fixture;
     std::map<std::string, int> first;
     for (std::uint64_t seed = 0; seed < 60; ++seed) {
-        domain_first_placement placement(fixture.directory, "a", mixHash(seed, 9));
+        domain_first_placement placement(fixture.directory, {"a", 3, mixHash(seed, 9)});
         ++first[fixture.directory.find(*placement.choose("desk", {}, 1s))->announced.name];
     }
     CHECK(first.size() == 4);
@@ -143,6 +143,29 @@
         CHECK(name.substr(0, 3) != "i-a");
 }
 
+TEST_CASE("Lopsided release: a domain with few upstreams left sends flows to the others",
+          "[placement]")
+{
+    // Guards against a domain whose last upstream sheds while the others have room (found by a
+    // hunt: 1 of 14 upstreams was left in a domain with a third of the callers).
+    placement_fixture fixture;
+    for (const char *name : {"i-a1", "i-a2", "i-a3"})
+        fixture.drain(name);
+    const auto counts = fixture.placeMany(1000, 1s);
+    // 3 of 27 slots with a third of the callers: 3 / (0.75 * 9) of the flows stay.
+    CHECK(counts.at("i-a0") == Approx(444).margin(2));
+    CHECK(counts.at("i-b0") == Approx(counts.at("i-c0")).margin(2));
+}
+
+TEST_CASE("A domain with a little less than its part of the slots keeps its flows", "[placement]")
+{
+    // Guards against flows that cross domains for no gain: a cut would break them.
+    placement_fixture fixture;
+    fixture.drain("i-a3");
+    for (const auto &[name, count] : fixture.placeMany(300, 1s))
+        CHECK(name.substr(0, 3) == "i-a");
+}
+
 TEST_CASE("Everything is suspected: suspicion is ignored", "[placement]")
 {
     // Guards against a service that is shut because an instance's own link was cut for a moment.
--- a/tests/entry/test_sync.cpp
+++ b/tests/entry/test_sync.cpp
@@ -57,7 +57,7 @@
     event_log log {sink, clock};
     routing_table routes;
     upstream_directory directory;
-    domain_first_placement placement {directory, "a", 1};
+    domain_first_placement placement {directory, {"a", 3, 1}};
     fleet_state state {routes, directory, placement, log};
     scripted_store store;
     store_follower follower {store, state, clock, random, log};
