Feature: instances learn from each other what the store holds

An instance that started while the store was away knew nothing.

Change: src/gossip. Two instances of each failure domain read the store, by rank and hearsay; the others get digests of revision and age and fetch what they lack. A belief older than two thirds of the tightest bound makes an instance ask the store itself. An instance without a configuration asks registered instances and the seeds. Instances register in the store once.

A test of 134 instances showed that changes were not told on by those that learnt of them; they are now.

--- a/src/daemon/udp_socket.cpp
+++ b/src/daemon/udp_socket.cpp
@@ -31,29 +31,35 @@
 
 } // namespace
 
-udp_socket::udp_socket(asio::io_context &context, const endpoint &address, receiver handler)
-    : m_socket(context,
+udp_socket::buffer_set::buffer_set(std::size_t size)
+    : buffers(std::make_unique_for_overwrite<datagram_buffer[]>(size))
+    , addresses(size)
+    , vectors(size)
+    , headers(size)
+{
+    for (std::size_t index = 0; index < size; ++index) {
+        vectors[index] = {buffers[index].data(), maxDatagramBytes};
+        msghdr &header = headers[index].msg_hdr;
+        header.msg_name = &addresses[index];
+        header.msg_namelen = sizeof(sockaddr_in);
+        header.msg_iov = &vectors[index];
+        header.msg_iovlen = 1;
+    }
+}
+
+udp_socket::udp_socket(asio::io_context &context, const endpoint &address, receiver handler,
+                       std::size_t batchSize)
+    : m_batchSize(batchSize)
+    , m_socket(context,
                asio::ip::udp::endpoint(asio::ip::address_v4(address.address), address.port))
     , m_handler(std::move(handler))
+    , m_incoming(batchSize)
+    , m_outgoing(batchSize)
 {
     m_socket.non_blocking(true);
     std::error_code ignored; // the kernel's limit may be lower; then bursts lose datagrams earlier
     m_socket.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), ignored);
     m_socket.set_option(asio::socket_base::send_buffer_size(socketBufferBytes), ignored);
-    connectBuffers(m_incoming);
-    connectBuffers(m_outgoing);
-}
-
-void udp_socket::connectBuffers(buffer_set &set)
-{
-    for (std::size_t index = 0; index < batchSize; ++index) {
-        set.vectors[index] = {set.buffers[index].data(), maxDatagramBytes};
-        msghdr &header = set.headers[index].msg_hdr;
-        header.msg_name = &set.addresses[index];
-        header.msg_namelen = sizeof(sockaddr_in);
-        header.msg_iov = &set.vectors[index];
-        header.msg_iovlen = 1;
-    }
 }
 
 void udp_socket::start()
@@ -76,8 +82,8 @@
     for (int batch = 0; batch < batchesPerWakeup; ++batch) {
         for (auto &header : m_incoming.headers)
             header.msg_hdr.msg_namelen = sizeof(sockaddr_in);
-        const int count = ::recvmmsg(m_socket.native_handle(), m_incoming.headers.data(), batchSize,
-                                     MSG_DONTWAIT, nullptr);
+        const int count = ::recvmmsg(m_socket.native_handle(), m_incoming.headers.data(),
+                                     static_cast<unsigned>(m_batchSize), MSG_DONTWAIT, nullptr);
         if (count <= 0)
             return;
         for (std::size_t index = 0; index < static_cast<std::size_t>(count); ++index) {
@@ -88,7 +94,7 @@
         flush();
         if (m_batchHandler)
             m_batchHandler();
-        if (static_cast<std::size_t>(count) < batchSize)
+        if (static_cast<std::size_t>(count) < m_batchSize)
             return;
     }
 }
@@ -97,7 +103,7 @@
 {
     if (datagram.size() > maxDatagramBytes)
         return;
-    if (m_queued == batchSize)
+    if (m_queued == m_batchSize)
         flush();
     std::memcpy(m_outgoing.buffers[m_queued].data(), datagram.data(), datagram.size());
     m_outgoing.vectors[m_queued].iov_len = datagram.size();
--- a/src/daemon/udp_socket_base.h
+++ b/src/daemon/udp_socket_base.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -36,8 +37,12 @@
 public:
     using receiver = std::function<void(std::span<const std::byte>, const endpoint &from)>;
 
+    /** Datagrams per system call; 64 of them take 128 KB for each direction. */
+    static constexpr std::size_t defaultBatchSize = 64;
+
     /** @throw std::system_error when the address can't be bound. */
-    udp_socket(asio::io_context &context, const endpoint &address, receiver handler);
+    udp_socket(asio::io_context &context, const endpoint &address, receiver handler,
+               std::size_t batchSize = defaultBatchSize);
 
     /** Starts receiving. */
     void start();
@@ -55,20 +60,23 @@
     void setBatchHandler(std::function<void()> handler) { m_batchHandler = std::move(handler); }
 
 private:
-    static constexpr std::size_t batchSize = 64;
+    using datagram_buffer = std::array<std::byte, maxDatagramBytes>;
 
     struct buffer_set
     {
-        std::vector<std::array<std::byte, maxDatagramBytes>> buffers {batchSize};
-        std::array<sockaddr_in, batchSize> addresses {};
-        std::array<iovec, batchSize> vectors {};
-        std::array<mmsghdr, batchSize> headers {};
+        explicit buffer_set(std::size_t size);
+
+        /// Not initialised, so that a page takes memory only when it is used.
+        std::unique_ptr<datagram_buffer[]> buffers;
+        std::vector<sockaddr_in> addresses;
+        std::vector<iovec> vectors;
+        std::vector<mmsghdr> headers;
     };
 
     void waitReadable();
     void receiveBatches();
-    static void connectBuffers(buffer_set &set);
 
+    std::size_t m_batchSize;
     asio::ip::udp::socket m_socket;
     receiver m_handler;
     std::function<void()> m_batchHandler;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -28,8 +28,8 @@
 constexpr monotonic_time suspensionGap = std::chrono::milliseconds(300);
 /// Time to read the packets that waited during a suspension.
 constexpr monotonic_time distrustTime = std::chrono::milliseconds(30);
-/// A belief is confirmed at least every watchWait; older ones are not told to callers.
-constexpr monotonic_time freshTime = std::chrono::milliseconds(3000);
+/// Messages of peers per system call; a transfer of beliefs has about ten parts.
+constexpr std::size_t peerBatchSize = 16;
 
 std::string formatFlow(const flow_key &flow)
 {
@@ -55,6 +55,23 @@
     return made;
 }
 
+/// Time within which every change has to be in force.
+monotonic_time changeBound(const entry_settings &settings)
+{
+    return std::min(settings.configBound, settings.drainBound);
+}
+
+/// A reader's connection that falls silent, and readers that die, are noticed with a third of the
+/// bound left for asking the store.
+follower_settings followerSettings(const entry_settings &settings)
+{
+    const auto bound = changeBound(settings);
+    follower_settings made;
+    made.watchWait = std::chrono::duration_cast<std::chrono::milliseconds>(bound * 2 / 5);
+    made.maxBeliefAge = bound * 2 / 3;
+    return made;
+}
+
 std::uint64_t seedOf(const std::string &name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -84,11 +101,19 @@
     , m_forwarder(m_routes, m_directory, m_placement)
     , m_state(m_routes, m_directory, m_placement, m_log)
     , m_store(m_context, settings.storeAddress)
-    , m_follower(m_store, m_state, m_clock, m_random, m_log)
+    , m_follower(m_store, m_state, m_clock, m_random, m_log, followerSettings(settings))
+    , m_gossip({settings.name, settings.domain, settings.peerAddress}, settings.seeds, m_state,
+               *this, m_clock, m_random, m_log)
     , m_data(m_context, settings.dataAddress,
              [this](std::span<const std::byte> bytes, const endpoint & /*from*/) {
                  onDatagram(bytes);
              })
+    , m_peers(
+          m_context, settings.peerAddress,
+          [this](std::span<const std::byte> bytes, const endpoint &from) {
+              onPeerDatagram(bytes, from);
+          },
+          peerBatchSize)
     , m_status(m_context, settings.statusAddress,
                [this](std::string_view path) { return page(path); })
     , m_timer(m_context)
@@ -116,7 +141,12 @@
                  {"store", toString(m_settings.storeAddress)}});
     m_activeAt = m_clock.now();
     m_data.start();
-    m_follower.setUpdateHandler([this] { onUpdate(); });
+    m_peers.start();
+    m_follower.setUpdateHandler([this] {
+        m_gossip.noteStoreAnswer();
+        onUpdate();
+    });
+    m_follower.setReaderPolicy([this] { return m_gossip.isReader(); });
     awaitSignal();
     m_follower.tick();
     scheduleTick();
@@ -157,8 +187,22 @@
         forwardPacket(packet.value(), bytes);
 }
 
+void entry_process::sendToPeer(const endpoint &peer, std::span<const std::byte> datagram)
+{
+    m_peers.send(peer, datagram);
+}
+
+void entry_process::onPeerDatagram(std::span<const std::byte> bytes, const endpoint &from)
+{
+    noteActivity();
+    if (m_gossip.receive(from, bytes))
+        onUpdate();
+}
+
 void entry_process::onUpdate()
 {
+    m_gossip.announceChanges();
+    m_peers.flush();
     if (!m_state.isSynchronised() || m_arrivals.isEmpty())
         return;
     const auto waiting = m_arrivals.take(m_clock.now());
@@ -266,6 +310,8 @@
     if (noteActivity())
         m_follower.refresh();
     m_follower.tick();
+    m_gossip.tick();
+    m_peers.flush();
     if (m_activeAt >= m_nextSecond)
         tickSecond();
     m_log.flush();
@@ -278,6 +324,21 @@
     m_nextSecond = m_activeAt + std::chrono::seconds(1);
     m_forwarder.expire(m_activeAt);
     m_state.expire(m_activeAt);
+    registerSelf();
+}
+
+void entry_process::registerSelf()
+{
+    const instance_registration own {m_settings.name, m_settings.domain, m_settings.peerAddress};
+    const auto known = m_state.instances().find(own.name);
+    const bool isKnown = known != m_state.instances().end() && known->second == own;
+    if (!m_state.isSynchronised() || isKnown || m_isRegistering || m_stop.isStopping())
+        return;
+    m_isRegistering = true;
+    m_store.registerInstance(own, [this](std::error_code code) {
+        m_isRegistering = false;
+        m_log.write("instance_registered", {{"outcome", code ? code.message() : "done"}});
+    });
 }
 
 void entry_process::awaitSignal()
@@ -325,7 +386,7 @@
 
 bool entry_process::isBeliefFresh(monotonic_time now) const
 {
-    return now - m_state.confirmedAt() < freshTime;
+    return now - m_state.confirmedAt() < changeBound(m_settings);
 }
 
 status_page entry_process::page(std::string_view path)
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -14,6 +14,7 @@
 #include "eventlog/event_log_base.h"
 #include "forward/arrival_queue_base.h"
 #include "forward/forwarder_base.h"
+#include "gossip/gossip_base.h"
 #include "placement/placement_base.h"
 #include "platform/packet_codec.h"
 #include "platform/platform_store.h"
@@ -46,7 +47,7 @@
 using settings_source = std::function<std::optional<entry_settings>()>;
 
 /** Runs one entry instance until it is told to stop. */
-class entry_process
+class entry_process : private peer_sink
 {
 public:
     /**
@@ -59,6 +60,9 @@
     void run();
 
 private:
+    void sendToPeer(const endpoint &peer, std::span<const std::byte> datagram) override;
+    void onPeerDatagram(std::span<const std::byte> bytes, const endpoint &from);
+    void registerSelf();
     void onDatagram(std::span<const std::byte> bytes);
     void onUpdate();
     void forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes);
@@ -95,7 +99,9 @@
     fleet_state m_state;
     platform::platform_store m_store;
     store_follower m_follower;
+    gossip m_gossip;
     udp_socket m_data;
+    udp_socket m_peers;
     status_server m_status;
     std::unique_ptr<status_server> m_metricsServer; ///< null when there is no metrics port
     asio::steady_timer m_timer;
@@ -106,6 +112,7 @@
     monotonic_time m_activeAt {0};      ///< when an event was last handled
     monotonic_time m_distrustUntil {0}; ///< opening packets read before may have waited for long
     monotonic_time m_nextSecond {0};
+    bool m_isRegistering = false;  ///< a write of the own registration is under way
     monotonic_time m_packetAt {0}; ///< when the last packet of a caller came
 };
 
--- a/src/entry/entry_settings_type.h
+++ b/src/entry/entry_settings_type.h
@@ -18,11 +18,11 @@
 /** Settings of one entry process. */
 struct entry_settings
 {
-    std::string name;       ///< of the instance, unique
-    std::string domain;     ///< failure domain of the instance
+    std::string name;            ///< of the instance, unique
+    std::string domain;          ///< failure domain of the instance
     std::size_t domainCount = 1; ///< failure domains of the deployment
-    endpoint dataAddress;   ///< receives the packets of callers
-    endpoint statusAddress; ///< answers whether the instance is ready
+    endpoint dataAddress;        ///< receives the packets of callers
+    endpoint statusAddress;      ///< answers whether the instance is ready
     endpoint storeAddress;
     endpoint peerAddress;            ///< receives messages of other instances
     std::vector<endpoint> seeds;     ///< peer addresses of some instances; they may be out of date
--- /dev/null
+++ b/src/gossip/gossip.cpp
@@ -0,0 +1,261 @@
+/**
+ * @file gossip.cpp
+ * Digests, fetches and the choice of readers.
+ */
+
+#include "gossip_base.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace chicoryhead {
+
+namespace {
+
+constexpr std::size_t maxSightings = 4;
+/// Instances that are told of a change at once; each tells as many again.
+constexpr std::size_t changeFanout = 3;
+
+std::uint64_t rankOf(const std::string &name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+} // namespace
+
+gossip::gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
+               peer_sink &sink, const clock_source &clock, random_source &random, event_log &log,
+               gossip_settings settings)
+    : m_own(std::move(own))
+    , m_rank(rankOf(m_own.name))
+    , m_seeds(std::move(seeds))
+    , m_state(state)
+    , m_sink(sink)
+    , m_clock(clock)
+    , m_random(random)
+    , m_log(log)
+    , m_settings(settings)
+{
+    std::erase(m_seeds, m_own.peerAddress);
+}
+
+bool gossip::receive(const endpoint &from, std::span<const std::byte> datagram)
+{
+    const auto message = decodeGossip(datagram);
+    if (!message) {
+        ++m_malformed;
+        m_log.write("gossip_malformed",
+                    {{"from", toString(from)}, {"reason", message.error().message()}});
+        return false;
+    }
+    if (const auto *digest = std::get_if<gossip_digest>(&message.value()))
+        return onDigest(from, *digest);
+    if (const auto *part = std::get_if<gossip_part>(&message.value()))
+        return onPart(from, *part);
+    onFetch(from, std::get<gossip_fetch>(message.value()));
+    return false;
+}
+
+void gossip::tick()
+{
+    const auto now = m_clock.now();
+    if (!m_state.isSynchronised()) {
+        if (now >= m_nextFetch)
+            fetchFromAnyone();
+        return;
+    }
+    if (now < m_nextDigest)
+        return;
+    m_nextDigest = now + m_settings.period;
+    ++m_periods;
+    sendToOwnDomain(m_settings.ownFanout);
+    if (m_periods % m_settings.otherInterval == 0)
+        sendToOtherDomain();
+}
+
+void gossip::announceChanges()
+{
+    if (m_state.contentRevision() <= m_announced)
+        return;
+    m_announced = m_state.contentRevision();
+    sendToOwnDomain(changeFanout);
+    sendToOtherDomain();
+}
+
+bool gossip::isReader() const
+{
+    const auto now = m_clock.now();
+    const auto before = std::count_if(m_readers.begin(), m_readers.end(), [&](const auto &reader) {
+        return reader.first < m_rank && now - reader.second <= m_settings.readerAge;
+    });
+    return static_cast<std::size_t>(before) < m_settings.readersPerDomain;
+}
+
+bool gossip::onDigest(const endpoint &from, const gossip_digest &digest)
+{
+    if (digest.sender.domain == m_own.domain)
+        mergeReaders(digest);
+    const bool isBehind =
+        digest.contentRevision > m_state.revision() || digest.version > m_state.configVersion();
+    if (isBehind) {
+        if (m_clock.now() >= m_nextFetch)
+            fetch(from);
+        return false;
+    }
+    if (digest.revision >= m_state.revision())
+        m_state.confirm(digest.revision, m_clock.now() - std::chrono::milliseconds(digest.ageMs));
+    return false;
+}
+
+void gossip::mergeReaders(const gossip_digest &digest)
+{
+    const auto now = m_clock.now();
+    for (const reader_sighting &sighting : digest.readers) {
+        if (sighting.rank == m_rank)
+            continue;
+        auto &seenAt = m_readers[sighting.rank];
+        seenAt = std::max(seenAt, now - std::chrono::milliseconds(sighting.ageMs));
+    }
+    std::erase_if(m_readers,
+                  [&](const auto &reader) { return now - reader.second > m_settings.readerAge; });
+}
+
+void gossip::onFetch(const endpoint &from, const gossip_fetch &fetch)
+{
+    if (!m_state.isSynchronised())
+        return;
+    auto state = m_state.snapshot(fetch.version, m_clock.now());
+    state.ageMs = ageMs(m_state.confirmedAt());
+    const auto bytes = encodeState(state);
+    ++m_transfers;
+    const std::size_t count = (bytes.size() + maxPartBytes - 1) / maxPartBytes;
+    for (std::size_t index = 0; index < count; ++index) {
+        const std::size_t begin = index * maxPartBytes;
+        const std::size_t size = std::min(maxPartBytes, bytes.size() - begin);
+        gossip_part part {
+            m_transfers, static_cast<std::uint16_t>(index), static_cast<std::uint16_t>(count), {}};
+        const auto *first = reinterpret_cast<const std::uint8_t *>(bytes.data()) + begin;
+        part.bytes.assign(first, first + size);
+        m_sink.sendToPeer(from, encodeGossip(part));
+    }
+}
+
+bool gossip::onPart(const endpoint &from, const gossip_part &part)
+{
+    const auto whole = m_assembler.add(from, part);
+    if (!whole)
+        return false;
+    const auto state = decodeState(*whole);
+    if (!state) {
+        ++m_malformed;
+        m_log.write("gossip_malformed",
+                    {{"from", toString(from)}, {"reason", state.error().message()}});
+        return false;
+    }
+    const auto now = m_clock.now();
+    const bool hasChanged =
+        m_state.adopt(state.value(), now - std::chrono::milliseconds(state.value().ageMs), now);
+    if (!hasChanged)
+        return false;
+    m_log.write("beliefs_adopted",
+                {{"from", toString(from)},
+                 {"revision", std::to_string(state.value().revision)},
+                 {"age_ms", std::to_string(state.value().ageMs)}});
+    announceChanges();
+    return true;
+}
+
+void gossip::sendDigest(const endpoint &target)
+{
+    gossip_digest digest;
+    digest.sender = m_own;
+    digest.revision = m_state.revision();
+    digest.contentRevision = m_state.contentRevision();
+    digest.version = m_state.configVersion();
+    digest.ageMs = ageMs(m_state.confirmedAt());
+    reader_times readers = m_readers;
+    if (isReader() && m_storeAnswerAt.count() > 0)
+        readers[m_rank] = m_storeAnswerAt;
+    for (const auto &[rank, seenAt] : readers) {
+        if (digest.readers.size() < maxSightings && m_clock.now() - seenAt <= m_settings.readerAge)
+            digest.readers.push_back({rank, ageMs(seenAt)});
+    }
+    m_sink.sendToPeer(target, encodeGossip(digest));
+}
+
+void gossip::sendToOwnDomain(std::size_t count)
+{
+    for (const endpoint &target : nextInOwnDomain(count))
+        sendDigest(target);
+}
+
+std::vector<endpoint> gossip::nextInOwnDomain(std::size_t count)
+{
+    const auto known = peers(true);
+    std::vector<endpoint> next;
+    while (next.size() < std::min(count, known.size())) {
+        if (m_turns.empty()) {
+            m_turns = known;
+            for (std::size_t i = m_turns.size(); i > 1; --i)
+                std::swap(m_turns[i - 1], m_turns[m_random.next() % i]);
+        }
+        const endpoint target = m_turns.back();
+        m_turns.pop_back();
+        const bool isKnown = std::find(known.begin(), known.end(), target) != known.end();
+        const bool isChosen = std::find(next.begin(), next.end(), target) != next.end();
+        if (isKnown && !isChosen)
+            next.push_back(target);
+    }
+    return next;
+}
+
+void gossip::sendToOtherDomain()
+{
+    const auto targets = peers(false);
+    if (!targets.empty())
+        sendDigest(pick(targets));
+}
+
+void gossip::fetch(const endpoint &target)
+{
+    m_nextFetch = m_clock.now() + m_settings.fetchRetry;
+    m_sink.sendToPeer(target, encodeGossip(gossip_fetch {m_state.configVersion()}));
+}
+
+void gossip::fetchFromAnyone()
+{
+    auto targets = peers(true);
+    targets.insert(targets.end(), m_seeds.begin(), m_seeds.end());
+    if (!targets.empty())
+        fetch(pick(targets));
+}
+
+std::vector<endpoint> gossip::peers(bool isOwnDomain) const
+{
+    std::vector<endpoint> found;
+    for (const auto &[name, registration] : m_state.instances()) {
+        if (name != m_own.name && (registration.domain == m_own.domain) == isOwnDomain)
+            found.push_back(registration.peerAddress);
+    }
+    // The registration of an instance that is gone may have the address of another one.
+    std::sort(found.begin(), found.end());
+    found.erase(std::unique(found.begin(), found.end()), found.end());
+    return found;
+}
+
+endpoint gossip::pick(const std::vector<endpoint> &peers)
+{
+    return peers[m_random.next() % peers.size()];
+}
+
+std::uint32_t gossip::ageMs(monotonic_time at) const
+{
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/gossip/gossip_base.h
@@ -0,0 +1,106 @@
+/**
+ * @file gossip_base.h
+ * How instances learn from each other what the store holds.
+ *
+ * A few instances of each failure domain read the store; the others learn from them. Nobody is
+ * appointed: an instance reads when it knows fewer than the wanted number of readers with a lower
+ * rank, and it asks the store itself when its beliefs grow old, whoever should have told it.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+#include "eventlog/event_log_base.h"
+#include "gossip_codec_func.h"
+#include "part_assembler_base.h"
+#include "sync/fleet_state_base.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chicoryhead {
+
+/** Times and sizes of the gossip. */
+struct gossip_settings
+{
+    monotonic_time period = std::chrono::milliseconds(300); ///< between digests
+    std::size_t ownFanout = 2;        ///< digests to the own domain in each period
+    std::size_t otherInterval = 3;    ///< periods between digests to another domain
+    std::size_t readersPerDomain = 2; ///< one may die unnoticed
+    /// A reader whose store has not answered for this long does not count.
+    monotonic_time readerAge = std::chrono::milliseconds(2500);
+    monotonic_time fetchRetry = std::chrono::milliseconds(250);
+};
+
+/** Gossip of one instance, without sockets. */
+class gossip
+{
+public:
+    gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
+           peer_sink &sink, const clock_source &clock, random_source &random, event_log &log,
+           gossip_settings settings = {});
+
+    /** Handles a datagram; returns whether beliefs changed. */
+    bool receive(const endpoint &from, std::span<const std::byte> datagram);
+
+    /** Sends what is due. */
+    void tick();
+
+    /** Tells some instances at once if beliefs changed since they were told last. */
+    void announceChanges();
+
+    /** The store answered this instance. */
+    void noteStoreAnswer() { m_storeAnswerAt = m_clock.now(); }
+
+    /** Whether this instance should read the store. */
+    bool isReader() const;
+
+    /** Messages that could not be decoded. */
+    std::uint64_t malformedMessages() const { return m_malformed; }
+
+private:
+    /** A reader with the time of the store's last answer to it. */
+    using reader_times = std::map<std::uint64_t, monotonic_time>;
+
+    bool onDigest(const endpoint &from, const gossip_digest &digest);
+    void onFetch(const endpoint &from, const gossip_fetch &fetch);
+    bool onPart(const endpoint &from, const gossip_part &part);
+    void mergeReaders(const gossip_digest &digest);
+    void sendDigest(const endpoint &target);
+    void sendToOwnDomain(std::size_t count);
+    void sendToOtherDomain();
+    void fetch(const endpoint &target);
+    void fetchFromAnyone();
+    std::vector<endpoint> peers(bool isOwnDomain) const;
+    endpoint pick(const std::vector<endpoint> &peers);
+    std::vector<endpoint> nextInOwnDomain(std::size_t count);
+    std::uint32_t ageMs(monotonic_time at) const;
+
+    instance_registration m_own;
+    std::uint64_t m_rank; ///< of this instance
+    std::vector<endpoint> m_seeds;
+    fleet_state &m_state;
+    peer_sink &m_sink;
+    const clock_source &m_clock;
+    random_source &m_random;
+    event_log &m_log;
+    gossip_settings m_settings;
+    part_assembler m_assembler;
+    reader_times m_readers; ///< of the own domain, without this instance
+    /// Instances of the own domain in a random order. They are told in turn, because with targets
+    /// drawn anew each time some would hear nothing for seconds.
+    std::vector<endpoint> m_turns;
+    store_revision m_announced = 0; ///< content that others were told of at once
+    monotonic_time m_storeAnswerAt {0};
+    monotonic_time m_nextDigest {0};
+    monotonic_time m_nextFetch {0};
+    std::uint64_t m_periods = 0;
+    std::uint32_t m_transfers = 0;
+    std::uint64_t m_malformed = 0;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/gossip/gossip_codec.cpp
@@ -0,0 +1,289 @@
+/**
+ * @file gossip_codec.cpp
+ * Serialization functions of the messages. Counts are bounded before anything is allocated.
+ */
+
+#include "gossip_codec_func.h"
+
+#include "core/codec_func.h"
+
+#include <cereal/types/string.hpp>
+
+#include <cstdint>
+
+namespace chicoryhead {
+
+namespace {
+
+/// Raised when a message changes; instances of other formats then read the store themselves.
+constexpr std::uint8_t gossipFormat = 1;
+
+enum class message_kind : std::uint8_t { Digest = 1, Fetch = 2, Part = 3 };
+
+constexpr std::size_t maxReaders = 8;
+constexpr std::size_t maxTargets = 256;
+constexpr std::size_t maxListed = 65535; ///< routes, upstreams and instances: the count has 16 bits
+constexpr std::size_t maxNameBytes = 512;
+
+void saveText(cereal::PortableBinaryOutputArchive &archive, const std::string &text)
+{
+    archive(static_cast<std::uint16_t>(text.size()));
+    archive(cereal::binary_data(text.data(), text.size()));
+}
+
+void loadText(cereal::PortableBinaryInputArchive &archive, std::string &text)
+{
+    std::uint16_t size = 0;
+    archive(size);
+    if (size > maxNameBytes)
+        throw std::length_error("name above bound");
+    text.resize(size);
+    archive(cereal::binary_data(text.data(), text.size()));
+}
+
+template<typename Archive>
+void saveTime(Archive &archive, monotonic_time time)
+{
+    archive(static_cast<std::int64_t>(time.count()));
+}
+
+template<typename Archive>
+void loadTime(Archive &archive, monotonic_time &time)
+{
+    std::int64_t count = 0;
+    archive(count);
+    time = monotonic_time(count);
+}
+
+} // namespace
+
+template<typename Archive>
+void serialize(Archive &archive, endpoint &value)
+{
+    archive(value.address, value.port);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, reader_sighting &value)
+{
+    archive(value.rank, value.ageMs);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, gossip_fetch &value)
+{
+    archive(value.version);
+}
+
+template<typename Archive>
+void save(Archive &archive, const instance_registration &value)
+{
+    saveText(archive, value.name);
+    saveText(archive, value.domain);
+    archive(value.peerAddress);
+}
+
+template<typename Archive>
+void load(Archive &archive, instance_registration &value)
+{
+    loadText(archive, value.name);
+    loadText(archive, value.domain);
+    archive(value.peerAddress);
+}
+
+template<typename Archive>
+void save(Archive &archive, const gossip_digest &value)
+{
+    archive(value.sender, value.revision, value.contentRevision, value.version, value.ageMs);
+    saveBounded(archive, value.readers);
+}
+
+template<typename Archive>
+void load(Archive &archive, gossip_digest &value)
+{
+    archive(value.sender, value.revision, value.contentRevision, value.version, value.ageMs);
+    loadBounded(archive, value.readers, maxReaders);
+}
+
+template<typename Archive>
+void save(Archive &archive, const gossip_part &value)
+{
+    archive(value.transfer, value.index, value.count);
+    saveBytes(archive, value.bytes);
+}
+
+template<typename Archive>
+void load(Archive &archive, gossip_part &value)
+{
+    archive(value.transfer, value.index, value.count);
+    loadBytes(archive, value.bytes, maxPartBytes);
+}
+
+template<typename Archive>
+void save(Archive &archive, const route_target &value)
+{
+    saveText(archive, value.service);
+    archive(static_cast<std::uint32_t>(value.weight));
+}
+
+template<typename Archive>
+void load(Archive &archive, route_target &value)
+{
+    loadText(archive, value.service);
+    std::uint32_t weight = 0;
+    archive(weight);
+    value.weight = weight;
+}
+
+template<typename Archive>
+void save(Archive &archive, const route &value)
+{
+    saveText(archive, value.name);
+    archive(value.address);
+    saveBounded(archive, value.targets);
+    saveTime(archive, value.targetLatency);
+    saveTime(archive, value.timeout);
+    archive(static_cast<std::uint32_t>(value.priority), value.isIdempotent);
+}
+
+template<typename Archive>
+void load(Archive &archive, route &value)
+{
+    loadText(archive, value.name);
+    archive(value.address);
+    loadBounded(archive, value.targets, maxTargets);
+    if (value.targets.empty())
+        throw std::length_error("route without target");
+    loadTime(archive, value.targetLatency);
+    loadTime(archive, value.timeout);
+    std::uint32_t priority = 0;
+    archive(priority, value.isIdempotent);
+    value.priority = priority;
+}
+
+template<typename Archive>
+void save(Archive &archive, const routing_config &value)
+{
+    archive(value.version);
+    saveBounded(archive, value.routes);
+    saveTime(archive, value.idleTimeout);
+}
+
+template<typename Archive>
+void load(Archive &archive, routing_config &value)
+{
+    archive(value.version);
+    loadBounded(archive, value.routes, maxListed);
+    loadTime(archive, value.idleTimeout);
+}
+
+template<typename Archive>
+void save(Archive &archive, const upstream_announcement &value)
+{
+    saveText(archive, value.name);
+    archive(value.wireId);
+    saveText(archive, value.service);
+    archive(value.address);
+    saveText(archive, value.domain);
+    archive(static_cast<std::uint32_t>(value.slots), value.isDraining);
+    saveTime(archive, value.warmupLeft);
+    archive(value.startedAtMs, value.announcements);
+}
+
+template<typename Archive>
+void load(Archive &archive, upstream_announcement &value)
+{
+    loadText(archive, value.name);
+    archive(value.wireId);
+    loadText(archive, value.service);
+    archive(value.address);
+    loadText(archive, value.domain);
+    std::uint32_t slots = 0;
+    archive(slots, value.isDraining);
+    value.slots = slots;
+    loadTime(archive, value.warmupLeft);
+    archive(value.startedAtMs, value.announcements);
+}
+
+template<typename Archive>
+void save(Archive &archive, const gossip_state &value)
+{
+    archive(value.revision, value.contentRevision, value.ageMs, value.mayLapse, value.hasConfig);
+    if (value.hasConfig)
+        archive(value.config);
+    saveBounded(archive, value.upstreams);
+    saveBounded(archive, value.instances);
+}
+
+template<typename Archive>
+void load(Archive &archive, gossip_state &value)
+{
+    archive(value.revision, value.contentRevision, value.ageMs, value.mayLapse, value.hasConfig);
+    if (value.hasConfig)
+        archive(value.config);
+    loadBounded(archive, value.upstreams, maxListed);
+    loadBounded(archive, value.instances, maxListed);
+}
+
+namespace {
+
+template<typename Message>
+std::vector<std::byte> encodeAs(message_kind kind, const Message &message)
+{
+    auto encoded = encodeBinary(gossipFormat, message);
+    encoded.insert(encoded.begin(), static_cast<std::byte>(kind));
+    return encoded;
+}
+
+template<typename Message>
+result<gossip_message> decodeAs(std::span<const std::byte> bytes)
+{
+    auto decoded = decodeBinary<Message>(gossipFormat, bytes);
+    if (!decoded)
+        return decoded.error();
+    return gossip_message(std::move(decoded.value()));
+}
+
+} // namespace
+
+std::vector<std::byte> encodeGossip(const gossip_digest &message)
+{
+    return encodeAs(message_kind::Digest, message);
+}
+
+std::vector<std::byte> encodeGossip(const gossip_fetch &message)
+{
+    return encodeAs(message_kind::Fetch, message);
+}
+
+std::vector<std::byte> encodeGossip(const gossip_part &message)
+{
+    return encodeAs(message_kind::Part, message);
+}
+
+result<gossip_message> decodeGossip(std::span<const std::byte> datagram)
+{
+    if (datagram.empty())
+        return error::Malformed;
+    switch (static_cast<message_kind>(datagram.front())) {
+    case message_kind::Digest:
+        return decodeAs<gossip_digest>(datagram.subspan(1));
+    case message_kind::Fetch:
+        return decodeAs<gossip_fetch>(datagram.subspan(1));
+    case message_kind::Part:
+        return decodeAs<gossip_part>(datagram.subspan(1));
+    }
+    return error::Malformed;
+}
+
+std::vector<std::byte> encodeState(const gossip_state &state)
+{
+    return encodeBinary(gossipFormat, state);
+}
+
+result<gossip_state> decodeState(std::span<const std::byte> bytes)
+{
+    return decodeBinary<gossip_state>(gossipFormat, bytes);
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/gossip/gossip_codec_func.h
@@ -0,0 +1,37 @@
+/**
+ * @file gossip_codec_func.h
+ * Encoding of messages between instances with cereal.
+ */
+
+#pragma once
+
+#include "core/core_error.h"
+#include "gossip_type.h"
+
+#include <cstddef>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace chicoryhead {
+
+/** Any message. */
+using gossip_message = std::variant<gossip_digest, gossip_fetch, gossip_part>;
+
+/** Data bytes of a part, so that a datagram crosses any link in one piece. */
+inline constexpr std::size_t maxPartBytes = 1200;
+
+std::vector<std::byte> encodeGossip(const gossip_digest &message);
+std::vector<std::byte> encodeGossip(const gossip_fetch &message);
+std::vector<std::byte> encodeGossip(const gossip_part &message);
+
+/** Decodes a datagram; error::Malformed or error::Unsupported. */
+result<gossip_message> decodeGossip(std::span<const std::byte> datagram);
+
+/** Encodes beliefs; they are sent in parts. */
+std::vector<std::byte> encodeState(const gossip_state &state);
+
+/** Decodes beliefs; error::Malformed or error::Unsupported. */
+result<gossip_state> decodeState(std::span<const std::byte> bytes);
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/gossip/gossip_type.h
@@ -0,0 +1,63 @@
+/**
+ * @file gossip_type.h
+ * Messages between instances.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "sync/fleet_store_base.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chicoryhead {
+
+/** An instance that reads the store, as far as is known by hearsay. */
+struct reader_sighting
+{
+    std::uint64_t rank = 0;  ///< hash of the instance's name; the lowest ranks read
+    std::uint32_t ageMs = 0; ///< since the store answered it
+};
+
+/** What an instance tells others at regular times. */
+struct gossip_digest
+{
+    instance_registration sender;
+    store_revision revision = 0;          ///< that its beliefs include
+    store_revision contentRevision = 0;   ///< of the last change that meant something
+    config_version version = 0;           ///< of the configuration in force
+    std::uint32_t ageMs = 0;              ///< since the revision was confirmed
+    std::vector<reader_sighting> readers; ///< in the sender's domain
+};
+
+/** Asks for the beliefs of the receiver. */
+struct gossip_fetch
+{
+    config_version version = 0; ///< of the asker's configuration; 0 for none
+};
+
+/** Part of the beliefs of an instance. */
+struct gossip_part
+{
+    std::uint32_t transfer = 0; ///< number of the answer, chosen by the sender
+    std::uint16_t index = 0;
+    std::uint16_t count = 1;
+    std::vector<std::uint8_t> bytes;
+};
+
+/** The beliefs of an instance. */
+struct gossip_state
+{
+    store_revision revision = 0;
+    store_revision contentRevision = 0;
+    std::uint32_t ageMs = 0; ///< since the revision was confirmed
+    bool mayLapse = false;   ///< missing announcements may come back
+    bool hasConfig = false;  ///< left out when the asker has it
+    routing_config config;
+    std::vector<upstream_announcement> upstreams;
+    std::vector<instance_registration> instances;
+};
+
+} // namespace chicoryhead
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -11,6 +11,13 @@
 
 namespace chicoryhead {
 
+namespace {
+
+/// How long others are told that announcements may come back; as long as the store's return takes.
+constexpr monotonic_time lapseTime = std::chrono::milliseconds(2200);
+
+} // namespace
+
 fleet_state::fleet_state(routing_table &routes, upstream_directory &directory,
                          flow_placement &placement, event_log &log)
     : m_routes(routes), m_directory(directory), m_placement(placement), m_log(log)
@@ -19,6 +26,10 @@
 
 void fleet_state::apply(const fleet_changes &changes, bool mayLapse, monotonic_time now)
 {
+    if (mayLapse)
+        m_lapsesUntil = now + lapseTime;
+    if (!changes.changes.empty())
+        m_contentRevision = std::max(m_contentRevision, changes.revision);
     for (const fleet_change &change : changes.changes)
         std::visit([&](const auto &item) { applyOne(item, mayLapse, now); }, change);
     confirm(changes.revision, now);
@@ -48,6 +59,44 @@
     m_confirmedAt = std::max(m_confirmedAt, at);
 }
 
+bool fleet_state::adopt(const gossip_state &other, monotonic_time confirmedAt, monotonic_time now)
+{
+    if (other.hasConfig && other.config.version > m_routes.version())
+        applyOne(other.config, other.mayLapse, now);
+    if (other.revision <= m_revision)
+        return false;
+    fleet_changes everything;
+    everything.revision = other.contentRevision;
+    everything.changes.assign(other.upstreams.begin(), other.upstreams.end());
+    everything.changes.insert(everything.changes.end(), other.instances.begin(),
+                              other.instances.end());
+    replace(everything, other.mayLapse, now);
+    m_revision = other.revision;
+    m_confirmedAt = confirmedAt;
+    return true;
+}
+
+gossip_state fleet_state::snapshot(config_version knownVersion, monotonic_time now) const
+{
+    gossip_state made;
+    made.revision = m_revision;
+    made.contentRevision = m_contentRevision;
+    made.mayLapse = now < m_lapsesUntil;
+    made.hasConfig = m_routes.version() > knownVersion;
+    if (made.hasConfig)
+        made.config = m_routes.config();
+    for (const std::string &name : m_directory.announcedNames()) {
+        const auto *record = m_directory.find(name);
+        if (record->standing == upstream_standing::Missing)
+            continue;
+        made.upstreams.push_back(record->announced);
+        made.upstreams.back().warmupLeft = std::max(record->warmUntil - now, monotonic_time {0});
+    }
+    for (const auto &[name, registration] : m_instances)
+        made.instances.push_back(registration);
+    return made;
+}
+
 void fleet_state::expire(monotonic_time now)
 {
     for (const upstream_id id : m_directory.expire(now))
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -11,6 +11,7 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "fleet_store_base.h"
+#include "gossip/gossip_type.h"
 #include "placement/placement_base.h"
 #include "routing/routing_base.h"
 
@@ -38,14 +39,32 @@
     /** The store or an instance that follows it confirmed that nothing is newer. */
     void confirm(store_revision revision, monotonic_time at);
 
+    /**
+     * Takes over what another instance believes, if it is newer.
+     * @param confirmedAt when that was confirmed.
+     * @return whether anything was newer.
+     */
+    bool adopt(const gossip_state &other, monotonic_time confirmedAt, monotonic_time now);
+
+    /**
+     * What another instance can adopt. Lapsed announcements are left out.
+     * @param knownVersion configuration that the other one has; it is not repeated.
+     */
+    gossip_state snapshot(config_version knownVersion, monotonic_time now) const;
+
     /** Lets time pass for announcements that lapsed. */
     void expire(monotonic_time now);
 
     /** Whether a configuration is in force. */
     bool isSynchronised() const { return m_routes.version() > 0; }
 
+    config_version configVersion() const { return m_routes.version(); }
+
     store_revision revision() const { return m_revision; }
 
+    /** Revision of the last change that meant something to this system, or one after it. */
+    store_revision contentRevision() const { return m_contentRevision; }
+
     /** When the revision was last confirmed; 0 for never. */
     monotonic_time confirmedAt() const { return m_confirmedAt; }
 
@@ -66,8 +85,10 @@
     flow_placement &m_placement;
     event_log &m_log;
     std::map<std::string, instance_registration> m_instances;
-    store_revision m_revision = 0; ///< never goes down
+    store_revision m_revision = 0;        ///< never goes down
+    store_revision m_contentRevision = 0; ///< at most m_revision
     monotonic_time m_confirmedAt {0};
+    monotonic_time m_lapsesUntil {0}; ///< announcements that are missing may come back until then
 };
 
 } // namespace chicoryhead
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -23,10 +23,17 @@
 
 void store_follower::tick()
 {
-    if (!m_isWaiting && m_clock.now() >= m_nextCall)
+    if (!m_isWaiting && m_clock.now() >= m_nextCall && needsStore())
         startCall();
 }
 
+bool store_follower::needsStore() const
+{
+    const bool isFresh = m_state.isSynchronised()
+        && m_clock.now() - m_state.confirmedAt() <= m_settings.maxBeliefAge;
+    return !isFresh || !m_isReader || m_isReader();
+}
+
 void store_follower::refresh()
 {
     if (m_isWaiting)
@@ -60,10 +67,7 @@
     }
     noteSuccess(now);
     const fleet_changes &changes = answer.value();
-    if (isLoad)
-        m_state.replace(changes, mayLapse(now), now);
-    else
-        m_state.apply(changes, mayLapse(now), now);
+    applyAnswer(changes, isLoad, now);
     m_needsLoad = false;
     m_nextCall = changes.changes.empty() || isLoad ? now : now + m_settings.batchTime;
     if (m_updateHandler)
@@ -71,6 +75,18 @@
     tick();
 }
 
+void store_follower::applyAnswer(const fleet_changes &changes, bool isLoad, monotonic_time now)
+{
+    // Another instance may have told newer changes while the call waited; going back to older ones
+    // would undo them until the next change.
+    if (changes.revision < m_state.revision())
+        return;
+    if (isLoad)
+        m_state.replace(changes, mayLapse(now), now);
+    else
+        m_state.apply(changes, mayLapse(now), now);
+}
+
 void store_follower::noteSuccess(monotonic_time now)
 {
     if (m_failures > 0) {
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -23,7 +23,9 @@
 {
     /// How long the store may hold a watch open. It bounds how long a connection that fell silent
     /// goes unnoticed, so it stays below the times within which changes must be in force.
-    std::chrono::milliseconds watchWait {2000};
+    std::chrono::milliseconds watchWait {1200};
+    /// Age of the beliefs at which this instance asks the store even if others should tell it.
+    monotonic_time maxBeliefAge = std::chrono::milliseconds(2000);
     /// Pause after an answer with changes, so that one call fetches what changes together.
     monotonic_time batchTime = std::chrono::milliseconds(150);
     monotonic_time firstRetry = std::chrono::milliseconds(100);
@@ -40,6 +42,9 @@
     store_follower(fleet_store &store, fleet_state &state, const clock_source &clock,
                    random_source &random, event_log &log, follower_settings settings = {});
 
+    /** Sets who decides whether this instance reads the store while its beliefs are fresh. */
+    void setReaderPolicy(std::function<bool()> isReader) { m_isReader = std::move(isReader); }
+
     /** Starts a call if one is due. */
     void tick();
 
@@ -55,7 +60,9 @@
     std::uint64_t callsStarted() const { return m_calls; }
 
 private:
+    bool needsStore() const;
     void startCall();
+    void applyAnswer(const fleet_changes &changes, bool isLoad, monotonic_time now);
     void finish(const result<fleet_changes> &answer, bool isLoad);
     void noteSuccess(monotonic_time now);
     void noteFailure(std::error_code code, monotonic_time now);
@@ -75,6 +82,7 @@
     monotonic_time m_nextCall {0};
     monotonic_time m_returnedAt {0};
     std::function<void()> m_updateHandler; ///< may be empty
+    std::function<bool()> m_isReader;      ///< empty if this instance always reads
 };
 
 } // namespace chicoryhead
--- a/tests/entry/test_sync.cpp
+++ b/tests/entry/test_sync.cpp
@@ -201,3 +201,54 @@
     }
     CHECK(pauses.size() > 5);
 }
+
+TEST_CASE("An instance that need not read leaves the store alone while its beliefs are fresh",
+          "[sync]")
+{
+    follower_fixture fixture;
+    bool isReader = true;
+    fixture.follower.setReaderPolicy([&] { return isReader; });
+    fixture.synchronise();
+    REQUIRE(fixture.store.isCalled());
+    isReader = false;
+    fixture.store.answer(fleet_changes {100, {}});
+    CHECK_FALSE(fixture.store.isCalled());
+    SECTION("it asks when they grow old")
+    {
+        // Guards against changes that nobody tells because all readers died.
+        CHECK(fixture.untilCall() <= 2050ms);
+    }
+    SECTION("it does not while others confirm them")
+    {
+        for (int i = 0; i < 100; ++i) {
+            fixture.state.confirm(100, fixture.clock.now());
+            fixture.step(100ms);
+            CHECK_FALSE(fixture.store.isCalled());
+        }
+    }
+    SECTION("it asks when it becomes a reader")
+    {
+        isReader = true;
+        CHECK(fixture.untilCall() <= 10ms);
+    }
+}
+
+TEST_CASE("The answer of a watch that others overtook changes nothing", "[sync]")
+{
+    // Guards against an upstream's state that goes back and stays back until its next change.
+    follower_fixture fixture;
+    fixture.synchronise();
+    REQUIRE(fixture.store.call().after == 100);
+    auto leaving = makeUpstream("i-1", "desk", "a");
+    leaving.isDraining = true;
+    gossip_state newer;
+    newer.revision = 120;
+    newer.contentRevision = 120;
+    newer.upstreams = {leaving, makeUpstream("i-2", "desk", "a")};
+    REQUIRE(fixture.state.adopt(newer, fixture.clock.now(), fixture.clock.now()));
+    fixture.store.answer(fleet_changes {110, {makeUpstream("i-1", "desk", "a")}});
+    CHECK(fixture.standingOf("i-1") == upstream_standing::Draining);
+    CHECK(fixture.state.revision() == 120);
+    CHECK(fixture.untilCall() <= 200ms);
+    CHECK(fixture.store.call().after == 120);
+}
