Fix: a crowded domain sends new flows to the others

Ruled out: the static share by slots alone (the domain had its part of the slots).

Change: when the median latency of the own upstreams is above 2.2 times the service's best, the share of flows that stay falls with the square of the excess; capacities count slow and cold upstreams less.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -28,11 +28,11 @@
                                    [](const auto &options) { return !options.empty(); });
     if (best == groups.end())
         return std::nullopt;
-    const bool isOwnDomain = best == groups.begin();
-    const auto &options = isOwnDomain && leavesDomain(service, groups)
-        ? groups.at(static_cast<std::size_t>(choice_group::OtherDomain))
-        : *best;
-    return takeTurn(options, medianLatency(upstreams, now), now);
+    const double median = medianLatency(upstreams, now);
+    const bool leaves = best == groups.begin() && leavesDomain(service, groups, median, now);
+    const auto &options =
+        leaves ? groups.at(static_cast<std::size_t>(choice_group::OtherDomain)) : *best;
+    return takeTurn(options, median, now);
 }
 
 domain_first_placement::grouped_upstreams
@@ -49,28 +49,60 @@
 }
 
 bool domain_first_placement::leavesDomain(const std::string &service,
-                                          const grouped_upstreams &groups)
+                                          const grouped_upstreams &groups, double median,
+                                          monotonic_time now)
 {
-    const auto &others = groups.at(static_cast<std::size_t>(choice_group::OtherDomain));
-    if (others.empty())
+    if (groups.at(static_cast<std::size_t>(choice_group::OtherDomain)).empty())
         return false;
-    const double own = slotsOf(groups.at(static_cast<std::size_t>(choice_group::OwnDomain)));
-    const double mean = (own + slotsOf(others)) / static_cast<double>(m_position.domainCount);
-    const double keptShare = std::min(1.0, own / (m_limits.keptCapacity * mean));
     double &owed = m_owedToOthers[service];
-    owed += 1 - keptShare;
+    owed += 1 - keptShare(service, groups, median, now);
     if (owed < 1)
         return false;
     owed -= 1;
     return true;
 }
 
-double domain_first_placement::slotsOf(std::span<const upstream_id> upstreams) const
+double domain_first_placement::keptShare(const std::string &service,
+                                         const grouped_upstreams &groups, double median,
+                                         monotonic_time now) const
+{
+    const auto &ownUpstreams = groups.at(static_cast<std::size_t>(choice_group::OwnDomain));
+    const auto &others = groups.at(static_cast<std::size_t>(choice_group::OtherDomain));
+    const double own = capacityOf(ownUpstreams, median, now);
+    const double mean =
+        (own + capacityOf(others, median, now)) / static_cast<double>(m_position.domainCount);
+    const double byCapacity = std::min(1.0, own / (m_limits.keptCapacity * mean));
+
+    const auto best = m_best.find(service);
+    const double ownLatency = medianLatency(ownUpstreams, now);
+    if (best == m_best.end() || ownLatency <= m_limits.crowdedRatio * best->second.latency)
+        return byCapacity;
+    // The share falls with the square, so that it settles where latency is a little above the
+    // ratio.
+    const double crowding = ownLatency / (m_limits.crowdedRatio * best->second.latency);
+    return byCapacity / (crowding * crowding);
+}
+
+double domain_first_placement::capacityOf(std::span<const upstream_id> upstreams, double median,
+                                          monotonic_time now) const
 {
-    double slots = 0;
+    double capacity = 0;
     for (const upstream_id id : upstreams)
-        slots += m_directory.find(id)->announced.slots;
-    return slots;
+        capacity += weightOf(*m_directory.find(id), median, now);
+    return capacity;
+}
+
+void domain_first_placement::noteBestLatency(const std::string &service, double latency,
+                                             monotonic_time now)
+{
+    best_latency &best = m_best[service];
+    if (best.latency > 0) {
+        const double seconds = std::chrono::duration<double>(now - best.at).count();
+        best.latency *= 1 + m_limits.bestLatencyGrowth * seconds;
+    }
+    best.at = now;
+    if (best.latency <= 0 || latency < best.latency)
+        best.latency = latency;
 }
 
 void domain_first_placement::noteUnanswered(upstream_id upstream, monotonic_time now)
@@ -105,6 +137,9 @@
         ++known.latencies;
     }
     known.latencyAt = now;
+    const auto *record = m_directory.find(upstream);
+    if (record != nullptr && known.latencies >= m_limits.minLatencies)
+        noteBestLatency(record->announced.service, known.latency, now);
 }
 
 void domain_first_placement::forget(upstream_id upstream)
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -79,6 +79,11 @@
     /// domain. Below it some go to other domains, so that its upstreams are at most 1/0.75 times as
     /// busy as the mean; at the usual load of 40 to 50% that leaves them room.
     double keptCapacity = 0.75;
+    /// The own domain counts as crowded when the median latency of its upstreams is above this
+    /// multiple of the service's best. Averages of a few requests differ by up to 1.5 without load.
+    double crowdedRatio = 2.2;
+    /// Growth of the best latency per second, so that it follows a service that became slower.
+    double bestLatencyGrowth = 0.05;
 };
 
 /** Where an instance is. */
@@ -125,6 +130,13 @@
         monotonic_time latencyAt {0};
     };
 
+    /** Lowest average latency of a service's upstreams. */
+    struct best_latency
+    {
+        double latency = 0; ///< in microseconds
+        monotonic_time at {0};
+    };
+
     /** How good a choice an upstream is; a lower group is chosen only when the others are empty. */
     enum class choice_group : std::uint8_t {
         OwnDomain,
@@ -141,8 +153,13 @@
 
     grouped_upstreams group(std::span<const upstream_id> upstreams,
                             std::span<const upstream_id> tried, monotonic_time now) const;
-    bool leavesDomain(const std::string &service, const grouped_upstreams &groups);
-    double slotsOf(std::span<const upstream_id> upstreams) const;
+    bool leavesDomain(const std::string &service, const grouped_upstreams &groups, double median,
+                      monotonic_time now);
+    double keptShare(const std::string &service, const grouped_upstreams &groups, double median,
+                     monotonic_time now) const;
+    double capacityOf(std::span<const upstream_id> upstreams, double median,
+                      monotonic_time now) const;
+    void noteBestLatency(const std::string &service, double latency, monotonic_time now);
 
     choice_group groupOf(const upstream_record &record, std::span<const upstream_id> tried,
                          monotonic_time now) const;
@@ -157,6 +174,7 @@
     std::unordered_map<upstream_id, experience> m_experience;
     /// By service: part of a flow that is owed to other domains; at 1 the next flow goes there.
     std::map<std::string, double> m_owedToOthers;
+    std::map<std::string, best_latency> m_best; ///< by service
 };
 
 } // namespace chicoryhead
--- a/tests/entry/test_placement.cpp
+++ b/tests/entry/test_placement.cpp
@@ -157,6 +157,55 @@
     CHECK(counts.at("i-b0") == Approx(counts.at("i-c0")).margin(2));
 }
 
+namespace {
+
+/// Latencies of all upstreams of a domain.
+void noteLatencies(placement_fixture &fixture, const std::string &domain, monotonic_time latency,
+                   monotonic_time now)
+{
+    for (int sample = 0; sample < 12; ++sample) {
+        for (int i = 0; i < 4; ++i)
+            fixture.placement.noteLatency(fixture.idOf("i-" + domain + std::to_string(i)), latency,
+                                          now);
+    }
+}
+
+int countInDomain(const std::map<std::string, int> &counts, const std::string &domain)
+{
+    int total = 0;
+    for (const auto &[name, count] : counts)
+        total += name.substr(0, 3) == "i-" + domain ? count : 0;
+    return total;
+}
+
+} // namespace
+
+TEST_CASE("Shifted callers: a crowded domain sends flows to the others until it is not",
+          "[placement]")
+{
+    // Guards against a domain that sheds while the others have room (found by a day of our own:
+    // 60% of a domain's callers moved into one with slow upstreams).
+    placement_fixture fixture;
+    noteLatencies(fixture, "a", 50ms, 1s);
+    CHECK(countInDomain(fixture.placeMany(100, 1s), "a") == 100);
+    noteLatencies(fixture, "a", 220ms, 2s);
+    // 220 ms is 2 times the crowded ratio of 2.2 times 50 ms: a quarter stays.
+    CHECK(countInDomain(fixture.placeMany(1000, 2s), "a") == Approx(270).margin(30));
+    noteLatencies(fixture, "a", 60ms, 3s);
+    CHECK(countInDomain(fixture.placeMany(100, 3s), "a") == 100);
+}
+
+TEST_CASE("A service that is slow everywhere keeps its flows at home", "[placement]")
+{
+    // Guards against flows that cross domains although the others are no faster: the best latency
+    // follows a service that became slower.
+    placement_fixture fixture;
+    noteLatencies(fixture, "a", 50ms, 1s);
+    for (int second = 2; second <= 60; ++second)
+        noteLatencies(fixture, "a", 150ms, std::chrono::seconds(second));
+    CHECK(countInDomain(fixture.placeMany(100, 60s), "a") == 100);
+}
+
 TEST_CASE("A domain with a little less than its part of the slots keeps its flows", "[placement]")
 {
     // Guards against flows that cross domains for no gain: a cut would break them.
