Feature: settings that change without a signal, requests that callers repeat are logged

Cause: the settings file may change without SIGHUP; a caller whose upstream died sends its request again, and no line told for how long it had no answer.

Change: the file is read each second and checked as a whole when its content differs; bounds and the store's address take effect at once. request_repeated names request, flow, upstream and the time without answer. SIGPIPE is ignored, so a log reader that goes away does not end the process.

--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -87,6 +87,9 @@
 public:
     explicit upstream_directory(directory_settings settings = {}) : m_settings(settings) { }
 
+    /** Uses other times from now on. */
+    void setSettings(const directory_settings &settings) { m_settings = settings; }
+
     /** Adds an upstream or updates its record. */
     directory_change announce(const upstream_announcement &announced, monotonic_time now);
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -269,13 +269,7 @@
         return formatMilliseconds(m_activeAt - m_state.confirmedAt());
     };
     if (decision.reason == packet_reason::Steered) {
-        if (!decision.isFirstRequestPacket || !m_log.isEnabled("request_forwarded"))
-            return;
-        m_log.write("request_forwarded",
-                    {{"request", std::string(platform::requestIdOf(bytes))},
-                     {"flow", formatFlow(packet.flow)},
-                     {"upstream", decision.upstream->announced.name},
-                     {"standing", std::string(toString(decision.upstream->standing))}});
+        logRequest(packet, bytes, decision);
         return;
     }
     const bool isForwarded = decision.action == packet_action::Forward;
@@ -293,6 +287,25 @@
                  {"belief_age_ms", age()}});
 }
 
+void entry_process::logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
+                               const packet_decision &decision)
+{
+    const bool isRepeated = decision.unansweredFor.count() > 0;
+    if (!isRepeated && !decision.isFirstRequestPacket)
+        return;
+    const std::string_view event = isRepeated ? "request_repeated" : "request_forwarded";
+    if (!m_log.isEnabled(event))
+        return;
+    const upstream_record &upstream = *decision.upstream;
+    m_log.write(event,
+                {{"request", std::string(platform::requestIdOf(bytes))},
+                 {"flow", formatFlow(packet.flow)},
+                 {"upstream", upstream.announced.name},
+                 {"standing", std::string(toString(upstream.standing))},
+                 {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
+                 {"belief_age_ms", formatMilliseconds(m_activeAt - m_state.confirmedAt())}});
+}
+
 void entry_process::scheduleTick()
 {
     m_timer.expires_after(tickTime);
@@ -325,6 +338,8 @@
     m_forwarder.expire(m_activeAt);
     m_state.expire(m_activeAt);
     registerSelf();
+    // The file may change without a signal.
+    reloadSettings();
 }
 
 void entry_process::registerSelf()
@@ -362,18 +377,27 @@
 
 void entry_process::reloadSettings()
 {
-    const auto reread = m_reread();
-    if (!reread) {
+    const auto reading = m_reread();
+    if (!reading.isChanged)
+        return;
+    if (!reading.settings) {
         m_log.write("settings_rejected", {{"kept", "1"}});
         return;
     }
-    if (*reread == m_settings)
-        return;
-    m_store.setServer(reread->storeAddress);
-    const bool needsRestart = reread->dataAddress != m_settings.dataAddress
-        || reread->statusAddress != m_settings.statusAddress || reread->domain != m_settings.domain
-        || reread->name != m_settings.name;
-    m_settings.storeAddress = reread->storeAddress;
+    const entry_settings &changed = *reading.settings;
+    const bool needsRestart = changed.dataAddress != m_settings.dataAddress
+        || changed.statusAddress != m_settings.statusAddress
+        || changed.peerAddress != m_settings.peerAddress || changed.domain != m_settings.domain
+        || changed.name != m_settings.name;
+    m_settings.storeAddress = changed.storeAddress;
+    m_settings.configBound = changed.configBound;
+    m_settings.drainBound = changed.drainBound;
+    m_settings.stopGrace = changed.stopGrace;
+    m_settings.flowLifetime = changed.flowLifetime;
+    m_store.setServer(m_settings.storeAddress);
+    m_follower.setSettings(followerSettings(m_settings));
+    m_directory.setSettings(directorySettings(m_settings));
+    m_stop.setSettings(stopSettings(m_settings));
     m_log.write("settings_reloaded",
                 {{"store", toString(m_settings.storeAddress)},
                  {"needs_restart", needsRestart ? "1" : "0"}});
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -43,8 +43,15 @@
     wall_time wallNow() const override;
 };
 
-/** Reads settings again; nothing when they can't be used. */
-using settings_source = std::function<std::optional<entry_settings>()>;
+/** Outcome of reading the settings again. */
+struct settings_reading
+{
+    bool isChanged = false;                 ///< since the last reading
+    std::optional<entry_settings> settings; ///< nothing when they can't be used
+};
+
+/** Reads the settings again. */
+using settings_source = std::function<settings_reading()>;
 
 /** Runs one entry instance until it is told to stop. */
 class entry_process : private peer_sink
@@ -70,6 +77,8 @@
                   const packet_decision &decision);
     void logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
                      const packet_decision &decision);
+    void logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
+                    const packet_decision &decision);
     void sendReset(const caller_packet &packet);
     bool noteActivity();
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -5,15 +5,15 @@
 
 #include "entry_process_base.h"
 #include "platform/settings_codec.h"
+#include "settings_file_base.h"
 
 #include <gflags/gflags.h>
 
+#include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <exception>
-#include <fstream>
 #include <iostream>
-#include <optional>
-#include <sstream>
 #include <string>
 
 DEFINE_string(settings, "", "settings file (JSON); the environment names it when this is empty");
@@ -25,30 +25,10 @@
 constexpr int exitUsage = 2;
 constexpr int exitInvalidSettings = 3;
 
-std::optional<chicoryhead::entry_settings> readSettings(const std::string &path)
-{
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        std::cerr << "chicoryhead-entry: " << path << ": can't be read\n";
-        return std::nullopt;
-    }
-    std::vector<chicoryhead::platform::settings_problem> problems;
-    auto settings = chicoryhead::platform::decodeSettings(text.str(), problems);
-    for (const auto &problem : problems)
-        std::cerr << "chicoryhead-entry: " << path << ": " << problem.path << ' ' << problem.reason
-                  << '\n';
-    if (!problems.empty())
-        return std::nullopt;
-    settings.metricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port);
-    return settings;
-}
-
-int serve(const chicoryhead::entry_settings &settings, const std::string &path)
+int serve(const chicoryhead::entry_settings &settings, chicoryhead::settings_file &file)
 {
     try {
-        chicoryhead::entry_process process(settings, [path] { return readSettings(path); });
+        chicoryhead::entry_process process(settings, [&file] { return file.read(); });
         process.run();
     } catch (const std::exception &failure) {
         std::cerr << "chicoryhead-entry: " << failure.what() << '\n';
@@ -72,12 +52,15 @@
         std::cerr << "chicoryhead-entry: no settings file, or a port out of range; see --help\n";
         return exitUsage;
     }
-    const auto settings = readSettings(path);
-    if (!settings)
+    // A log reader that went away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    chicoryhead::settings_file file(path, static_cast<std::uint16_t>(FLAGS_metrics_port));
+    const auto reading = file.read();
+    if (!reading.settings)
         return exitInvalidSettings;
     if (FLAGS_check) {
         std::cout << path << ": valid\n";
         return EXIT_SUCCESS;
     }
-    return serve(*settings, path);
+    return serve(*reading.settings, file);
 }
--- /dev/null
+++ b/src/entry/settings_file_base.h
@@ -0,0 +1,35 @@
+/**
+ * @file settings_file_base.h
+ * The settings file of an entry process.
+ */
+
+#pragma once
+
+#include "entry_process_base.h"
+#include "entry_settings_type.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chicoryhead {
+
+/** Reads the file and tells whether it changed; problems go to standard error once per content. */
+class settings_file
+{
+public:
+    /** @param metricsPort is no part of the file. */
+    settings_file(std::string path, std::uint16_t metricsPort);
+
+    /** Reads the file. One that can't be read counts as unusable. */
+    settings_reading read();
+
+private:
+    std::optional<entry_settings> decode(const std::string &text) const;
+
+    std::string m_path;
+    std::uint16_t m_metricsPort;
+    std::optional<std::string> m_text; ///< as it was read last
+};
+
+} // namespace chicoryhead
--- a/src/entry/stop_sequence_base.h
+++ b/src/entry/stop_sequence_base.h
@@ -31,6 +31,9 @@
 public:
     explicit stop_sequence(stop_settings settings = {}) : m_settings(settings) { }
 
+    /** Uses other times from now on. */
+    void setSettings(const stop_settings &settings) { m_settings = settings; }
+
     void begin(monotonic_time now);
 
     bool isStopping() const { return m_isStopping; }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -181,6 +181,9 @@
         }
         flow->requestAt = monotonic_time {0};
     }
+    const bool isWaiting = flow->requestAt.count() > 0;
+    if (packet.dataBytes > 0 && isWaiting && packet.sequence == flow->requestSequence)
+        decision.unansweredFor = now - flow->requestAt;
     decision.isFirstRequestPacket = packet.dataBytes > 0 && flow->requestAt.count() == 0
         && (flow->requestSequence == 0 || isAfter(packet.sequence, flow->requestSequence));
     if (decision.isFirstRequestPacket) {
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -45,6 +45,9 @@
     /** Sets who decides whether this instance reads the store while its beliefs are fresh. */
     void setReaderPolicy(std::function<bool()> isReader) { m_isReader = std::move(isReader); }
 
+    /** Uses other times from the next call on. */
+    void setSettings(const follower_settings &settings) { m_settings = settings; }
+
     /** Starts a call if one is due. */
     void tick();
 
--- a/tests/entry/test_entry_parts.cpp
+++ b/tests/entry/test_entry_parts.cpp
@@ -4,6 +4,7 @@
  */
 
 #include "entry/entry_metrics_base.h"
+#include "entry/settings_file_base.h"
 #include "entry/stop_sequence_base.h"
 #include "entry_support.h"
 #include "eventlog/event_log_base.h"
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 
 using namespace chicoryhead;
 using namespace chicoryhead::test;
@@ -138,3 +140,39 @@
     CHECK(text.find("chicoryhead_store_calls_total{outcome=\"answered\"} 3\n")
           != std::string::npos);
 }
+
+TEST_CASE("A settings file that changes without a signal is noticed once", "[settings]")
+{
+    std::string path = "/tmp/chicoryhead-settings-XXXXXX";
+    const int descriptor = ::mkstemp(path.data());
+    REQUIRE(descriptor >= 0);
+    ::close(descriptor);
+    const auto write = [&](const std::string &store, const std::string &grace) {
+        std::ofstream(path)
+            << R"({"node_id":"f1","zone":"a","listen_addrs":{"datagram_addr":)"
+            << R"("10.1.0.10:8172","ready":"10.1.0.10:8167"},"platform":{"address":")" << store
+            << R"("},"internal_ports":[7720,7735],"bounds":{)"
+            << R"("config_apply_ms":3000,"drain_ms":3000,"flow_ttl_s":60,"grace_s":)" << grace
+            << "}}";
+    };
+    settings_file file(path, 9102);
+    write("10.200.1.7:8169", "6");
+    const auto first = file.read();
+    REQUIRE(first.settings);
+    CHECK(first.isChanged);
+    CHECK(first.settings->metricsPort == 9102);
+    CHECK_FALSE(file.read().isChanged);
+
+    write("10.200.1.8:8169", "6");
+    const auto second = file.read();
+    REQUIRE(second.settings);
+    CHECK(toString(second.settings->storeAddress) == "10.200.1.8:8169");
+
+    write("10.200.1.8:8169", "\"soon\"");
+    const auto bad = file.read();
+    CHECK(bad.isChanged);
+    CHECK_FALSE(bad.settings);
+    CHECK_FALSE(file.read().isChanged);
+    ::unlink(path.c_str());
+    CHECK(file.read().isChanged);
+}
--- a/tests/entry/test_forwarder.cpp
+++ b/tests/entry/test_forwarder.cpp
@@ -193,8 +193,9 @@
     CHECK(request.isFirstRequestPacket);
     CHECK(request.latency == 0s);
     // The same data again is a retransmission and begins nothing.
-    CHECK_FALSE(
-        fixture.decide(makeData(1, opened.tag, 1001, 500, 300), 2200ms).isFirstRequestPacket);
+    const auto again = fixture.decide(makeData(1, opened.tag, 1001, 500, 300), 2200ms);
+    CHECK_FALSE(again.isFirstRequestPacket);
+    CHECK(again.unansweredFor == 200ms);
     CHECK(fixture.decide(makeData(1, opened.tag, 1301, 900, 0), 2500ms).latency == 500ms);
     CHECK(fixture.decide(makeData(1, opened.tag, 1301, 1400, 0), 2600ms).latency == 0s);
     CHECK(fixture.decide(makeData(1, opened.tag, 1301, 1400, 300), 3s).isFirstRequestPacket);
