--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -10,6 +10,7 @@
 #include <cereal/types/string.hpp>
 
 #include <cstdint>
+#include <stdexcept>
 
 namespace chicoryhead {
 
@@ -41,6 +42,23 @@
     archive(cereal::binary_data(text.data(), text.size()));
 }
 
+template<typename Archive>
+void saveFlag(Archive &archive, bool flag)
+{
+    archive(static_cast<std::uint8_t>(flag ? 1 : 0));
+}
+
+/// A byte other than 0 and 1 in a bool is undefined behaviour, and damaged messages have them.
+template<typename Archive>
+void loadFlag(Archive &archive, bool &flag)
+{
+    std::uint8_t byte = 0;
+    archive(byte);
+    if (byte > 1)
+        throw std::out_of_range("flag is neither 0 nor 1");
+    flag = byte == 1;
+}
+
 template<typename Archive>
 void saveTime(Archive &archive, monotonic_time time)
 {
@@ -143,7 +161,8 @@
     saveBounded(archive, value.targets);
     saveTime(archive, value.targetLatency);
     saveTime(archive, value.timeout);
-    archive(static_cast<std::uint32_t>(value.priority), value.isIdempotent);
+    archive(static_cast<std::uint32_t>(value.priority));
+    saveFlag(archive, value.isIdempotent);
 }
 
 template<typename Archive>
@@ -157,7 +176,8 @@
     loadTime(archive, value.targetLatency);
     loadTime(archive, value.timeout);
     std::uint32_t priority = 0;
-    archive(priority, value.isIdempotent);
+    archive(priority);
+    loadFlag(archive, value.isIdempotent);
     value.priority = priority;
 }
 
@@ -185,7 +205,8 @@
     saveText(archive, value.service);
     archive(value.address);
     saveText(archive, value.domain);
-    archive(static_cast<std::uint32_t>(value.slots), value.isDraining);
+    archive(static_cast<std::uint32_t>(value.slots));
+    saveFlag(archive, value.isDraining);
     saveTime(archive, value.warmupLeft);
     archive(value.startedAtMs, value.announcements);
 }
@@ -199,7 +220,8 @@
     archive(value.address);
     loadText(archive, value.domain);
     std::uint32_t slots = 0;
-    archive(slots, value.isDraining);
+    archive(slots);
+    loadFlag(archive, value.isDraining);
     value.slots = slots;
     loadTime(archive, value.warmupLeft);
     archive(value.startedAtMs, value.announcements);
@@ -208,7 +230,9 @@
 template<typename Archive>
 void save(Archive &archive, const gossip_state &value)
 {
-    archive(value.revision, value.contentRevision, value.ageMs, value.mayLapse, value.hasConfig);
+    archive(value.revision, value.contentRevision, value.ageMs);
+    saveFlag(archive, value.mayLapse);
+    saveFlag(archive, value.hasConfig);
     if (value.hasConfig)
         archive(value.config);
     saveBounded(archive, value.upstreams);
@@ -218,7 +242,9 @@
 template<typename Archive>
 void load(Archive &archive, gossip_state &value)
 {
-    archive(value.revision, value.contentRevision, value.ageMs, value.mayLapse, value.hasConfig);
+    archive(value.revision, value.contentRevision, value.ageMs);
+    loadFlag(archive, value.mayLapse);
+    loadFlag(archive, value.hasConfig);
     if (value.hasConfig)
         archive(value.config);
     loadBounded(archive, value.upstreams, maxListed);
