--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -282,6 +282,8 @@
                 {{"flow", formatFlow(packet.flow)},
                  {"reason", std::string(toString(decision.reason))},
                  {"upstream", isForwarded ? decision.upstream->announced.name : "none"},
+                 {"unanswered_by",
+                  decision.unanswered != nullptr ? decision.unanswered->announced.name : "none"},
                  {"copy", packet.isOpening ? std::to_string(packet.acknowledged) : "none"},
                  {"version", std::to_string(m_routes.version())},
                  {"belief_age_ms", age()}});
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -89,11 +89,13 @@
 
     observed_flow *flow = m_observer.find(packet.flow);
     const bool isCopy = flow != nullptr && flow->start == packet.sequence && flow->triedCount > 0;
+    const upstream_record *unanswered = nullptr;
     if (isCopy) {
         flow->seenAt = now;
         if (const upstream_record *upstream = repeatTarget(*flow, now))
             return forwardTo(packet, *upstream, packet_reason::Repeated);
         m_placement.noteUnanswered(flow->upstream, now);
+        unanswered = m_directory.find(flow->upstream);
     }
     const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
     const std::string &service = routing_table::selectService(*selected, hash);
@@ -116,8 +118,10 @@
     }
     const auto *upstream = m_directory.find(*chosen);
     assert(upstream != nullptr);
-    return forwardTo(packet, *upstream,
-                     isCopy ? packet_reason::PlacedAgain : packet_reason::Placed);
+    auto decision =
+        forwardTo(packet, *upstream, isCopy ? packet_reason::PlacedAgain : packet_reason::Placed);
+    decision.unanswered = unanswered;
+    return decision;
 }
 
 const upstream_record *forwarder::repeatTarget(const observed_flow &flow, monotonic_time now) const
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -55,7 +55,9 @@
     packet_reason reason = packet_reason::Malformed;
     const upstream_record *upstream = nullptr; ///< not null if and only if forwarded
     steering_tag tag = noTag;                  ///< to write into the packet when forwarded
-    bool isFirstRequestPacket = false;         ///< first data of a request as far as seen here
+    /// Upstream that left an earlier copy of this opening packet unanswered; null for none.
+    const upstream_record *unanswered = nullptr;
+    bool isFirstRequestPacket = false; ///< first data of a request as far as seen here
     /// Since the request was first seen, when the caller sends its data again; 0 otherwise.
     monotonic_time unansweredFor {0};
     monotonic_time latency {0}; ///< of a request whose answer this packet acknowledges; 0 for none
--- a/tests/entry/test_forwarder.cpp
+++ b/tests/entry/test_forwarder.cpp
@@ -130,6 +130,7 @@
     const auto second = fixture.decide(makeOpening(1, 1), 1200ms);
     CHECK(second.upstream != first.upstream);
     CHECK(second.reason == packet_reason::PlacedAgain);
+    CHECK(second.unanswered == first.upstream);
     const auto third = fixture.decide(makeOpening(1, 2), 1600ms);
     CHECK(third.upstream != first.upstream);
     CHECK(third.upstream != second.upstream);
