Feature: registrations of instances that are gone are removed

Change: a reader removes the registration of an instance of its domain that was not heard of for 60 s, or for four turns of the digests in a large domain. An instance that was removed wrongly registers again. Only one write is under way at a time.

Ruled out: leases (a renewal is priced, each instance would pay), removal on SIGTERM (most stops are restarts under the same name).

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -187,6 +187,22 @@
         forwardPacket(packet.value(), bytes);
 }
 
+void entry_process::removeSilentInstance()
+{
+    if (m_isWriting || !m_gossip.isReader() || !m_follower.isStoreReachable())
+        return;
+    const auto silent = m_gossip.silentInstances();
+    if (silent.empty())
+        return;
+    m_isWriting = true;
+    const std::string name = silent.front();
+    m_store.removeInstance(name, [this, name](std::error_code code) {
+        m_isWriting = false;
+        m_log.write("instance_removed",
+                    {{"removed", name}, {"outcome", code ? code.message() : "done"}});
+    });
+}
+
 void entry_process::sendToPeer(const endpoint &peer, std::span<const std::byte> datagram)
 {
     m_peers.send(peer, datagram);
@@ -340,6 +356,7 @@
     m_forwarder.expire(m_activeAt);
     m_state.expire(m_activeAt);
     registerSelf();
+    removeSilentInstance();
     // The file may change without a signal.
     reloadSettings();
 }
@@ -349,11 +366,11 @@
     const instance_registration own {m_settings.name, m_settings.domain, m_settings.peerAddress};
     const auto known = m_state.instances().find(own.name);
     const bool isKnown = known != m_state.instances().end() && known->second == own;
-    if (!m_state.isSynchronised() || isKnown || m_isRegistering || m_stop.isStopping())
+    if (!m_state.isSynchronised() || isKnown || m_isWriting || m_stop.isStopping())
         return;
-    m_isRegistering = true;
+    m_isWriting = true;
     m_store.registerInstance(own, [this](std::error_code code) {
-        m_isRegistering = false;
+        m_isWriting = false;
         m_log.write("instance_registered", {{"outcome", code ? code.message() : "done"}});
     });
 }
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -70,6 +70,7 @@
     void sendToPeer(const endpoint &peer, std::span<const std::byte> datagram) override;
     void onPeerDatagram(std::span<const std::byte> bytes, const endpoint &from);
     void registerSelf();
+    void removeSilentInstance();
     void onDatagram(std::span<const std::byte> bytes);
     void onUpdate();
     void forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes);
@@ -121,7 +122,7 @@
     monotonic_time m_activeAt {0};      ///< when an event was last handled
     monotonic_time m_distrustUntil {0}; ///< opening packets read before may have waited for long
     monotonic_time m_nextSecond {0};
-    bool m_isRegistering = false;  ///< a write of the own registration is under way
+    bool m_isWriting = false;      ///< a write to the store is under way
     monotonic_time m_packetAt {0}; ///< when the last packet of a caller came
 };
 
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -94,10 +94,34 @@
     return static_cast<std::size_t>(before) < m_settings.readersPerDomain;
 }
 
+std::vector<std::string> gossip::silentInstances()
+{
+    const auto now = m_clock.now();
+    const auto known = peers(true).size();
+    const auto turn = m_settings.period
+        * static_cast<std::int64_t>(known / std::max<std::size_t>(m_settings.ownFanout, 1) + 1);
+    const auto limit =
+        std::max(m_settings.silence, turn * static_cast<std::int64_t>(m_settings.silentTurns));
+    std::vector<std::string> silent;
+    for (const auto &[name, registration] : m_state.instances()) {
+        if (name == m_own.name || registration.domain != m_own.domain)
+            continue;
+        // A registration counts from when it was first seen here.
+        const auto heardAt = m_heardAt.try_emplace(name, now).first->second;
+        if (now - heardAt > limit)
+            silent.push_back(name);
+    }
+    std::erase_if(m_heardAt,
+                  [&](const auto &entry) { return !m_state.instances().contains(entry.first); });
+    return silent;
+}
+
 bool gossip::onDigest(const endpoint &from, const gossip_digest &digest)
 {
-    if (digest.sender.domain == m_own.domain)
+    if (digest.sender.domain == m_own.domain) {
+        m_heardAt[digest.sender.name] = m_clock.now();
         mergeReaders(digest);
+    }
     const bool isBehind =
         digest.contentRevision > m_state.revision() || digest.version > m_state.configVersion();
     if (isBehind) {
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -34,6 +34,10 @@
     /// A reader whose store has not answered for this long does not count.
     monotonic_time readerAge = std::chrono::milliseconds(2500);
     monotonic_time fetchRetry = std::chrono::milliseconds(250);
+    /// An instance that was not heard of for this long is taken for replaced under another name.
+    monotonic_time silence = std::chrono::seconds(60);
+    /// In large domains an instance is told in turn; this many turns without a word are silence.
+    std::size_t silentTurns = 4;
 };
 
 /** Gossip of one instance, without sockets. */
@@ -59,6 +63,9 @@
     /** Whether this instance should read the store. */
     bool isReader() const;
 
+    /** Registered instances of the own domain that are silent; their registrations can go. */
+    std::vector<std::string> silentInstances();
+
     /** Messages that could not be decoded. */
     std::uint64_t malformedMessages() const { return m_malformed; }
 
@@ -90,7 +97,8 @@
     event_log &m_log;
     gossip_settings m_settings;
     part_assembler m_assembler;
-    reader_times m_readers; ///< of the own domain, without this instance
+    std::map<std::string, monotonic_time> m_heardAt; ///< instances of the own domain
+    reader_times m_readers;                          ///< of the own domain, without this instance
     /// Instances of the own domain in a random order. They are told in turn, because with targets
     /// drawn anew each time some would hear nothing for seconds.
     std::vector<endpoint> m_turns;
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -82,7 +82,10 @@
     /** Abandons a load or watch that is under way. */
     virtual void abandon() = 0;
 
-    /** Registers this instance; replaces an earlier registration under its name. */
+    /**
+     * Registers this instance; replaces an earlier registration under its name. Only one write may
+     * be under way.
+     */
     virtual void registerInstance(const instance_registration &own, write_handler done) = 0;
 
     /** Removes the registration of an instance. */
--- a/tests/entry/test_gossip.cpp
+++ b/tests/entry/test_gossip.cpp
@@ -274,6 +274,23 @@
     CHECK(fixture.instances[14]->directory.size() == 18);
 }
 
+TEST_CASE("The registration of an instance that is gone for good is found", "[gossip]")
+{
+    // Guards against registrations that pile up in the store as instances are replaced.
+    gossip_fixture fixture(12);
+    for (auto &instance : fixture.instances)
+        fixture.giveTo(*instance, fixture.content(100, 1));
+    fixture.run(1s);
+    gossip &observer = fixture.instances[0]->talk;
+    CHECK(observer.silentInstances().empty());
+    fixture.network.attach(fixture.registrations[3].peerAddress, {});
+    fixture.instances[3].reset();
+    fixture.run(58s);
+    CHECK(observer.silentInstances().empty());
+    fixture.run(4s);
+    CHECK(observer.silentInstances() == std::vector<std::string> {"f-3"});
+}
+
 TEST_CASE("With a tenth of the datagrams lost, changes still reach all", "[gossip]")
 {
     gossip_fixture fixture(30, 3);
