Fix: a suspension that a packet ends is told to the store follower

Cause: found by reading the process as a newcomer. The first event after a suspension may be a packet; it noted the gap, and the tick that would ask the store again saw none. The watch under way then stayed until its timeout.

Change: suspension_watch keeps the fact until the tick takes it; a test covers it.

Ruled out: asking from the packet handler, which would put a store call on the data path.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -23,11 +23,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickTime {50};
-/// A process that handled nothing for this long was suspended; ticks come every 50 ms, and a
-/// processor quota stops it for at most a tenth of a second at a time.
-constexpr monotonic_time suspensionGap = std::chrono::milliseconds(300);
-/// Time to read the packets that waited during a suspension.
-constexpr monotonic_time distrustTime = std::chrono::milliseconds(30);
 /// Messages of peers per system call; a transfer of beliefs has about ten parts.
 constexpr std::size_t peerBatchSize = 16;
 
@@ -120,6 +115,7 @@
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_stop(stopSettings(settings))
     , m_startedAt(m_clock.now())
+    , m_suspension(m_startedAt)
 {
     if (const auto failure = m_status.start())
         throw std::system_error(failure, "status address " + toString(settings.statusAddress));
@@ -139,7 +135,7 @@
                  {"domain", m_settings.domain},
                  {"data", toString(m_settings.dataAddress)},
                  {"store", toString(m_settings.storeAddress)}});
-    m_activeAt = m_clock.now();
+    m_suspension = suspension_watch(m_clock.now());
     m_data.start();
     m_peers.start();
     m_follower.setUpdateHandler([this] {
@@ -157,22 +153,16 @@
     m_log.flush();
 }
 
-bool entry_process::noteActivity()
+void entry_process::noteActivity()
 {
-    const auto now = m_clock.now();
-    const auto gap = now - m_activeAt;
-    m_activeAt = now;
-    if (gap < suspensionGap)
-        return false;
-    m_distrustUntil = now + distrustTime;
-    m_log.write("resumed", {{"gap_ms", formatMilliseconds(gap)}});
-    return true;
+    if (const auto gap = m_suspension.noteActivity(m_clock.now()))
+        m_log.write("resumed", {{"gap_ms", formatMilliseconds(*gap)}});
 }
 
 void entry_process::onDatagram(std::span<const std::byte> bytes)
 {
     noteActivity();
-    const auto now = m_activeAt;
+    const auto now = m_suspension.activeAt();
     m_packetAt = now;
     const auto packet = platform::decodePacket(bytes);
     if (!packet) {
@@ -235,11 +225,11 @@
 
 void entry_process::forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes)
 {
-    const auto now = m_activeAt;
+    const auto now = m_suspension.activeAt();
     packet_decision decision;
     if (!m_state.isSynchronised())
         decision.reason = packet_reason::NotSynchronised;
-    else if (packet.isOpening && now < m_distrustUntil)
+    else if (packet.isOpening && m_suspension.isDistrusted(now))
         decision.reason = packet_reason::StaleOpening;
     else
         decision = m_forwarder.decide(packet, isBeliefFresh(now), now);
@@ -282,7 +272,7 @@
                                 const packet_decision &decision)
 {
     const auto age = [this] {
-        return formatMilliseconds(m_activeAt - m_state.confirmedAt());
+        return formatMilliseconds(m_suspension.activeAt() - m_state.confirmedAt());
     };
     if (decision.reason == packet_reason::Steered) {
         logRequest(packet, bytes, decision);
@@ -315,13 +305,14 @@
     if (!m_log.isEnabled(event))
         return;
     const upstream_record &upstream = *decision.upstream;
-    m_log.write(event,
-                {{"request", std::string(platform::requestIdOf(bytes))},
-                 {"flow", formatFlow(packet.flow)},
-                 {"upstream", upstream.announced.name},
-                 {"standing", std::string(toString(upstream.standing))},
-                 {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
-                 {"belief_age_ms", formatMilliseconds(m_activeAt - m_state.confirmedAt())}});
+    m_log.write(
+        event,
+        {{"request", std::string(platform::requestIdOf(bytes))},
+         {"flow", formatFlow(packet.flow)},
+         {"upstream", upstream.announced.name},
+         {"standing", std::string(toString(upstream.standing))},
+         {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
+         {"belief_age_ms", formatMilliseconds(m_suspension.activeAt() - m_state.confirmedAt())}});
 }
 
 void entry_process::scheduleTick()
@@ -338,23 +329,24 @@
 
 void entry_process::tick()
 {
-    if (noteActivity())
+    noteActivity();
+    if (m_suspension.takeResumed())
         m_follower.refresh();
     m_follower.tick();
     m_gossip.tick();
     m_peers.flush();
-    if (m_activeAt >= m_nextSecond)
+    if (m_suspension.activeAt() >= m_nextSecond)
         tickSecond();
     m_log.flush();
-    if (m_stop.mayEnd(m_packetAt, m_activeAt))
+    if (m_stop.mayEnd(m_packetAt, m_suspension.activeAt()))
         m_context.stop();
 }
 
 void entry_process::tickSecond()
 {
-    m_nextSecond = m_activeAt + std::chrono::seconds(1);
-    m_forwarder.expire(m_activeAt);
-    m_state.expire(m_activeAt);
+    m_nextSecond = m_suspension.activeAt() + std::chrono::seconds(1);
+    m_forwarder.expire(m_suspension.activeAt());
+    m_state.expire(m_suspension.activeAt());
     registerSelf();
     removeSilentInstance();
     // The file may change without a signal.
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -21,6 +21,7 @@
 #include "routing/routing_base.h"
 #include "status_server.h"
 #include "stop_sequence_base.h"
+#include "suspension_watch_base.h"
 #include "sync/fleet_state_base.h"
 #include "sync/store_follower_base.h"
 
@@ -81,7 +82,7 @@
     void logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
                     const packet_decision &decision);
     void sendReset(const caller_packet &packet);
-    bool noteActivity();
+    void noteActivity();
 
     void scheduleTick();
     void tick();
@@ -119,8 +120,7 @@
     entry_metrics m_metrics;
     stop_sequence m_stop;
     monotonic_time m_startedAt;
-    monotonic_time m_activeAt {0};      ///< when an event was last handled
-    monotonic_time m_distrustUntil {0}; ///< opening packets read before may have waited for long
+    suspension_watch m_suspension;
     monotonic_time m_nextSecond {0};
     bool m_isWriting = false;      ///< a write to the store is under way
     monotonic_time m_packetAt {0}; ///< when the last packet of a caller came
--- a/tests/entry/test_entry_parts.cpp
+++ b/tests/entry/test_entry_parts.cpp
@@ -6,6 +6,7 @@
 #include "entry/entry_metrics_base.h"
 #include "entry/settings_file_base.h"
 #include "entry/stop_sequence_base.h"
+#include "entry/suspension_watch_base.h"
 #include "entry_support.h"
 #include "eventlog/event_log_base.h"
 #include "forward/arrival_queue_base.h"
@@ -118,6 +119,20 @@
     CHECK(stop.mayEnd(15s, 15s));
 }
 
+TEST_CASE("A suspension that a packet ends is still told to the next tick", "[suspension]")
+{
+    // Guards against a process that wakes by a packet and goes on with a watch that fell silent.
+    suspension_watch watch(10s);
+    CHECK_FALSE(watch.noteActivity(10100ms));
+    CHECK_FALSE(watch.takeResumed());
+    CHECK(watch.noteActivity(13100ms) == monotonic_time(3s));
+    CHECK_FALSE(watch.noteActivity(13101ms));
+    CHECK(watch.isDistrusted(13120ms));
+    CHECK_FALSE(watch.isDistrusted(13131ms));
+    CHECK(watch.takeResumed());
+    CHECK_FALSE(watch.takeResumed());
+}
+
 TEST_CASE("Metrics name every reason and add up the histogram", "[metrics]")
 {
     entry_metrics metrics;
