--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -5,6 +5,7 @@
 
 #include "store_standin.h"
 
+#include "platform/platform_names.h"
 #include "platform/record_codec.h"
 
 #include <restinio/all.hpp>
@@ -137,11 +138,11 @@
 
     void serve(const std::string &path, const restinio::request_handle_t &request)
     {
-        if (path == "/chicoryhead/kv-range")
+        if (path == platform::names::rangePath)
             serveRange(request);
-        else if (path == "/chicoryhead/kv-watch")
+        else if (path == platform::names::watchPath)
             serveWatch(request);
-        else if (path == "/chicoryhead/kv-txn")
+        else if (path == platform::names::transactionPath)
             serveTransaction(request);
         else
             respond(request, 404, json::object());
