--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -185,7 +185,7 @@
     if (silent.empty())
         return;
     m_isWriting = true;
-    const std::string name = silent.front();
+    const std::string &name = silent.front();
     m_store.removeInstance(name, [this, name](std::error_code code) {
         m_isWriting = false;
         m_log.write("instance_removed",
