Feature: the daemon for a fabric without steering tags is removed

On the users' platform each packet of an open flow names its upstream, upstreams announce themselves and the store holds the whole configuration. chicoryheadd, its stand-ins, its benchmarks and the client of the assumed key-value service served nothing any more.

Ruled out: keeping the modules beside the entry instance (two of everything: packet codec, HTTP server, settings, metrics, logs), and keeping the balance experiment (it drives a placement that no program uses).

Removed, what replaces it, and the tests that now guard the failure: - steering, flow, instance, replay: steering tags in packets. "Packets of an open flow go to its upstream at any instance", "An open flow stays where it is when its upstream leaves or its route changes", "A tag of another service address, an invented tag and no tag are dropped", test_random_packets. - request (ledger): a request on an open flow can't run twice, because flows have one upstream; opening packets: "A copy soon after the first goes to the same upstream, a later one to another", "A copy does not go again to an upstream that started to leave". - membership, peer, config (distribution): gossip of beliefs. "A change that one instance learns reaches all within a second", "Two instances in each domain read the store once they know of each other", "With a tenth of the datagrams lost, changes still reach all", "An instance that starts while the store is away learns from the others", "Older beliefs of another instance change nothing". - config (log, patches, plans), platform (assumed key-value service): the platform's store. test_platform_store, test_sync, "A configuration never goes back".

One library, one test program: the sources were compiled into two libraries. Conclusion: nothing of chicoryhead-entry changed but file names; boot-time and monotonic clocks are one class now.

--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,8 @@
 
 sanitize: deps
 	@cmake -S . -B build-sanitize -G Ninja -DCHICORYHEAD_SANITIZE=ON -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
-	@cmake --build build-sanitize --target chicoryhead_tests chicoryhead_entry_tests
-	@build-sanitize/tests/chicoryhead_tests "[fuzz]"
-	@build-sanitize/tests/entry/chicoryhead_entry_tests
+	@cmake --build build-sanitize --target chicoryhead_tests
+	@build-sanitize/tests/chicoryhead_tests
 
 lint: build
 	@.ci/check_platform_names
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -22,18 +22,15 @@
 
 constexpr std::size_t flowKeyBytes = 13;
 
-constexpr std::array<std::pair<error, const char *>, 13> errorMessages {{
+constexpr std::array<std::pair<error, const char *>, 10> errorMessages {{
     {error::Truncated, "input is truncated"},
     {error::Malformed, "input is malformed"},
-    {error::Unsupported, "unsupported version or protocol"},
-    {error::Unauthenticated, "authentication tag does not match"},
-    {error::VersionConflict, "patch is based on an old version"},
-    {error::ValidationFailed, "patch is not valid"},
+    {error::Unsupported, "unsupported format version"},
+    {error::VersionConflict, "based on an old version"},
     {error::StoreUnavailable, "store unavailable"},
     {error::OutcomeUnknown, "outcome of the write is unknown"},
     {error::NotFound, "not found"},
     {error::Timeout, "deadline passed"},
-    {error::Full, "no room"},
     {error::HistoryLost, "history is no longer available"},
     {error::Throttled, "rate limit of the store reached"},
 }};
--- a/src/core/core_base.h
+++ b/src/core/core_base.h
@@ -2,8 +2,8 @@
  * @file core_base.h
  * Interfaces through which the library core reaches the outside world.
  *
- * The core has no clock, sockets or threads of its own. A daemon implements these interfaces with
- * Asio; tests, replays and benchmarks implement them in virtual time.
+ * The core has no clock, sockets or threads of its own. The entry process implements these
+ * interfaces; tests implement them in virtual time.
  */
 
 #pragma once
@@ -39,20 +39,7 @@
     virtual std::uint64_t next() = 0;
 };
 
-/** Takes IP packets that the core sends on. */
-class packet_sink
-{
-public:
-    virtual ~packet_sink() = default;
-
-    /** Sends a whole IP packet to an upstream's tunnel endpoint. */
-    virtual void sendToUpstream(const endpoint &upstream, std::span<const std::byte> packet) = 0;
-
-    /** Sends a whole IP packet towards its caller. */
-    virtual void sendToCaller(std::span<const std::byte> packet) = 0;
-};
-
-/** Takes authenticated peer datagrams. */
+/** Takes datagrams to other instances. */
 class peer_sink
 {
 public:
--- a/src/core/core_error.h
+++ b/src/core/core_error.h
@@ -13,15 +13,12 @@
 enum class error {
     Truncated = 1,    ///< input ends before a field that it announces
     Malformed,        ///< input breaks its format
-    Unsupported,      ///< format version or protocol that is not handled
-    Unauthenticated,  ///< authentication tag does not match
-    VersionConflict,  ///< base version of a patch is not the current version
-    ValidationFailed, ///< patch breaks a rule of the configuration
-    StoreUnavailable, ///< platform's service did not answer; nothing was written
-    OutcomeUnknown,   ///< platform's service may have carried out the write
+    Unsupported,      ///< format version that is not handled
+    VersionConflict,  ///< a change is not based on the newest version
+    StoreUnavailable, ///< store did not answer; nothing was written
+    OutcomeUnknown,   ///< store may have carried out the write
     NotFound,         ///< no such object
     Timeout,          ///< deadline passed
-    Full,             ///< bounded container has no room
     HistoryLost,      ///< store no longer has the changes that were asked for
     Throttled,        ///< store refused the call because of its rate limit
 };
--- a/src/core/core_type.h
+++ b/src/core/core_type.h
@@ -25,27 +25,15 @@
 /** Wall-clock time in seconds since 1970-01-01 UTC; only for marks that operators set. */
 using wall_time = std::chrono::seconds;
 
-/** Identifies one entry instance; a replacement gets a new one. */
-enum class instance_id : std::uint32_t {};
-
-/** Identifies an upstream across all services; never reused. */
+/** Number of an upstream within one process; never reused. */
 enum class upstream_id : std::uint32_t {};
 
-/** Identifies a service; never reused. */
-enum class service_id : std::uint32_t {};
-
-/** Identifies a failure domain. */
-enum class domain_id : std::uint16_t {};
-
 /** Numbered version of the configuration; 0 means that none is in force. */
 using config_version = std::uint64_t;
 
 /** The upstream id that stands for "none". */
 inline constexpr upstream_id noUpstream {0};
 
-/** The instance id that stands for "none". */
-inline constexpr instance_id noInstance {0};
-
 /** Numeric value of an identifier. */
 template<typename Id>
 constexpr auto idValue(Id id)
@@ -84,7 +72,7 @@
     auto operator<=>(const flow_key &) const = default;
 };
 
-/** 64-bit hash of a flow_key; stands for the flow in peer messages. */
+/** 64-bit hash of a flow_key. */
 using flow_hash = std::uint64_t;
 
 /** Hash of a flow key, the same on every instance and in every release. */
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -1,6 +1,6 @@
 /**
  * @file log_func.h
- * Structured log: one line of key=value pairs for each event, written by glog.
+ * Form of log lines: one line of key=value pairs for each event.
  */
 
 #pragma once
@@ -11,9 +11,6 @@
 
 namespace chicoryhead {
 
-/** Severity of a log line. */
-enum class log_level { Info, Warning, Error };
-
 /** One key=value pair; the value is quoted when it contains spaces, quotes or is empty. */
 struct log_field
 {
@@ -22,12 +19,9 @@
 };
 
 /**
- * Writes one event.
+ * Formats an event as one line without line end.
  * @param event stable name in snake case, for example "config_applied".
  */
-void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields);
-
-/** Formats an event as logEvent() writes it. */
 std::string formatEvent(std::string_view event, std::initializer_list<log_field> fields);
 
 } // namespace chicoryhead
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -10,7 +10,6 @@
 
 #include <xxhash.h>
 
-#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -74,19 +73,6 @@
 
 } // namespace
 
-monotonic_time boot_clock_source::now() const
-{
-    timespec time {};
-    ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::chrono::duration_cast<monotonic_time>(std::chrono::seconds(time.tv_sec)
-                                                      + std::chrono::nanoseconds(time.tv_nsec));
-}
-
-wall_time boot_clock_source::wallNow() const
-{
-    return wall_time(::time(nullptr));
-}
-
 entry_process::entry_process(const entry_settings &settings, settings_source reread)
     : m_settings(settings)
     , m_reread(std::move(reread))
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -6,8 +6,6 @@
 #pragma once
 
 #include "core/core_base.h"
-#include "daemon/system_base.h"
-#include "daemon/udp_socket_base.h"
 #include "directory/directory_base.h"
 #include "entry_metrics_base.h"
 #include "entry_settings_type.h"
@@ -24,6 +22,8 @@
 #include "suspension_watch_base.h"
 #include "sync/fleet_state_base.h"
 #include "sync/store_follower_base.h"
+#include "system/system_base.h"
+#include "system/udp_socket_base.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -36,14 +36,6 @@
 
 namespace chicoryhead {
 
-/** Time of the boot-time clock, which counts the time that the machine was suspended. */
-class boot_clock_source : public clock_source
-{
-public:
-    monotonic_time now() const override;
-    wall_time wallNow() const override;
-};
-
 /** Outcome of reading the settings again. */
 struct settings_reading
 {
--- a/src/eventlog/event_log_base.h
+++ b/src/eventlog/event_log_base.h
@@ -2,9 +2,8 @@
  * @file event_log_base.h
  * Bounded log of events on a descriptor that is never waited for.
  *
- * Unlike logEvent(), which serves programs that run beside the data path, this log drops lines
- * when their reader is slow and when one kind of event comes too often. It says how many it left
- * out.
+ * Lines are dropped when their reader is slow and when one kind of event comes too often; the log
+ * says how many were left out.
  */
 
 #pragma once
--- a/platform/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -3,7 +3,7 @@
  * Asynchronous calls with Asio; answers are parsed by http_parser.
  */
 
-#include "http_connection.h"
+#include "http_connection_base.h"
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -13,7 +13,7 @@
 #include <cassert>
 #include <utility>
 
-namespace chicoryhead::platform {
+namespace chicoryhead {
 
 namespace {
 
@@ -202,4 +202,4 @@
     m_socket.close(ignored);
 }
 
-} // namespace chicoryhead::platform
+} // namespace chicoryhead
--- a/platform/http_connection.h
+++ b/src/http/http_connection_base.h
@@ -1,5 +1,5 @@
 /**
- * @file http_connection.h
+ * @file http_connection_base.h
  * One HTTP/1.1 connection that carries one call after the other.
  */
 
@@ -20,7 +20,7 @@
 #include <memory>
 #include <string>
 
-namespace chicoryhead::platform {
+namespace chicoryhead {
 
 /** One call. */
 struct http_call
@@ -98,4 +98,4 @@
     std::shared_ptr<int> m_epoch = std::make_shared<int>(0);
 };
 
-} // namespace chicoryhead::platform
+} // namespace chicoryhead
--- a/src/metrics/histogram.cpp
+++ b/src/metrics/histogram.cpp
@@ -4,7 +4,6 @@
  */
 
 #include "metrics_type.h"
-#include "table/metrics_table.h"
 
 #include <boost/histogram/axis/option.hpp>
 #include <boost/histogram/axis/variable.hpp>
@@ -69,9 +68,4 @@
     return counts;
 }
 
-instance_histograms::instance_histograms()
-    : decision(detail::decisionBounds), answer(detail::answerBounds)
-{
-}
-
 } // namespace chicoryhead
--- a/src/metrics/metrics_type.h
+++ b/src/metrics/metrics_type.h
@@ -1,6 +1,6 @@
 /**
  * @file metrics_type.h
- * Latency histograms of one instance. Boost.Histogram is hidden, because it compiles slowly.
+ * Latency histograms. Boost.Histogram is hidden, because it compiles slowly.
  */
 
 #pragma once
@@ -42,16 +42,4 @@
     std::chrono::nanoseconds m_sum {0};
 };
 
-/**
- * The histograms of one instance; the bounds are in src/metrics/table. Recording a duration takes
- * about 20 ns to 30 ns and reading the clock about 40 ns, so an instance samples its decisions.
- */
-struct instance_histograms
-{
-    instance_histograms();
-
-    latency_histogram decision; ///< time to decide where a packet goes
-    latency_histogram answer;   ///< time from a request to its first answer, as seen here
-};
-
 } // namespace chicoryhead
--- a/src/daemon/system_base.h
+++ b/src/system/system_base.h
@@ -11,8 +11,8 @@
 
 namespace chicoryhead {
 
-/** Monotonic and wall clock of the machine. */
-class system_clock_source : public clock_source
+/** Boot-time clock, which counts the time that the machine was suspended, and wall clock. */
+class boot_clock_source : public clock_source
 {
 public:
     monotonic_time now() const override;
--- a/tests/entry/entry_support.h
+++ b/tests/entry_support.h
@@ -9,8 +9,8 @@
 #include "directory/directory_base.h"
 #include "forward/caller_packet_type.h"
 #include "routing/routing_base.h"
-#include "support/virtual_time.h"
 #include "sync/fleet_store_base.h"
+#include "virtual_time.h"
 
 #include <chrono>
 #include <deque>
--- a/tests/test_main.cpp
+++ b/tests/test_main.cpp
@@ -1,16 +1,7 @@
 /**
  * @file test_main.cpp
- * Catch2's main, compiled once; event logs of the code under test are off.
+ * Catch2's main, compiled once.
  */
 
-#define CATCH_CONFIG_RUNNER
+#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
-
-#include <glog/logging.h>
-
-int main(int argc, char **argv)
-{
-    FLAGS_minloglevel = google::GLOG_FATAL;
-    google::InitGoogleLogging(argv[0]);
-    return Catch::Session().run(argc, argv);
-}
