--- /dev/null
+++ b/src/cli/argument.cpp
@@ -0,0 +1,87 @@
+/**
+ * @file argument.cpp
+ * Flags of the client.
+ */
+
+#include "argument.h"
+
+#include <algorithm>
+
+DEFINE_string(store, "", "address of the store, ip:port. Else CHICORYHEAD_STORE");
+DEFINE_bool(json, false, "print the configuration as it was written");
+DEFINE_uint64(base, 0, "version that the change is based on; else the one of the moment");
+DEFINE_uint32(timeout, 30, "time to wait, in s");
+DEFINE_uint32(pages_port, 9102, "port of the instances' pages");
+
+namespace chicoryhead {
+
+namespace {
+
+/** Sets one flag from "name=value" or from "name" and the argument that follows. */
+bool setFlag(const std::vector<std::string> &arguments, std::size_t &index, command_line &line,
+             std::string &message)
+{
+    const std::string text = arguments[index].substr(2);
+    const auto equals = text.find('=');
+    const std::string shown = "--" + text.substr(0, equals);
+    std::string name = text.substr(0, equals);
+    std::replace(name.begin(), name.end(), '-', '_');
+
+    gflags::CommandLineFlagInfo info;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
+        message = "unknown flag " + shown;
+        return false;
+    }
+    std::string value = "true";
+    if (equals != std::string::npos) {
+        value = text.substr(equals + 1);
+    } else if (info.type != "bool") {
+        if (++index == arguments.size()) {
+            message = shown + " needs a value";
+            return false;
+        }
+        value = arguments[index];
+    }
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+        message = shown + " does not take the value \"" + value + "\"; its type is " + info.type;
+        return false;
+    }
+    line.flags.push_back(name);
+    return true;
+}
+
+} // namespace
+
+result<command_line> parseArguments(const std::vector<std::string> &arguments, std::string &message)
+{
+    command_line line;
+    bool onlyWords = false;
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        const std::string &argument = arguments[i];
+        if (onlyWords || argument == "-" || !argument.starts_with('-')) {
+            line.words.push_back(argument);
+        } else if (argument == "--") {
+            onlyWords = true;
+        } else if (argument == "--help" || argument == "-h") {
+            line.wantsHelp = true;
+        } else if (!argument.starts_with("--")) {
+            message = "unknown flag " + argument;
+            return std::make_error_code(std::errc::invalid_argument);
+        } else if (!setFlag(arguments, i, line, message)) {
+            return std::make_error_code(std::errc::invalid_argument);
+        }
+    }
+    return line;
+}
+
+std::string describeFlag(std::string_view name)
+{
+    const auto info = gflags::GetCommandLineFlagInfoOrDie(std::string(name).c_str());
+    std::string line = "  --" + info.name + (info.type == "bool" ? "" : " VALUE");
+    line += std::string(line.size() < 32 ? 32 - line.size() : 1, ' ') + info.description;
+    if (info.type != "bool" && !info.default_value.empty() && info.default_value != "0")
+        line += " (default " + info.default_value + ")";
+    return line;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/cli/command_config.cpp
@@ -0,0 +1,176 @@
+/**
+ * @file command_config.cpp
+ * Commands about the operators' configuration.
+ */
+
+#include "argument.h"
+#include "command.h"
+#include "instance_pages.h"
+#include "text_table.h"
+
+#include <charconv>
+
+namespace chicoryhead {
+
+namespace {
+
+/// Time between two looks at the instances; a version is in force everywhere within seconds.
+constexpr std::chrono::milliseconds waitInterval {500};
+
+std::string formatTargets(const route &shown)
+{
+    std::string text;
+    for (const route_target &target : shown.targets) {
+        if (!text.empty())
+            text += ' ';
+        text += target.service;
+        if (shown.targets.size() > 1)
+            text += ':' + std::to_string(target.weight);
+    }
+    return text;
+}
+
+/// Outcome of a replacement whose answer was lost: the store tells whose configuration it has.
+exit_code resolveUnknown(const command_call &call, operator_store &store, const std::string &text,
+                         const stored_config &base)
+{
+    const auto now = store.readConfig();
+    if (!now || now.value().revision == base.revision)
+        return fail(call, exit_code::Unknown,
+                    "no answer; the change may still take effect, read the version later");
+    if (now.value().text != text)
+        return fail(call, exit_code::Refused, "somebody else replaced the configuration meanwhile");
+    call.environment.out << "version " << now.value().decoded.version << " is in the store\n";
+    return exit_code::Done;
+}
+
+exit_code submit(const command_call &call, operator_store &store, const std::string &text,
+                 config_version version, const stored_config &base)
+{
+    const auto failure = store.replaceConfig(text, base.revision);
+    if (!failure) {
+        call.environment.out << "version " << version << " is in the store\n";
+        return exit_code::Done;
+    }
+    if (failure == error::VersionConflict)
+        return fail(call, exit_code::Refused, "somebody else replaced the configuration meanwhile");
+    if (failure == error::ValidationFailed)
+        return fail(call, exit_code::Invalid, "the store does not take this configuration");
+    if (failure == error::OutcomeUnknown || failure == error::Timeout)
+        return resolveUnknown(call, store, text, base);
+    return fail(call, exit_code::Unavailable, "nothing was changed: " + failure.message());
+}
+
+} // namespace
+
+exit_code runConfigShow(const command_call &call)
+{
+    const auto store = openStore(call);
+    if (store == nullptr)
+        return exit_code::Usage;
+    const auto config = store->readConfig();
+    if (!config)
+        return failStore(call, config.error());
+    auto &out = call.environment.out;
+    if (FLAGS_json) {
+        out << config.value().text << '\n';
+        return exit_code::Done;
+    }
+    out << "version " << config.value().decoded.version << '\n';
+    text_table table({"ROUTE", "ADDRESS", "SERVICES", "PRIORITY", "TARGET_MS", "TIMEOUT_MS"});
+    const auto milliseconds = [](monotonic_time time) {
+        return std::to_string(time / std::chrono::milliseconds(1));
+    };
+    for (const route &shown : config.value().decoded.routes)
+        table.addRow({shown.name, toString(shown.address), formatTargets(shown),
+                      std::to_string(shown.priority), milliseconds(shown.targetLatency),
+                      milliseconds(shown.timeout)});
+    table.print(out);
+    return exit_code::Done;
+}
+
+exit_code runConfigVersion(const command_call &call)
+{
+    const auto store = openStore(call);
+    if (store == nullptr)
+        return exit_code::Usage;
+    const auto config = store->readConfig();
+    if (!config)
+        return failStore(call, config.error());
+    call.environment.out << config.value().decoded.version << '\n';
+    return exit_code::Done;
+}
+
+exit_code runConfigWait(const command_call &call)
+{
+    config_version version = 0;
+    const std::string &text = call.operands[0];
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (code != std::errc {} || end != text.data() + text.size())
+        return fail(call, exit_code::Usage, "VERSION must be a whole number");
+    const auto store = openStore(call);
+    if (store == nullptr)
+        return exit_code::Usage;
+    const auto deadline = call.environment.now() + std::chrono::seconds(FLAGS_timeout);
+    while (true) {
+        const auto instances = readInstances(call, *store);
+        if (!instances)
+            return failStore(call, instances.error());
+        std::string behind;
+        for (const instance_row &row : instances.value()) {
+            if (!row.page || row.page->version < version)
+                behind += ' ' + row.registration.name;
+        }
+        if (behind.empty() && !instances.value().empty()) {
+            call.environment.out << "version " << version << " is in force on "
+                                 << instances.value().size() << " instances\n";
+            return exit_code::Done;
+        }
+        if (call.environment.now() >= deadline)
+            return fail(call, exit_code::Timeout,
+                        instances.value().empty() ? "no instance is registered"
+                                                  : "behind or not answering:" + behind);
+        call.environment.sleep(waitInterval);
+    }
+}
+
+exit_code runConfigCheck(const command_call &call)
+{
+    const auto text = readTextFile(call, call.operands[0]);
+    if (!text)
+        return fail(call, exit_code::Unavailable, "can't read " + call.operands[0]);
+    const auto config = call.environment.decodeConfig(text.value());
+    if (!config)
+        return fail(call, exit_code::Invalid, "no JSON object with a version and a list of routes");
+    call.environment.out << "version " << config.value().version << ", "
+                         << config.value().routes.size() << " routes that can be used\n";
+    return exit_code::Done;
+}
+
+exit_code runConfigPut(const command_call &call)
+{
+    const auto text = readTextFile(call, call.operands[0]);
+    if (!text)
+        return fail(call, exit_code::Unavailable, "can't read " + call.operands[0]);
+    const auto config = call.environment.decodeConfig(text.value());
+    if (!config)
+        return fail(call, exit_code::Invalid, "no JSON object with a version and a list of routes");
+    const auto store = openStore(call);
+    if (store == nullptr)
+        return exit_code::Usage;
+    const auto base = store->readConfig();
+    if (!base)
+        return failStore(call, base.error());
+    const config_version current = base.value().decoded.version;
+    if (FLAGS_base != 0 && FLAGS_base != current)
+        return fail(call, exit_code::Refused,
+                    "based on version " + std::to_string(FLAGS_base) + ", the store has "
+                        + std::to_string(current));
+    if (config.value().version <= current)
+        return fail(call, exit_code::Invalid,
+                    "version " + std::to_string(config.value().version)
+                        + " is not above the store's " + std::to_string(current));
+    return submit(call, *store, text.value(), config.value().version, base.value());
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/cli/command_story.cpp
@@ -0,0 +1,48 @@
+/**
+ * @file command_story.cpp
+ * The command that tells one flow's story from logs.
+ */
+
+#include "command.h"
+#include "flow_story.h"
+
+#include <filesystem>
+#include <sstream>
+
+namespace chicoryhead {
+
+exit_code runStory(const command_call &call)
+{
+    std::vector<std::string> files(call.operands.begin() + 1, call.operands.end());
+    if (files.empty())
+        files.emplace_back("-");
+    std::vector<log_line> log;
+    for (const std::string &file : files) {
+        const auto text = readTextFile(call, file);
+        if (!text)
+            return fail(call, exit_code::Unavailable, "can't read " + file);
+        std::istringstream lines(text.value());
+        const std::string name = std::filesystem::path(file).stem();
+        for (std::string line; std::getline(lines, line);) {
+            if (auto parsed = parseLogLine(line, name))
+                log.push_back(std::move(*parsed));
+        }
+    }
+    const flow_story story = tellStory(log, call.operands[0]);
+    if (story.lines.empty())
+        return fail(call, exit_code::Invalid,
+                    "no line about " + call.operands[0]
+                        + "; its packets reached none of these instances, or lines were left out");
+    if (!story.isOrdered)
+        fail(call, exit_code::Done,
+             "lines without the collector's time: in order within each file only");
+    auto &out = call.environment.out;
+    for (const log_line &line : story.lines)
+        out << (line.collectedAt ? "" : line.instance + ' ') << line.text << '\n';
+    out << '\n';
+    for (const std::string &finding : story.findings)
+        out << "- " << finding << '\n';
+    return exit_code::Done;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/cli/flow_story.cpp
@@ -0,0 +1,247 @@
+/**
+ * @file flow_story.cpp
+ * Selection of log lines, and what follows from them.
+ */
+
+#include "flow_story.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+
+namespace chicoryhead {
+
+namespace {
+
+/// Lines about upstreams and instances are shown when they are this close to the flow's, in
+/// seconds: an upstream that died is withdrawn after three of its heartbeats.
+constexpr double contextSeconds = 8;
+
+/// Events that change what an instance can do for a flow.
+constexpr std::array<std::string_view, 8> instanceEvents {
+    "started",    "stopping",       "stopped",           "resumed",
+    "store_lost", "store_regained", "settings_rejected", "config_applied"};
+
+std::string_view takeWord(std::string_view &text)
+{
+    const auto begin = text.find_first_not_of(' ');
+    if (begin == std::string_view::npos)
+        return text = {};
+    const auto end = std::min(text.find(' ', begin), text.size());
+    const auto word = text.substr(begin, end - begin);
+    text.remove_prefix(end);
+    return word;
+}
+
+/// Takes one key=value pair; values with spaces are quoted, quotes inside have a backslash.
+bool takeField(std::string_view &text, std::string &key, std::string &value)
+{
+    const auto begin = text.find_first_not_of(' ');
+    const auto equals = text.find('=', begin == std::string_view::npos ? text.size() : begin);
+    if (equals == std::string_view::npos)
+        return false;
+    key = text.substr(begin, equals - begin);
+    text.remove_prefix(equals + 1);
+    value.clear();
+    if (text.empty() || text.front() != '"') {
+        const auto end = std::min(text.find(' '), text.size());
+        value = text.substr(0, end);
+        text.remove_prefix(end);
+        return true;
+    }
+    text.remove_prefix(1);
+    while (!text.empty() && text.front() != '"') {
+        if (text.front() == '\\' && text.size() > 1)
+            text.remove_prefix(1);
+        value += text.front();
+        text.remove_prefix(1);
+    }
+    if (!text.empty())
+        text.remove_prefix(1);
+    return true;
+}
+
+std::set<std::string> flowsOf(const std::vector<log_line> &log, const std::string &name)
+{
+    if (name.find('>') != std::string::npos)
+        return {name};
+    std::set<std::string> flows;
+    for (const log_line &line : log) {
+        if (line.field("request") == name)
+            flows.insert(line.field("flow"));
+    }
+    return flows;
+}
+
+/// What the flow's own lines name, to find the lines that explain them.
+struct story_context
+{
+    std::set<std::string> upstreams;
+    std::set<std::string> instances;
+    std::optional<double> from;
+    std::optional<double> until;
+
+    void note(const log_line &line)
+    {
+        instances.insert(line.instance);
+        for (const char *key : {"upstream", "unanswered_by"}) {
+            const std::string &upstream = line.field(key);
+            if (!upstream.empty() && upstream != "none")
+                upstreams.insert(upstream);
+        }
+        if (!line.collectedAt)
+            return;
+        from = std::min(from.value_or(*line.collectedAt), *line.collectedAt);
+        until = std::max(until.value_or(*line.collectedAt), *line.collectedAt);
+    }
+
+    bool isNear(const log_line &line) const
+    {
+        return !line.collectedAt || !from
+            || (*line.collectedAt >= *from - contextSeconds
+                && *line.collectedAt <= *until + contextSeconds);
+    }
+
+    bool explains(const log_line &line) const
+    {
+        const std::string &event = line.field("event");
+        if (!isNear(line))
+            return false;
+        if (event == "upstream_changed")
+            return upstreams.contains(line.field("upstream"));
+        return instances.contains(line.instance)
+            && std::find(instanceEvents.begin(), instanceEvents.end(), event)
+            != instanceEvents.end();
+    }
+};
+
+void addFinding(std::vector<std::string> &findings, std::string text)
+{
+    if (std::find(findings.begin(), findings.end(), text) == findings.end())
+        findings.push_back(std::move(text));
+}
+
+void findInFlow(const log_line &line, std::vector<std::string> &findings)
+{
+    const std::string &event = line.field("event");
+    if (event == "flow_refused")
+        addFinding(findings,
+                   "refused at once: " + line.field("reason") + ", with configuration "
+                       + line.field("version") + " confirmed " + line.field("belief_age_ms")
+                       + " ms before");
+    if (event == "packet_dropped")
+        addFinding(findings, line.instance + " dropped a packet: " + line.field("reason"));
+    if (event == "flow_placed" && line.field("unanswered_by") != "none")
+        addFinding(findings, "no answer to an opening packet from " + line.field("unanswered_by"));
+    if (event == "request_repeated")
+        addFinding(findings,
+                   "the caller repeated request " + line.field("request") + " to "
+                       + line.field("upstream") + ", which was " + line.field("standing"));
+}
+
+/// Flows other than the story's that got no answer from an upstream at the same time.
+std::size_t countUnanswered(const std::vector<log_line> &log, const story_context &context,
+                            const std::set<std::string> &flows, const std::string &upstream)
+{
+    std::set<std::string> others;
+    for (const log_line &line : log) {
+        const bool isUnanswered = line.field("unanswered_by") == upstream
+            || (line.field("event") == "request_repeated" && line.field("upstream") == upstream);
+        if (isUnanswered && context.isNear(line) && !flows.contains(line.field("flow")))
+            others.insert(line.field("flow"));
+    }
+    return others.size();
+}
+
+void findInContext(const log_line &line, std::vector<std::string> &findings)
+{
+    const std::string &event = line.field("event");
+    if (event == "upstream_changed")
+        addFinding(findings,
+                   line.field("upstream") + " became " + line.field("standing") + " ("
+                       + line.field("cause") + ')');
+    else if (event == "resumed")
+        addFinding(findings, line.instance + " was suspended for " + line.field("gap_ms") + " ms");
+    else if (event != "config_applied")
+        addFinding(findings, line.instance + ": " + event);
+}
+
+} // namespace
+
+const std::string &log_line::field(const std::string &key) const
+{
+    static const std::string nothing;
+    const auto found = fields.find(key);
+    return found == fields.end() ? nothing : found->second;
+}
+
+std::optional<log_line> parseLogLine(std::string_view text, const std::string &file)
+{
+    const auto start = text.find("t_ms=");
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    log_line line;
+    line.text = text;
+    line.instance = file;
+    std::string_view collector = text.substr(0, start);
+    const auto time = takeWord(collector);
+    double seconds = 0;
+    const auto [end, code] = std::from_chars(time.data(), time.data() + time.size(), seconds);
+    if (!time.empty() && code == std::errc {} && end == time.data() + time.size()) {
+        line.collectedAt = seconds;
+        if (const auto name = takeWord(collector); !name.empty())
+            line.instance = name;
+    }
+    text.remove_prefix(start);
+    std::string key;
+    std::string value;
+    while (takeField(text, key, value)) {
+        if (key != "t_ms")
+            line.fields.insert_or_assign(key, value);
+    }
+    if (line.field("event").empty())
+        return std::nullopt;
+    return line;
+}
+
+flow_story tellStory(const std::vector<log_line> &log, const std::string &flowOrRequest)
+{
+    const auto flows = flowsOf(log, flowOrRequest);
+    flow_story story;
+    story.flows.assign(flows.begin(), flows.end());
+    story_context context;
+    const auto isOfFlow = [&flows](const log_line &line) {
+        return flows.contains(line.field("flow"));
+    };
+    for (const log_line &line : log) {
+        if (isOfFlow(line))
+            context.note(line);
+    }
+    for (const log_line &line : log) {
+        if (!isOfFlow(line) && !context.explains(line))
+            continue;
+        story.lines.push_back(line);
+        story.isOrdered = story.isOrdered && line.collectedAt.has_value();
+    }
+    if (story.isOrdered)
+        std::stable_sort(
+            story.lines.begin(), story.lines.end(),
+            [](const log_line &a, const log_line &b) { return *a.collectedAt < *b.collectedAt; });
+    for (const log_line &line : story.lines) {
+        if (isOfFlow(line))
+            findInFlow(line, story.findings);
+        else
+            findInContext(line, story.findings);
+    }
+    for (const std::string &upstream : context.upstreams) {
+        const auto others = countUnanswered(log, context, flows, upstream);
+        if (others > 0)
+            addFinding(story.findings,
+                       std::to_string(others) + " other flows got no answer from " + upstream
+                           + " at that time");
+    }
+    return story;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/cli/instance_pages.cpp
@@ -0,0 +1,81 @@
+/**
+ * @file instance_pages.cpp
+ * Decodes the instances' documents.
+ */
+
+#include "instance_pages.h"
+
+#include "argument.h"
+#include "entry/status_documents.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chicoryhead {
+
+namespace {
+
+using nlohmann::json;
+
+result<std::string> readPage(const command_call &call, const instance_registration &instance,
+                             std::string_view path)
+{
+    const endpoint server {instance.peerAddress.address,
+                           static_cast<std::uint16_t>(FLAGS_pages_port)};
+    return call.environment.pages.get(server, std::string(path));
+}
+
+std::optional<instance_page> readInstancePage(const command_call &call,
+                                              const instance_registration &instance)
+{
+    const auto body = readPage(call, instance, instancePath);
+    if (!body)
+        return std::nullopt;
+    try {
+        const json fields = json::parse(body.value());
+        return instance_page {fields.at("state"), fields.at("version"), fields.at("belief_age_ms"),
+                              fields.at("reads_store"), fields.at("flows_observed")};
+    } catch (const json::exception &problem) {
+        fail(call, exit_code::Unavailable, instance.name + ": " + problem.what());
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+result<std::vector<instance_row>> readInstances(const command_call &call, operator_store &store)
+{
+    const auto fleet = store.readFleet();
+    if (!fleet)
+        return fleet.error();
+    std::vector<instance_row> rows;
+    for (const fleet_change &change : fleet.value().changes) {
+        if (const auto *registration = std::get_if<instance_registration>(&change))
+            rows.push_back({*registration, readInstancePage(call, *registration)});
+    }
+    std::sort(rows.begin(), rows.end(), [](const instance_row &a, const instance_row &b) {
+        return a.registration.name < b.registration.name;
+    });
+    return rows;
+}
+
+result<std::vector<upstream_row>> readUpstreamPage(const command_call &call,
+                                                   const instance_registration &instance)
+{
+    const auto body = readPage(call, instance, upstreamsPath);
+    if (!body)
+        return body.error();
+    std::vector<upstream_row> rows;
+    try {
+        const json document = json::parse(body.value());
+        for (const json &fields : document.at("upstreams"))
+            rows.push_back({fields.at("service"), fields.at("name"), fields.at("standing"),
+                            fields.at("suspected"), fields.at("latency_us"), fields.at("flows")});
+    } catch (const json::exception &) {
+        return error::Malformed;
+    }
+    return rows;
+}
+
+} // namespace chicoryhead
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -22,11 +22,12 @@
 
 constexpr std::size_t flowKeyBytes = 13;
 
-constexpr std::array<std::pair<error, const char *>, 10> errorMessages {{
+constexpr std::array<std::pair<error, const char *>, 11> errorMessages {{
     {error::Truncated, "input is truncated"},
     {error::Malformed, "input is malformed"},
     {error::Unsupported, "unsupported format version"},
     {error::VersionConflict, "based on an old version"},
+    {error::ValidationFailed, "configuration is not valid"},
     {error::StoreUnavailable, "store unavailable"},
     {error::OutcomeUnknown, "outcome of the write is unknown"},
     {error::NotFound, "not found"},
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -140,6 +140,15 @@
     return found->second;
 }
 
+std::vector<const upstream_record *> upstream_directory::records() const
+{
+    std::vector<const upstream_record *> records;
+    records.reserve(m_records.size());
+    for (const auto &[id, record] : m_records)
+        records.push_back(&record);
+    return records;
+}
+
 std::vector<std::string> upstream_directory::announcedNames() const
 {
     std::vector<std::string> names;
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -117,6 +117,9 @@
     /** Names of all upstreams that are not gone. */
     std::vector<std::string> announcedNames() const;
 
+    /** All records in no order; the pointers hold until the next change. */
+    std::vector<const upstream_record *> records() const;
+
     std::size_t size() const { return m_records.size(); }
 
 private:
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds tickTime {50};
 /// Messages of peers per system call; a transfer of beliefs has about ten parts.
 constexpr std::size_t peerBatchSize = 16;
+constexpr std::string_view jsonType = "application/json";
 
 std::string formatFlow(const flow_key &flow)
 {
@@ -416,9 +417,30 @@
         return isReady() ? status_page {200, "ready\n"} : status_page {503, "not ready\n"};
     if (path == "/metrics")
         return {200, renderEntryMetrics(m_metrics, gauges())};
+    if (path == instancePath)
+        return {200,
+                renderInstance({m_settings.name, m_settings.domain, m_stop.isStopping(),
+                                m_gossip.isReader(), m_state.revision(), gauges()}),
+                jsonType};
+    if (path == upstreamsPath)
+        return {200, renderUpstreams(upstreamViews()), jsonType};
     return {};
 }
 
+std::vector<upstream_view> entry_process::upstreamViews() const
+{
+    const auto now = m_clock.now();
+    const auto flows = m_forwarder.countFlows();
+    std::vector<upstream_view> views;
+    for (const upstream_record *record : m_directory.records()) {
+        const auto counted = flows.find(record->id);
+        views.push_back({record, m_placement.isSuspected(record->id, now),
+                         m_placement.latencyOf(record->id, now),
+                         counted == flows.end() ? 0 : counted->second});
+    }
+    return views;
+}
+
 entry_gauges entry_process::gauges() const
 {
     const auto now = m_clock.now();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -17,6 +17,7 @@
 #include "platform/packet_codec.h"
 #include "platform/platform_store.h"
 #include "routing/routing_base.h"
+#include "status_documents.h"
 #include "status_server.h"
 #include "stop_sequence_base.h"
 #include "suspension_watch_base.h"
@@ -33,6 +34,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace chicoryhead {
 
@@ -87,6 +89,7 @@
     bool isBeliefFresh(monotonic_time now) const;
     status_page page(std::string_view path);
     entry_gauges gauges() const;
+    std::vector<upstream_view> upstreamViews() const;
 
     entry_settings m_settings;
     settings_source m_reread;
--- a/src/entry/status_server.cpp
+++ b/src/entry/status_server.cpp
@@ -61,7 +61,8 @@
                          auto builder = request->create_response(statusLine(page.status));
                          if (!request->header().should_keep_alive())
                              builder.connection_close();
-                         builder.append_header(restinio::http_field::content_type, "text/plain");
+                         builder.append_header(restinio::http_field::content_type,
+                                               std::string(page.type));
                          builder.set_body(page.body);
                          return builder.done();
                      }))
--- a/src/entry/status_server.h
+++ b/src/entry/status_server.h
@@ -22,6 +22,7 @@
 {
     int status = 404;
     std::string body;
+    std::string_view type = "text/plain"; ///< media type
 };
 
 /** Serves GET requests on an io_context that one thread runs. */
--- a/src/forward/flow_observer.cpp
+++ b/src/forward/flow_observer.cpp
@@ -33,4 +33,12 @@
     std::erase_if(m_flows, [&](const auto &entry) { return now - entry.second.seenAt > maxIdle; });
 }
 
+std::map<upstream_id, std::uint64_t> flow_observer::countByUpstream() const
+{
+    std::map<upstream_id, std::uint64_t> counts;
+    for (const auto &[key, flow] : m_flows)
+        ++counts[flow.upstream];
+    return counts;
+}
+
 } // namespace chicoryhead
--- a/src/forward/flow_observer_base.h
+++ b/src/forward/flow_observer_base.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -59,6 +60,9 @@
 
     std::size_t size() const { return m_flows.size(); }
 
+    /** Flows by the upstream that their last packet went to. */
+    std::map<upstream_id, std::uint64_t> countByUpstream() const;
+
 private:
     struct key_hash
     {
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -15,6 +15,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string_view>
 
 namespace chicoryhead {
@@ -96,6 +97,9 @@
 
     std::size_t observedFlows() const { return m_observer.size(); }
 
+    /** Flows seen lately by upstream. */
+    std::map<upstream_id, std::uint64_t> countFlows() const { return m_observer.countByUpstream(); }
+
 private:
     packet_decision decideOpening(const caller_packet &packet, bool isBeliefFresh,
                                   monotonic_time now);
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 
 #include <cassert>
+#include <optional>
 #include <utility>
 
 namespace chicoryhead {
@@ -202,4 +203,17 @@
     m_socket.close(ignored);
 }
 
+result<http_answer> callOnce(const endpoint &server, const http_call &call)
+{
+    asio::io_context context(1);
+    http_connection connection(context, server, toString(server));
+    std::optional<result<http_answer>> outcome;
+    connection.start(call, [&](result<http_answer> answer) {
+        outcome = std::move(answer);
+        context.stop();
+    });
+    context.run();
+    return outcome ? std::move(*outcome) : result<http_answer>(error::StoreUnavailable);
+}
+
 } // namespace chicoryhead
--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -38,6 +38,12 @@
     std::string body;
 };
 
+/**
+ * Makes one call on a connection of its own and waits for the answer.
+ * @return the answer, or the errors of http_connection.
+ */
+result<http_answer> callOnce(const endpoint &server, const http_call &call);
+
 /**
  * A connection that is opened when a call needs it and kept while the server keeps it. The time of
  * a call includes the time to connect, so a connection that fell silent ends with the call.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -160,6 +160,14 @@
     return found != m_experience.end() && found->second.suspectedUntil > now;
 }
 
+monotonic_time domain_first_placement::latencyOf(upstream_id upstream, monotonic_time now) const
+{
+    const auto found = m_experience.find(upstream);
+    if (found == m_experience.end() || now - found->second.latencyAt > m_limits.latencyMemory)
+        return monotonic_time {0};
+    return monotonic_time(static_cast<monotonic_time::rep>(found->second.latency));
+}
+
 domain_first_placement::choice_group
 domain_first_placement::groupOf(const upstream_record &record, std::span<const upstream_id> tried,
                                 monotonic_time now) const
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -118,6 +118,9 @@
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
+    /** Moving average of an upstream's latencies; 0 when it did not answer lately. */
+    monotonic_time latencyOf(upstream_id upstream, monotonic_time now) const;
+
 private:
     /** What was learnt of one upstream. */
     struct experience
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -129,6 +129,9 @@
         case store_behaviour::Silent:
             silent.push_back(request);
             break;
+        case store_behaviour::Lossy:
+            serve(path, request);
+            break;
         case store_behaviour::Garbage:
             request->create_response().set_body("{\"at_rev\":").done();
             break;
@@ -138,7 +141,9 @@
 
     void serve(const std::string &path, const restinio::request_handle_t &request)
     {
-        if (path == platform::names::rangePath)
+        if (path == platform::names::itemPath)
+            serveItem(request);
+        else if (path == platform::names::rangePath)
             serveRange(request);
         else if (path == platform::names::watchPath)
             serveWatch(request);
@@ -148,9 +153,24 @@
             respond(request, 404, json::object());
     }
 
+    void serveItem(const restinio::request_handle_t &request)
+    {
+        const auto query =
+            restinio::parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
+        const auto found = items.find(textParameter(query, "key"));
+        if (found == items.end()) {
+            respond(request, 404, json::object());
+            return;
+        }
+        json fields = itemFields(found->first, found->second);
+        fields["at_rev"] = revision;
+        respond(request, 200, fields);
+    }
+
     void serveRange(const restinio::request_handle_t &request)
     {
-        const auto query = restinio::parse_query(request->header().query());
+        const auto query =
+            restinio::parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
         const std::string prefix = textParameter(query, "prefix");
         const std::string after = textParameter(query, "after");
         json page {{"items", json::array()}, {"has_more", false}, {"at_rev", revision}};
@@ -168,7 +188,8 @@
 
     void serveWatch(const restinio::request_handle_t &request)
     {
-        const auto query = restinio::parse_query(request->header().query());
+        const auto query =
+            restinio::parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
         waiting_watch watch {request, textParameter(query, "prefix"),
                              numberParameter(query, "after"),
                              std::make_shared<asio::steady_timer>(context)};
@@ -203,7 +224,10 @@
         }
         for (const json &key : body["deletes"])
             remove(key);
-        respond(request, 200, {{"revision", revision}});
+        if (behaviour == store_behaviour::Lossy)
+            silent.push_back(request);
+        else
+            respond(request, 200, {{"revision", revision}});
     }
 
     bool answerWatch(const waiting_watch &watch, bool evenIfEmpty)
@@ -229,7 +253,7 @@
     void record(change made)
     {
         history.push_back(std::move(made));
-        if (behaviour == store_behaviour::Serving)
+        if (behaviour == store_behaviour::Serving || behaviour == store_behaviour::Lossy)
             watches.remove_if([this](const waiting_watch &watch) {
                 const bool isAnswered = answerWatch(watch, false);
                 if (isAnswered)
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -24,6 +24,7 @@
     Busy,      ///< 503
     Throttled, ///< 429
     Silent,    ///< calls get no answer
+    Lossy,     ///< writes are carried out, but get no answer
     Garbage,   ///< 200 with a body that is no JSON
 };
 
--- /dev/null
+++ b/tests/test_cli.cpp
@@ -0,0 +1,299 @@
+/**
+ * @file test_cli.cpp
+ * The operators' client against a store and pages in memory.
+ */
+
+#include "cli/cli_base.h"
+#include "platform/record_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+using namespace chicoryhead;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string configText(unsigned version)
+{
+    return R"({"version":)" + std::to_string(version)
+        + R"(,"routes":[{"name":"r1","host":"198.18.0.1","prefix":"/443/","route_type":"idempotent",)"
+          R"("timeout_ms":1200,"target_latency_ms":200,"priority":1,"service":"desk"}]})";
+}
+
+/** What the store of a test holds, and how it answers. */
+struct memory_store
+{
+    std::string config;
+    store_revision revision = 0;
+    std::vector<fleet_change> fleet;
+    std::error_code readError;
+    std::error_code writeError;    ///< answer to a replacement
+    bool isAppliedDespite = false; ///< the replacement takes effect although it fails
+    std::string replacedMeanwhile; ///< by somebody else, before the next replacement
+    std::function<void()> onReadFleet = [] {
+    };
+};
+
+class memory_store_access : public operator_store
+{
+public:
+    explicit memory_store_access(memory_store &store) : m_store(store) { }
+
+    result<stored_config> readConfig() override
+    {
+        if (m_store.readError)
+            return m_store.readError;
+        if (m_store.revision == 0)
+            return stored_config {};
+        return stored_config {m_store.revision, m_store.config,
+                              platform::decodeConfig(m_store.config).value()};
+    }
+
+    result<fleet_changes> readFleet() override
+    {
+        m_store.onReadFleet();
+        if (m_store.readError)
+            return m_store.readError;
+        return fleet_changes {m_store.revision, m_store.fleet};
+    }
+
+    std::error_code replaceConfig(const std::string &text, store_revision expected) override
+    {
+        if (!m_store.replacedMeanwhile.empty())
+            write(m_store.replacedMeanwhile);
+        if (expected != m_store.revision && !m_store.writeError)
+            return error::VersionConflict;
+        if (!m_store.writeError || m_store.isAppliedDespite)
+            write(text);
+        return m_store.writeError;
+    }
+
+private:
+    void write(const std::string &text)
+    {
+        m_store.config = text;
+        ++m_store.revision;
+    }
+
+    memory_store &m_store;
+};
+
+class memory_pages : public page_client
+{
+public:
+    result<std::string> get(const endpoint &server, const std::string &path) override
+    {
+        const auto found = pages.find(toString(server) + path);
+        if (found == pages.end())
+            return error::StoreUnavailable;
+        return found->second;
+    }
+
+    std::map<std::string, std::string> pages;
+};
+
+/** Runs commands in virtual time. */
+struct cli_fixture
+{
+    cli_fixture()
+    {
+        store.config = configText(4);
+        store.revision = 10;
+        store.fleet = {instance_registration {"f-2", "b", {0x0a000002, 7720}},
+                       instance_registration {"f-1", "a", {0x0a000001, 7720}}};
+        setPage(1, 4);
+        setPage(2, 4);
+    }
+
+    void setPage(int instance, int version)
+    {
+        pages.pages["10.0.0." + std::to_string(instance) + ":9102/v1/instance"] =
+            R"({"state":"ready","version":)" + std::to_string(version)
+            + R"(,"belief_age_ms":120,"reads_store":true,"flows_observed":7})";
+    }
+
+    exit_code run(const std::vector<std::string> &arguments)
+    {
+        out.str("");
+        err.str("");
+        const cli_environment environment {out,
+                                           err,
+                                           in,
+                                           pages,
+                                           [this](const endpoint & /*server*/) {
+                                               return std::make_unique<memory_store_access>(store);
+                                           },
+                                           platform::decodeConfig,
+                                           [this](const char *name) { return variables[name]; },
+                                           [this] { return time; },
+                                           [this](std::chrono::milliseconds duration) {
+                                               time += duration;
+                                           }};
+        return runCli(arguments, environment);
+    }
+
+    exit_code put(const std::string &text, std::vector<std::string> flags = {})
+    {
+        in.clear();
+        in.str(text);
+        flags.insert(flags.begin(), {"config", "put", "-"});
+        return run(flags);
+    }
+
+    memory_store store;
+    memory_pages pages;
+    std::ostringstream out;
+    std::ostringstream err;
+    std::istringstream in;
+    std::map<std::string, std::string> variables {{"CHICORYHEAD_STORE", "10.200.1.7:8169"}};
+    std::chrono::milliseconds time {0};
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("Wrong usage is told before anything is asked", "[cli]")
+{
+    cli_fixture fixture;
+    CHECK(fixture.run({}) == exit_code::Usage);
+    CHECK(fixture.run({"unknown"}) == exit_code::Usage);
+    CHECK(fixture.run({"config", "wait"}) == exit_code::Usage);
+    CHECK(fixture.run({"config", "wait", "4x"}) == exit_code::Usage);
+    CHECK(fixture.run({"config", "version", "--base=3"}) == exit_code::Usage);
+    CHECK(fixture.run({"upstreams", "--nothing"}) == exit_code::Usage);
+    fixture.variables.clear();
+    CHECK(fixture.run({"instances"}) == exit_code::Usage);
+    CHECK(contains(fixture.err.str(), "CHICORYHEAD_STORE"));
+    CHECK(fixture.run({"--help"}) == exit_code::Done);
+    CHECK(contains(fixture.out.str(), "config put FILE"));
+}
+
+TEST_CASE("The configuration is shown", "[cli]")
+{
+    cli_fixture fixture;
+    CHECK(fixture.run({"config", "version"}) == exit_code::Done);
+    CHECK(fixture.out.str() == "4\n");
+    CHECK(fixture.run({"config", "show"}) == exit_code::Done);
+    CHECK(contains(fixture.out.str(), "198.18.0.1:443"));
+    CHECK(fixture.run({"config", "show", "--json"}) == exit_code::Done);
+    CHECK(fixture.out.str() == configText(4) + "\n");
+    fixture.store.readError = error::StoreUnavailable;
+    CHECK(fixture.run({"config", "show"}) == exit_code::Unavailable);
+}
+
+TEST_CASE("A configuration is put only above the version that it is based on", "[cli]")
+{
+    // Guards against an operator who overwrites a configuration that was not read.
+    cli_fixture fixture;
+    CHECK(fixture.put("{}") == exit_code::Invalid);
+    CHECK(fixture.put(configText(4)) == exit_code::Invalid);
+    CHECK(fixture.put(configText(5), {"--base=3"}) == exit_code::Refused);
+    CHECK(fixture.store.config == configText(4));
+    CHECK(fixture.put(configText(5), {"--base=4"}) == exit_code::Done);
+    CHECK(fixture.store.config == configText(5));
+    fixture.store.replacedMeanwhile = configText(6);
+    CHECK(fixture.put(configText(7)) == exit_code::Refused);
+    CHECK(fixture.store.config == configText(6));
+}
+
+TEST_CASE("A lost answer to a change is resolved by reading the store", "[cli]")
+{
+    cli_fixture fixture;
+    fixture.store.writeError = error::OutcomeUnknown;
+    CHECK(fixture.put(configText(5)) == exit_code::Unknown);
+    fixture.store.isAppliedDespite = true;
+    CHECK(fixture.put(configText(5)) == exit_code::Done);
+    fixture.store.isAppliedDespite = false;
+    fixture.store.replacedMeanwhile = configText(8);
+    CHECK(fixture.put(configText(7)) == exit_code::Refused);
+    fixture.store.replacedMeanwhile.clear();
+    fixture.store.writeError = error::ValidationFailed;
+    CHECK(fixture.put(configText(9)) == exit_code::Invalid);
+    fixture.store.writeError = error::Throttled;
+    CHECK(fixture.put(configText(9)) == exit_code::Unavailable);
+}
+
+TEST_CASE("Waiting for a version names the instances that lag", "[cli]")
+{
+    cli_fixture fixture;
+    CHECK(fixture.run({"config", "wait", "4"}) == exit_code::Done);
+    CHECK(fixture.out.str() == "version 4 is in force on 2 instances\n");
+    CHECK(fixture.run({"config", "wait", "5", "--timeout=2"}) == exit_code::Timeout);
+    CHECK(contains(fixture.err.str(), "f-1 f-2"));
+    fixture.setPage(1, 5);
+    fixture.pages.pages.erase("10.0.0.2:9102/v1/instance");
+    CHECK(fixture.run({"config", "wait", "5", "--timeout=2"}) == exit_code::Timeout);
+    CHECK(contains(fixture.err.str(), "not answering: f-2"));
+    int reads = 0;
+    fixture.store.onReadFleet = [&] {
+        if (++reads == 3)
+            fixture.setPage(2, 5);
+    };
+    CHECK(fixture.run({"config", "wait", "5"}) == exit_code::Done);
+    fixture.store.fleet.clear();
+    CHECK(fixture.run({"config", "wait", "5", "--timeout=1"}) == exit_code::Timeout);
+}
+
+TEST_CASE("Instances are listed with what they say, or that they don't answer", "[cli]")
+{
+    cli_fixture fixture;
+    fixture.pages.pages["10.0.0.2:9102/v1/instance"] = "{\"state\":1}";
+    CHECK(fixture.run({"instances"}) == exit_code::Done);
+    const std::string text = fixture.out.str();
+    CHECK(contains(text, "f-1       a       10.0.0.1:7720  ready      4        120     yes     7"));
+    CHECK(contains(text, "f-2       b       10.0.0.2:7720  no answer"));
+}
+
+TEST_CASE("Upstreams are listed by service, unreadable ones are named", "[cli]")
+{
+    cli_fixture fixture;
+    upstream_announcement announced;
+    announced.name = "i-1";
+    announced.service = "desk";
+    announced.domain = "a";
+    announced.isDraining = true;
+    fixture.store.fleet.emplace_back(announced);
+    announced.name = "i-2";
+    announced.service = "proofs";
+    fixture.store.fleet.emplace_back(announced);
+    fixture.store.fleet.emplace_back(upstream_withdrawal {"i-3", true});
+    CHECK(fixture.run({"upstreams", "desk"}) == exit_code::Done);
+    CHECK(contains(fixture.out.str(), "draining"));
+    CHECK_FALSE(contains(fixture.out.str(), "i-2"));
+    CHECK(contains(fixture.err.str(), "i-3"));
+}
+
+TEST_CASE("Flows are listed by instance and upstream", "[cli]")
+{
+    cli_fixture fixture;
+    fixture.pages.pages["10.0.0.1:9102/v1/upstreams"] =
+        R"({"upstreams":[{"service":"desk","name":"i-1","standing":"ready","suspected":true,)"
+        R"("latency_us":12340,"flows":9}]})";
+    CHECK(fixture.run({"flows"}) == exit_code::Done);
+    CHECK(contains(fixture.out.str(), "f-1       desk     i-1       ready     yes        12.3"));
+    CHECK(contains(fixture.err.str(), "f-2"));
+}
+
+TEST_CASE("The story of a flow is read from standard input", "[cli]")
+{
+    cli_fixture fixture;
+    fixture.in.str("1.5 f-1 t_ms=9 event=flow_refused flow=1.2.3.4:5>6.7.8.9:10 reason=no_route "
+                   "version=4 belief_age_ms=12\n");
+    CHECK(fixture.run({"story", "1.2.3.4:5>6.7.8.9:10"}) == exit_code::Done);
+    CHECK(contains(fixture.out.str(),
+                   "- refused at once: no_route, with configuration 4 confirmed 12 ms before"));
+    fixture.in.clear();
+    fixture.in.str("nothing\n");
+    CHECK(fixture.run({"story", "1.2.3.4:5>6.7.8.9:10"}) == exit_code::Invalid);
+    CHECK(fixture.run({"story", "x", "/nonexistent"}) == exit_code::Unavailable);
+}
--- /dev/null
+++ b/tests/test_flow_story.cpp
@@ -0,0 +1,118 @@
+/**
+ * @file test_flow_story.cpp
+ * What the logs say of one flow.
+ */
+
+#include "cli/flow_story.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace chicoryhead;
+
+namespace {
+
+std::vector<log_line> parse(const std::vector<std::string> &texts)
+{
+    std::vector<log_line> log;
+    for (const std::string &text : texts) {
+        if (auto line = parseLogLine(text, "file"))
+            log.push_back(*line);
+    }
+    return log;
+}
+
+bool finds(const flow_story &story, const std::string &finding)
+{
+    return std::find(story.findings.begin(), story.findings.end(), finding) != story.findings.end();
+}
+
+const std::string flow = "100.64.0.1:40001>198.18.0.1:443";
+
+} // namespace
+
+TEST_CASE("A line has the collector's part, fields and quoted values", "[story]")
+{
+    const auto line = parseLogLine(
+        R"(24.05 f-1 t_ms=88 event=instance_registered outcome="a \"b\" c" x=1)", "log");
+    REQUIRE(line);
+    CHECK(line->instance == "f-1");
+    CHECK(line->collectedAt == 24.05);
+    CHECK(line->field("outcome") == "a \"b\" c");
+    CHECK(line->field("x") == "1");
+    CHECK(line->field("missing").empty());
+
+    const auto bare = parseLogLine("t_ms=88 event=started", "log");
+    REQUIRE(bare);
+    CHECK(bare->instance == "log");
+    CHECK_FALSE(bare->collectedAt);
+
+    CHECK_FALSE(parseLogLine("", "log"));
+    CHECK_FALSE(parseLogLine("some other program", "log"));
+    CHECK_FALSE(parseLogLine("t_ms=88 no event", "log"));
+}
+
+TEST_CASE("Lines of several instances are put in order of the collector's time", "[story]")
+{
+    const auto story =
+        tellStory(parse({"3.0 f-2 t_ms=1 event=request_forwarded request=r flow=" + flow
+                             + " upstream=i-1 standing=ready",
+                         "1.0 f-1 t_ms=9 event=flow_placed flow=" + flow
+                             + " reason=placed upstream=i-1 unanswered_by=none",
+                         "2.0 f-1 t_ms=9 event=flow_placed flow=1.1.1.1:1>2.2.2.2:2 upstream=i-1"}),
+                  flow);
+    REQUIRE(story.lines.size() == 2);
+    CHECK(story.lines[0].instance == "f-1");
+    CHECK(story.lines[1].instance == "f-2");
+    CHECK(story.isOrdered);
+    CHECK(story.findings.empty());
+}
+
+TEST_CASE("A request leads to its flow, and to the upstream that died", "[story]")
+{
+    // Guards against a story that ends at the repeated request and doesn't tell the cause.
+    const auto story = tellStory(
+        parse({"1.0 f-1 t_ms=1 event=flow_placed flow=" + flow
+                   + " reason=placed upstream=i-1 unanswered_by=none",
+               "2.0 f-1 t_ms=1 event=request_forwarded request=r1 flow=" + flow
+                   + " upstream=i-1 standing=ready",
+               "2.2 f-1 t_ms=1 event=request_repeated request=r1 flow=" + flow
+                   + " upstream=i-1 standing=ready",
+               "2.3 f-3 t_ms=1 event=flow_placed flow=1.1.1.1:1>2.2.2.2:2 unanswered_by=i-1",
+               "2.4 f-3 t_ms=1 event=flow_placed flow=1.1.1.1:3>2.2.2.2:2 unanswered_by=i-1",
+               "30.0 f-3 t_ms=1 event=flow_placed flow=1.1.1.1:4>2.2.2.2:2 unanswered_by=i-1",
+               "5.0 f-9 t_ms=1 event=upstream_changed upstream=i-1 standing=gone cause=lapsed",
+               "5.0 f-9 t_ms=1 event=upstream_changed upstream=i-2 standing=gone cause=lapsed"}),
+        "r1");
+    CHECK(story.flows == std::vector<std::string> {flow});
+    CHECK(finds(story, "the caller repeated request r1 to i-1, which was ready"));
+    CHECK(finds(story, "i-1 became gone (lapsed)"));
+    CHECK(finds(story, "2 other flows got no answer from i-1 at that time"));
+    CHECK(story.findings.size() == 3);
+}
+
+TEST_CASE("What happened to the flow's instances belongs to its story", "[story]")
+{
+    const auto story = tellStory(
+        parse({"1.0 f-1 t_ms=1 event=flow_placed flow=" + flow + " upstream=i-1 unanswered_by=none",
+               "1.5 f-1 t_ms=1 event=resumed gap_ms=900", "1.6 f-2 t_ms=1 event=resumed gap_ms=900",
+               "50.0 f-1 t_ms=1 event=resumed gap_ms=800",
+               "1.7 f-1 t_ms=1 event=packet_dropped flow=" + flow + " reason=stale_opening"}),
+        flow);
+    CHECK(story.findings
+          == std::vector<std::string> {"f-1 was suspended for 900 ms",
+                                       "f-1 dropped a packet: stale_opening"});
+}
+
+TEST_CASE("Without the collector's time the story says that it is not ordered", "[story]")
+{
+    const auto story = tellStory(parse({"t_ms=2 event=flow_placed flow=" + flow}), flow);
+    CHECK(story.lines.size() == 1);
+    CHECK_FALSE(story.isOrdered);
+}
+
+TEST_CASE("A request that no instance saw has no story", "[story]")
+{
+    CHECK(tellStory(parse({"1.0 f-1 t_ms=1 event=started"}), "r1").lines.empty());
+}
--- /dev/null
+++ b/tests/test_operator_access.cpp
@@ -0,0 +1,110 @@
+/**
+ * @file test_operator_access.cpp
+ * The operators' access to the store against the stand-in.
+ */
+
+#include "platform/operator_access.h"
+#include "platform/platform_names.h"
+#include "standin/store_standin.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace chicoryhead;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string configKey(platform::names::configKey);
+const std::string first = R"({"version":3,"routes":[]})";
+const std::string second = R"({"version":5,"routes":[]})";
+
+/** The stand-in on a thread of its own, since the access blocks. */
+struct access_fixture
+{
+    /** Runs a function on the stand-in's thread. */
+    template<typename Function>
+    auto inStore(Function function)
+    {
+        std::packaged_task<decltype(function())()> task(function);
+        auto outcome = task.get_future();
+        asio::post(context, [&task] { task(); });
+        return outcome.get();
+    }
+
+    access_fixture()
+    {
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~access_fixture()
+    {
+        inStore([this] { store.reset(); });
+        context.stop();
+        thread.join();
+    }
+
+    access_fixture(const access_fixture &) = delete;
+    access_fixture &operator=(const access_fixture &) = delete;
+
+    asio::io_context context {1};
+    asio::executor_work_guard<asio::io_context::executor_type> work {context.get_executor()};
+    std::unique_ptr<standin::store_standin> store =
+        std::make_unique<standin::store_standin>(context, endpoint {0x7f000001, 0});
+    platform::operator_access access {store->address(), 300ms};
+    std::thread thread;
+};
+
+} // namespace
+
+TEST_CASE("A store without configuration has revision 0", "[operator]")
+{
+    access_fixture fixture;
+    const auto config = fixture.access.readConfig();
+    REQUIRE(config);
+    CHECK(config.value().revision == 0);
+}
+
+TEST_CASE("A configuration is replaced only while it is the expected one", "[operator]")
+{
+    // Guards against an operator who overwrites a change that somebody else made meanwhile.
+    access_fixture fixture;
+    REQUIRE_FALSE(fixture.access.replaceConfig(first, 0));
+    const auto before = fixture.access.readConfig();
+    REQUIRE(before);
+    CHECK(before.value().text == first);
+    CHECK(before.value().decoded.version == 3);
+
+    CHECK(fixture.access.replaceConfig(second, 0) == error::VersionConflict);
+    CHECK(fixture.access.replaceConfig(second, before.value().revision + 1)
+          == error::VersionConflict);
+    CHECK(fixture.inStore([&] { return fixture.store->value(configKey); }) == first);
+
+    CHECK_FALSE(fixture.access.replaceConfig(second, before.value().revision));
+    CHECK(fixture.inStore([&] { return fixture.store->value(configKey); }) == second);
+}
+
+TEST_CASE("A write whose answer is lost has an unknown outcome", "[operator]")
+{
+    access_fixture fixture;
+    fixture.inStore([&] { fixture.store->setBehaviour(standin::store_behaviour::Lossy); });
+    const auto failure = fixture.access.replaceConfig(first, 0);
+    CHECK((failure == error::Timeout || failure == error::OutcomeUnknown));
+    CHECK(fixture.access.readConfig().value().text == first);
+}
+
+TEST_CASE("Refusals of the store are told apart from an unreadable configuration", "[operator]")
+{
+    access_fixture fixture;
+    fixture.inStore([&] { fixture.store->put(configKey, "{}"); });
+    CHECK(fixture.access.readConfig().error() == error::Malformed);
+    fixture.inStore([&] { fixture.store->setBehaviour(standin::store_behaviour::Busy); });
+    CHECK(fixture.access.readConfig().error() == error::StoreUnavailable);
+    CHECK(fixture.access.replaceConfig(first, 0) == error::StoreUnavailable);
+    fixture.inStore([&] { fixture.store->setBehaviour(standin::store_behaviour::Throttled); });
+    CHECK(fixture.access.readFleet().error() == error::Throttled);
+}
--- /dev/null
+++ b/tests/test_status_pages.cpp
@@ -0,0 +1,94 @@
+/**
+ * @file test_status_pages.cpp
+ * Status server and documents of an instance.
+ */
+
+#include "entry/status_documents.h"
+#include "entry/status_server.h"
+#include "http/http_connection_base.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+using namespace chicoryhead;
+using nlohmann::json;
+
+namespace {
+
+/// The server takes no free port by itself; each test has its own, because they run side by side.
+const endpoint pagesAddress {0x7f000001, 28911};
+const endpoint takenAddress {0x7f000001, 28912};
+
+} // namespace
+
+TEST_CASE("Pages are served with their status, 404 for others", "[status]")
+{
+    asio::io_context context(1);
+    status_server server(context, pagesAddress, [](std::string_view path) {
+        if (path == "/ready")
+            return status_page {503, "not ready\n"};
+        return path == "/page" ? status_page {200, "{}", "application/json"} : status_page {};
+    });
+    REQUIRE_FALSE(server.start());
+    asio::executor_work_guard<asio::io_context::executor_type> work(context.get_executor());
+    std::thread thread([&context] { context.run(); });
+    const auto page = callOnce(pagesAddress, {"GET", "/page", {}});
+    const auto ready = callOnce(pagesAddress, {"GET", "/ready?x=1", {}});
+    const auto missing = callOnce(pagesAddress, {"GET", "/other", {}});
+    context.stop();
+    thread.join();
+    REQUIRE(page);
+    CHECK(page.value().status == 200);
+    CHECK(page.value().body == "{}");
+    CHECK(ready.value().status == 503);
+    CHECK(missing.value().status == 404);
+}
+
+TEST_CASE("An address in use is reported when the status server starts", "[status]")
+{
+    asio::io_context context(1);
+    const auto pages = [](std::string_view /*path*/) {
+        return status_page {};
+    };
+    status_server first(context, takenAddress, pages);
+    status_server second(context, takenAddress, pages);
+    REQUIRE_FALSE(first.start());
+    CHECK(second.start());
+}
+
+TEST_CASE("The document of an instance tells its state", "[status]")
+{
+    instance_view view;
+    view.name = "f-\"1";
+    view.gauges.configVersion = 7;
+    view.gauges.beliefAgeSeconds = 0.25;
+    CHECK(json::parse(renderInstance(view))["state"] == "starting");
+    view.gauges.isReady = true;
+    const json ready = json::parse(renderInstance(view));
+    CHECK(ready["state"] == "ready");
+    CHECK(ready["name"] == "f-\"1");
+    CHECK(ready["version"] == 7);
+    CHECK(ready["belief_age_ms"] == 250);
+    view.isStopping = true;
+    CHECK(json::parse(renderInstance(view))["state"] == "stopping");
+}
+
+TEST_CASE("The document of upstreams is sorted by service and name", "[status]")
+{
+    upstream_record a;
+    a.announced.service = "desk";
+    a.announced.name = "i-2";
+    upstream_record b = a;
+    b.announced.name = "i-1";
+    b.standing = upstream_standing::Draining;
+    const json document =
+        json::parse(renderUpstreams({{&a, true, std::chrono::milliseconds(3), 4}, {&b}}));
+    REQUIRE(document["upstreams"].size() == 2);
+    CHECK(document["upstreams"][0]["standing"] == "draining");
+    CHECK(document["upstreams"][1]["suspected"] == true);
+    CHECK(document["upstreams"][1]["latency_us"] == 3000);
+    CHECK(document["upstreams"][1]["flows"] == 4);
+}
