Feature: demo with stand-ins of routers, upstreams and callers of the platform

Ruled out: stand-ins as programs of their own. Instances are processes; what surrounds them can run in one process, which sees both ends of each flow.

Change: deployment_standin starts instances with settings files and logs, a loopback proxy in front of the store for each, routers that check readiness and hash over the instances in rotation, upstreams and callers. An end gives back the tag that it received last, as on the platform, so two upstreams that answer copies of one opening packet would be seen. platform/standin_codec encodes what the platform, upstreams and callers write.

--- a/src/core/core_type.h
+++ b/src/core/core_type.h
@@ -69,7 +69,7 @@
     endpoint service;
     transport protocol = transport::Tcp;
 
-    auto operator<=>(const flow_key &) const = default;
+    auto operator<=>(const flow_key &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** 64-bit hash of a flow_key. */
--- /dev/null
+++ b/standin/caller_standin.cpp
@@ -0,0 +1,213 @@
+/**
+ * @file caller_standin.cpp
+ * What callers send, and when they send it again.
+ */
+
+#include "caller_standin.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace chicoryhead::standin {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t batchSize = 16;
+
+/// When the copies of an opening packet are sent, and when the attempt ends, as on the platform.
+constexpr std::array<monotonic_time, 3> openingTimes {0ms, 200ms, 600ms};
+constexpr monotonic_time openingEnd = 1400ms;
+/// First and longest pause between repetitions of a request, as on the platform.
+constexpr monotonic_time firstPause = 200ms;
+constexpr monotonic_time longestPause = 1600ms;
+/// A caller that waits longer than any recovery bound gives up.
+constexpr monotonic_time requestDeadline = 15s;
+/// Pause between an answer and the next request.
+constexpr monotonic_time thinkTime = 120ms;
+
+} // namespace
+
+caller_standin::caller_standin(asio::io_context &context, const endpoint &address, router route,
+                               const clock_source &clock, random_source &random,
+                               deployment_observer &observer)
+    : m_address(address)
+    , m_route(std::move(route))
+    , m_clock(clock)
+    , m_random(random)
+    , m_observer(observer)
+    , m_socket(
+          context, address,
+          [this](std::span<const std::byte> bytes, const endpoint & /*from*/) {
+              onDatagram(bytes);
+          },
+          batchSize)
+{
+    m_socket.setBatchHandler([this] { m_socket.flush(); });
+    m_socket.start();
+}
+
+void caller_standin::open(const endpoint &service, unsigned requests)
+{
+    const flow_key key {{m_address.address, m_nextPort++}, service, transport::Tcp};
+    caller_flow &flow = m_flows[key];
+    flow = {};
+    flow.start = static_cast<std::uint32_t>(m_random.next());
+    flow.next = flow.start + 1;
+    flow.remaining = requests;
+    flow.startedAt = m_clock.now();
+}
+
+void caller_standin::tick()
+{
+    const auto now = m_clock.now();
+    for (auto entry = m_flows.begin(); entry != m_flows.end();) {
+        auto &[key, flow] = *entry;
+        const bool goesOn =
+            flow.upstream.empty() ? tickOpening(key, flow, now) : tickOpen(key, flow, now);
+        entry = goesOn ? std::next(entry) : m_flows.erase(entry);
+    }
+    m_socket.flush();
+}
+
+bool caller_standin::tickOpening(const flow_key &key, caller_flow &flow, monotonic_time now)
+{
+    const auto age = now - flow.startedAt;
+    if (age >= openingEnd) {
+        m_observer.onNotOpened(key, false);
+        return false;
+    }
+    if (flow.copies < openingTimes.size() && age >= openingTimes.at(flow.copies)) {
+        platform::wire_packet packet;
+        packet.isOpening = true;
+        packet.sequence = flow.start;
+        packet.acknowledged = flow.copies++;
+        send(key, flow, packet);
+    }
+    return true;
+}
+
+bool caller_standin::tickOpen(const flow_key &key, caller_flow &flow, monotonic_time now)
+{
+    if (now < flow.repeatAt)
+        return true;
+    if (flow.request.empty()) {
+        if (flow.remaining == 0) {
+            sendEnd(key, flow);
+            return false;
+        }
+        flow.request = "request " + std::to_string(m_nextRequest++);
+        flow.requestAt = now;
+        flow.pause = firstPause;
+    } else if (now - flow.requestAt >= requestDeadline) {
+        m_observer.onBroken(key, flow.upstream, "request without answer");
+        return false;
+    } else {
+        flow.pause = std::min(flow.pause * 2, longestPause);
+    }
+    flow.repeatAt = now + flow.pause;
+    platform::wire_packet packet;
+    packet.isAcknowledged = true;
+    packet.sequence = flow.next;
+    packet.acknowledged = flow.acknowledged;
+    packet.data = flow.request;
+    send(key, flow, packet);
+    return true;
+}
+
+void caller_standin::endAll()
+{
+    for (const auto &[key, flow] : m_flows) {
+        if (!flow.upstream.empty())
+            sendEnd(key, flow);
+    }
+    m_flows.clear();
+    m_socket.flush();
+}
+
+void caller_standin::sendEnd(const flow_key &key, const caller_flow &flow)
+{
+    platform::wire_packet packet;
+    packet.isEnd = true;
+    packet.isAcknowledged = true;
+    packet.sequence = flow.next;
+    packet.acknowledged = flow.acknowledged;
+    send(key, flow, packet);
+}
+
+void caller_standin::send(const flow_key &key, const caller_flow &flow,
+                          platform::wire_packet packet)
+{
+    packet.source = key.caller;
+    packet.target = key.service;
+    packet.tag = m_forgetsTags ? 0 : flow.tag;
+    if (const auto instance = m_route(key))
+        m_socket.send(*instance, platform::encodePacket(packet));
+}
+
+void caller_standin::onDatagram(std::span<const std::byte> bytes)
+{
+    const auto packet = platform::decodeWirePacket(bytes);
+    if (!packet)
+        return;
+    const flow_key key {packet.value().target, packet.value().source, transport::Tcp};
+    const auto entry = m_flows.find(key);
+    if (entry == m_flows.end())
+        return;
+    caller_flow &flow = entry->second;
+    if (packet.value().isReset) {
+        if (flow.upstream.empty())
+            m_observer.onNotOpened(key, true);
+        else
+            m_observer.onBroken(key, flow.upstream, "reset");
+        m_flows.erase(entry);
+    } else if (packet.value().isOpening) {
+        onOpened(key, flow, packet.value());
+    } else {
+        onAnswer(key, flow, packet.value());
+    }
+}
+
+void caller_standin::onOpened(const flow_key &key, caller_flow &flow,
+                              const platform::wire_packet &packet)
+{
+    // An end gives back the tag that it received last, even from an answer that comes too late.
+    flow.tag = packet.tag;
+    if (!flow.upstream.empty())
+        return;
+    flow.upstream = packet.data;
+    flow.acknowledged = packet.sequence + 1;
+    flow.repeatAt = m_clock.now();
+    m_observer.onOpened(key, flow.upstream);
+}
+
+void caller_standin::onAnswer(const flow_key &key, caller_flow &flow,
+                              const platform::wire_packet &packet)
+{
+    if (flow.request.empty() || !packet.data.starts_with(flow.request + ' '))
+        return;
+    const auto now = m_clock.now();
+    const std::string upstream = packet.data.substr(flow.request.size() + 1);
+    if (upstream != flow.upstream) {
+        m_observer.onBroken(key, flow.upstream, "answered by " + upstream);
+        m_flows.erase(key);
+        return;
+    }
+    m_observer.onAnswered(key, upstream, now - flow.requestAt);
+    flow.tag = packet.tag;
+    flow.next += static_cast<std::uint32_t>(flow.request.size());
+    flow.acknowledged = packet.sequence + static_cast<std::uint32_t>(packet.data.size());
+    flow.request.clear();
+    flow.repeatAt = now + thinkTime;
+    if (flow.remaining > 0)
+        --flow.remaining;
+    platform::wire_packet acknowledgement;
+    acknowledgement.isAcknowledged = true;
+    acknowledgement.sequence = flow.next;
+    acknowledgement.acknowledged = flow.acknowledged;
+    send(key, flow, acknowledgement);
+}
+
+} // namespace chicoryhead::standin
--- /dev/null
+++ b/standin/demo.cpp
@@ -0,0 +1,166 @@
+/**
+ * @file demo.cpp
+ * A deployment on loopback for half a minute: an upstream drains and instances are replaced while
+ * callers use open flows.
+ */
+
+#include "deployment_standin.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+DEFINE_string(program, "build/src/entry/chicoryhead-entry", "program of an instance");
+DEFINE_string(folder, "build/demo", "folder for settings and logs");
+DEFINE_uint32(seconds, 30, "how long it runs; 0 for until it is interrupted");
+DEFINE_uint32(flows, 60, "flows that are open at the same time");
+
+namespace {
+
+using namespace chicoryhead;
+using namespace chicoryhead::standin;
+
+/** Counts what callers see. */
+class demo_counts : public deployment_observer
+{
+public:
+    void onOpeningPacket(const std::string & /*upstream*/, const flow_key & /*flow*/) override { }
+
+    void onForeignPacket(const std::string & /*upstream*/, const flow_key & /*flow*/) override
+    {
+        ++foreign;
+    }
+
+    void onOpened(const flow_key & /*flow*/, const std::string &upstream) override
+    {
+        ++opened[upstream];
+    }
+
+    void onNotOpened(const flow_key & /*flow*/, bool /*isRefused*/) override { ++notOpened; }
+
+    void onAnswered(const flow_key & /*flow*/, const std::string & /*upstream*/,
+                    monotonic_time /*latency*/) override
+    {
+        ++answered;
+    }
+
+    void onBroken(const flow_key &flow, const std::string &upstream,
+                  const std::string &reason) override
+    {
+        ++broken;
+        std::cout << "broken flow " << toString(flow.caller) << " at " << upstream << ": " << reason
+                  << '\n';
+    }
+
+    std::map<std::string, unsigned> opened; ///< by upstream, since the last look
+    unsigned notOpened = 0;
+    unsigned answered = 0;
+    unsigned broken = 0;
+    unsigned foreign = 0;
+};
+
+/** The course of the demo. */
+class demo
+{
+public:
+    demo() : m_deployment(m_context, plan(), m_counts), m_second(m_context) { }
+
+    bool run()
+    {
+        m_deployment.start();
+        step();
+        m_context.run();
+        std::cout << "answered " << m_counts.answered << ", not opened " << m_counts.notOpened
+                  << ", broken " << m_counts.broken << ", misdirected " << m_counts.foreign << '\n';
+        return m_counts.broken == 0 && m_counts.foreign == 0 && m_counts.answered > 0;
+    }
+
+private:
+    static deployment_plan plan()
+    {
+        deployment_plan made;
+        made.program = FLAGS_program;
+        made.folder = FLAGS_folder;
+        return made;
+    }
+
+    void step()
+    {
+        act();
+        fill();
+        if (FLAGS_seconds != 0 && m_elapsed >= FLAGS_seconds) {
+            m_deployment.stop();
+            m_context.stop();
+            return;
+        }
+        ++m_elapsed;
+        m_second.expires_after(std::chrono::seconds(1));
+        m_second.async_wait([this](std::error_code code) {
+            if (!code)
+                step();
+        });
+    }
+
+    /** Keeps the number of open flows, once instances are in rotation. */
+    void fill()
+    {
+        if (m_elapsed < 3)
+            return;
+        for (const auto &caller : m_deployment.callers()) {
+            while (caller->flows() < FLAGS_flows / m_deployment.callers().size()) {
+                const auto service = static_cast<unsigned>(m_deployment.random().next() % 2);
+                caller->open(m_deployment.serviceAddress(service),
+                             1 + static_cast<unsigned>(m_deployment.random().next() % 60));
+            }
+        }
+    }
+
+    void act()
+    {
+        constexpr unsigned drainAt = 8;
+        constexpr unsigned replaceAt = 12;
+        constexpr unsigned replaceEvery = 3;
+        if (m_elapsed == drainAt) {
+            m_leaving = m_deployment.upstreamsOf(0).front();
+            m_deployment.drainUpstream(m_leaving);
+            std::cout << m_elapsed << " s: upstream " << m_leaving << " announces that it leaves\n";
+        }
+        auto &instances = m_deployment.instances();
+        for (auto &instance : instances) {
+            if (instance.program->takeEnd()) {
+                std::cout << m_elapsed << " s: " << instance.program->settings().name
+                          << " stopped and is started again\n";
+                instance.program->start();
+            }
+        }
+        const unsigned since = m_elapsed - std::min(m_elapsed, replaceAt);
+        if (m_elapsed >= replaceAt && since % replaceEvery == 0
+            && since / replaceEvery < instances.size())
+            instances[since / replaceEvery].program->signal(SIGTERM);
+        std::cout << m_elapsed << " s: answered " << m_counts.answered;
+        if (!m_leaving.empty())
+            std::cout << ", new flows at " << m_leaving << ": " << m_counts.opened[m_leaving];
+        std::cout << '\n';
+        m_counts.opened.clear();
+    }
+
+    asio::io_context m_context {1};
+    demo_counts m_counts;
+    deployment_standin m_deployment;
+    asio::steady_timer m_second;
+    unsigned m_elapsed = 0; ///< seconds
+    std::string m_leaving;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("a deployment on loopback: store, routers, upstreams and callers as "
+                            "stand-ins, instances as processes");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return demo().run() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/standin/deployment_standin.h
@@ -0,0 +1,139 @@
+/**
+ * @file deployment_standin.h
+ * A small deployment on loopback: instances as processes, and around them stand-ins of the store,
+ * of routers, upstreams and callers in this process.
+ */
+
+#pragma once
+
+#include "caller_standin.h"
+#include "deployment_observer.h"
+#include "entry_program.h"
+#include "http/http_connection_base.h"
+#include "store_standin.h"
+#include "system/system_base.h"
+#include "tcp_proxy.h"
+#include "upstream_standin.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace chicoryhead::standin {
+
+/** Size and place of a deployment. */
+struct deployment_plan
+{
+    std::filesystem::path program; ///< of an instance
+    std::filesystem::path folder;  ///< for settings and logs
+    unsigned slot = 1;             ///< second number of its loopback addresses, 1 to 99
+    unsigned domains = 3;
+    unsigned instancesPerDomain = 2;
+    unsigned upstreamsPerDomain = 2; ///< of each service
+    unsigned services = 2;
+    std::uint64_t seed = 1;
+};
+
+/** Random source with a seed. */
+class seeded_random : public random_source
+{
+public:
+    explicit seeded_random(std::uint64_t seed) : m_engine(seed) { }
+    std::uint64_t next() override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+/** One instance with what the deployment knows of it. */
+struct deployed_instance
+{
+    std::unique_ptr<entry_program> program;
+    std::unique_ptr<tcp_proxy> storeProxy;      ///< between the instance and the store
+    std::unique_ptr<http_connection> readiness; ///< of the routers
+    unsigned misses = 2;                        ///< of readiness checks in a row
+    bool isPaused = false;
+    monotonic_time wellSince {0}; ///< in rotation and not paused since then; 0 while it is not
+};
+
+/** The deployment. All handlers run on the caller's io_context. */
+class deployment_standin
+{
+public:
+    deployment_standin(asio::io_context &context, deployment_plan plan,
+                       deployment_observer &observer);
+
+    /** Starts all instances. */
+    void start();
+
+    /** Address that callers reach a service at. */
+    endpoint serviceAddress(unsigned service) const;
+
+    /** Puts a configuration with the next version in the store; returns the version. */
+    config_version putConfig();
+
+    /** Configuration that was put last. */
+    const routing_config &config() const { return m_config; }
+
+    /** Adds an upstream that answers and announces itself; returns its name. */
+    std::string addUpstream(unsigned service, unsigned domain);
+
+    /** Announces that an upstream leaves. */
+    void drainUpstream(const std::string &name);
+
+    /** Ends an upstream at once and withdraws its announcement. */
+    void removeUpstream(const std::string &name);
+
+    /** The upstream with a name; null when it ended. */
+    const upstream_standin *findUpstream(const std::string &name) const;
+
+    std::vector<std::string> upstreamsOf(unsigned service) const;
+
+    std::vector<deployed_instance> &instances() { return m_instances; }
+    std::vector<std::unique_ptr<caller_standin>> &callers() { return m_callers; }
+    store_standin &store() { return *m_store; }
+    random_source &random() { return m_random; }
+    const clock_source &clock() const { return m_clock; }
+    std::string domainName(unsigned domain) const { return "d" + std::to_string(domain); }
+
+    /** Whether an instance of a caller's domain was well since a time. */
+    bool hadWellInstance(const flow_key &flow, monotonic_time since) const;
+
+    /** Ends the timers, so that the io_context runs out of work. */
+    void stop();
+
+private:
+    endpoint address(unsigned kind, std::size_t number, std::uint16_t port) const;
+    entry_settings settingsOf(unsigned domain, std::size_t number) const;
+    void addInstance(unsigned domain);
+    void announce(const upstream_standin &upstream);
+    std::optional<endpoint> route(unsigned domain, const flow_key &flow) const;
+    bool isInRotation(const deployed_instance &instance) const;
+    void scheduleTick();
+    void scheduleChecks();
+    void check(deployed_instance &instance);
+    void noteCheck(deployed_instance &instance, bool isReady);
+
+    asio::io_context &m_context;
+    deployment_plan m_plan;
+    deployment_observer &m_observer;
+    boot_clock_source m_clock;
+    seeded_random m_random;
+    std::unique_ptr<store_standin> m_store;
+    routing_config m_config;
+    std::vector<deployed_instance> m_instances;
+    std::vector<std::unique_ptr<upstream_standin>> m_upstreams;
+    std::vector<std::unique_ptr<caller_standin>> m_callers; ///< one per domain
+    asio::steady_timer m_tick;
+    asio::steady_timer m_checks;
+    std::size_t m_upstreamsMade = 0;
+    bool m_isStopping = false;
+};
+
+} // namespace chicoryhead::standin
--- /dev/null
+++ b/standin/upstream_standin.h
@@ -0,0 +1,64 @@
+/**
+ * @file upstream_standin.h
+ * Stand-in of an upstream: answers opening packets and requests directly to callers.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+#include "deployment_observer.h"
+#include "directory/directory_base.h"
+#include "platform/standin_codec.h"
+#include "system/udp_socket_base.h"
+
+#include <asio/io_context.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace chicoryhead::standin {
+
+/** One upstream on an io_context. */
+class upstream_standin
+{
+public:
+    /**
+     * @param services addresses that its service is reached at.
+     * @param callerPort port of all callers.
+     */
+    upstream_standin(asio::io_context &context, upstream_announcement announced,
+                     std::set<endpoint> services, std::uint16_t callerPort, random_source &random,
+                     deployment_observer &observer);
+
+    /** Announces from now on that it leaves. */
+    void drain() { m_announced.isDraining = true; }
+
+    const upstream_announcement &announced() const { return m_announced; }
+
+private:
+    /** A flow that it holds. */
+    struct held_flow
+    {
+        std::uint32_t callerStart = 0; ///< sequence of the opening packet
+        std::uint32_t start = 0;       ///< own sequence of the opening answer
+        std::uint32_t sent = 0;        ///< bytes of answers, without the last one
+        std::uint32_t answeredSequence = 0;
+        std::string answer; ///< to the last request, repeated with it
+    };
+
+    void onDatagram(std::span<const std::byte> bytes);
+    void onOpening(const platform::wire_packet &packet);
+    void onData(const platform::wire_packet &packet, held_flow &flow);
+    void reply(const platform::wire_packet &to, platform::wire_packet answer);
+
+    upstream_announcement m_announced;
+    std::set<endpoint> m_services;
+    std::uint16_t m_callerPort;
+    random_source &m_random;
+    deployment_observer &m_observer;
+    std::map<flow_key, held_flow> m_flows;
+    udp_socket m_socket;
+};
+
+} // namespace chicoryhead::standin
