Feature: log and metrics tell of suspected upstreams and of calls by kind

A log told that an upstream was suspected only by the field unanswered_by of a placed flow, never when it was trusted again; store calls were counted without their kind.

Change: upstream_suspected and upstream_trusted, once per change; the metric store_calls_total has the label kind (load, watch, write).

--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -11,7 +11,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
-#include <utility>
+#include <string_view>
 #include <vector>
 
 namespace chicoryhead {
@@ -26,6 +26,14 @@
     latency_histogram answer; ///< from a request to the acknowledgement of its answer
 };
 
+/** Calls of the store of one kind with one outcome. */
+struct store_call_count
+{
+    std::string_view kind;
+    std::string_view outcome;
+    std::uint64_t count = 0;
+};
+
 /** Values that are read when metrics are asked for. */
 struct entry_gauges
 {
@@ -39,7 +47,7 @@
     std::uint64_t logLinesDropped = 0;
     double beliefAgeSeconds = 0; ///< since the store's newest revision was last confirmed
     bool isReady = false;
-    std::vector<std::pair<std::string, std::uint64_t>> storeCalls; ///< by outcome
+    std::vector<store_call_count> storeCalls;
 };
 
 /** Renders everything in the Prometheus text format 0.0.4. */
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -225,6 +225,7 @@
         m_metrics.answer.record(decision.latency);
     carryOut(packet, bytes, decision);
     logDecision(packet, bytes, decision);
+    logTrust(packet, decision);
 }
 
 void entry_process::carryOut(const caller_packet &packet, std::span<const std::byte> bytes,
@@ -282,6 +283,20 @@
                  {"belief_age_ms", age()}});
 }
 
+void entry_process::logTrust(const caller_packet &packet, const packet_decision &decision)
+{
+    if (decision.isSuspectedNow && decision.unanswered != nullptr)
+        m_log.write("upstream_suspected",
+                    {{"upstream", decision.unanswered->announced.name},
+                     {"flow", formatFlow(packet.flow)},
+                     {"copy", std::to_string(packet.acknowledged)},
+                     {"standing", std::string(toString(decision.unanswered->standing))}});
+    if (decision.isTrustedAgain)
+        m_log.write(
+            "upstream_trusted",
+            {{"upstream", decision.upstream->announced.name}, {"flow", formatFlow(packet.flow)}});
+}
+
 void entry_process::logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
                                const packet_decision &decision)
 {
@@ -456,8 +471,12 @@
     gauges.beliefAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
     gauges.isReady = isReady();
     const auto &calls = m_store.calls();
-    for (std::size_t i = 0; i < calls.size(); ++i)
-        gauges.storeCalls.emplace_back(toString(static_cast<platform::call_outcome>(i)), calls[i]);
+    for (std::size_t kind = 0; kind < calls.size(); ++kind) {
+        for (std::size_t i = 0; i < calls[kind].size(); ++i)
+            gauges.storeCalls.push_back({toString(static_cast<platform::call_kind>(kind)),
+                                         toString(static_cast<platform::call_outcome>(i)),
+                                         calls[kind][i]});
+    }
     return gauges;
 }
 
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -73,6 +73,7 @@
                   const packet_decision &decision);
     void logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
                      const packet_decision &decision);
+    void logTrust(const caller_packet &packet, const packet_decision &decision);
     void logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
                     const packet_decision &decision);
     void sendReset(const caller_packet &packet);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -90,11 +90,12 @@
     observed_flow *flow = m_observer.find(packet.flow);
     const bool isCopy = flow != nullptr && flow->start == packet.sequence && flow->triedCount > 0;
     const upstream_record *unanswered = nullptr;
+    bool isSuspectedNow = false;
     if (isCopy) {
         flow->seenAt = now;
         if (const upstream_record *upstream = repeatTarget(*flow, now))
             return forwardTo(packet, *upstream, packet_reason::Repeated);
-        m_placement.noteUnanswered(flow->upstream, now);
+        isSuspectedNow = m_placement.noteUnanswered(flow->upstream, now);
         unanswered = m_directory.find(flow->upstream);
     }
     const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
@@ -121,6 +122,7 @@
     auto decision =
         forwardTo(packet, *upstream, isCopy ? packet_reason::PlacedAgain : packet_reason::Placed);
     decision.unanswered = unanswered;
+    decision.isSuspectedNow = isSuspectedNow;
     return decision;
 }
 
@@ -170,7 +172,7 @@
     }
     flow->seenAt = now;
     if (!flow->isOpen && flow->triedCount > 0)
-        m_placement.noteAnswered(upstream);
+        decision.isTrustedAgain = m_placement.noteAnswered(upstream);
     if (!flow->isOpen)
         flow->acknowledged = packet.acknowledged;
     flow->isOpen = true;
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -58,6 +58,8 @@
     steering_tag tag = noTag;                  ///< to write into the packet when forwarded
     /// Upstream that left an earlier copy of this opening packet unanswered; null for none.
     const upstream_record *unanswered = nullptr;
+    bool isSuspectedNow = false;       ///< the upstream that did not answer is avoided from now on
+    bool isTrustedAgain = false;       ///< the upstream answered, after it had not answered others
     bool isFirstRequestPacket = false; ///< first data of a request as far as seen here
     /// Since the request was first seen, when the caller sends its data again; 0 otherwise.
     monotonic_time unansweredFor {0};
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -105,22 +105,24 @@
         best.latency = latency;
 }
 
-void domain_first_placement::noteUnanswered(upstream_id upstream, monotonic_time now)
+bool domain_first_placement::noteUnanswered(upstream_id upstream, monotonic_time now)
 {
     experience &known = experienceOf(upstream);
+    const bool wasSuspected = known.suspectedUntil > now;
     const unsigned doublings = std::min(known.unanswered, 8U);
     known.suspectedUntil =
         now + std::min(m_limits.suspicion * (1U << doublings), m_limits.maxSuspicion);
     ++known.unanswered;
+    return !wasSuspected;
 }
 
-void domain_first_placement::noteAnswered(upstream_id upstream)
+bool domain_first_placement::noteAnswered(upstream_id upstream)
 {
     const auto found = m_experience.find(upstream);
     if (found == m_experience.end())
-        return;
-    found->second.unanswered = 0;
+        return false;
     found->second.suspectedUntil = monotonic_time {0};
+    return std::exchange(found->second.unanswered, 0) > 0;
 }
 
 void domain_first_placement::noteLatency(upstream_id upstream, monotonic_time latency,
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -40,11 +40,11 @@
     virtual std::optional<upstream_id>
     choose(const std::string &service, std::span<const upstream_id> tried, monotonic_time now) = 0;
 
-    /** An upstream did not answer an opening packet. */
-    virtual void noteUnanswered(upstream_id upstream, monotonic_time now) = 0;
+    /** An upstream did not answer an opening packet; returns whether it is avoided only now. */
+    virtual bool noteUnanswered(upstream_id upstream, monotonic_time now) = 0;
 
-    /** An upstream answered an opening packet. */
-    virtual void noteAnswered(upstream_id upstream) = 0;
+    /** An upstream answered an opening packet; returns whether it had left others unanswered. */
+    virtual bool noteAnswered(upstream_id upstream) = 0;
 
     /** An upstream answered a request after some time. */
     virtual void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) = 0;
@@ -109,8 +109,8 @@
     std::optional<upstream_id> choose(const std::string &service,
                                       std::span<const upstream_id> tried,
                                       monotonic_time now) override;
-    void noteUnanswered(upstream_id upstream, monotonic_time now) override;
-    void noteAnswered(upstream_id upstream) override;
+    bool noteUnanswered(upstream_id upstream, monotonic_time now) override;
+    bool noteAnswered(upstream_id upstream) override;
     void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
     void forget(upstream_id upstream) override;
     std::size_t countSuspected(monotonic_time now) const override;
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -218,3 +218,25 @@
     path.expire(17s);
     CHECK(path.observedFlows() == 0);
 }
+
+TEST_CASE("An upstream that is avoided and one that is trusted again are told once", "[forwarder]")
+{
+    // Guards against a log that does not say since when an upstream gets no new flows.
+    forwarder_fixture fixture;
+    const auto first = fixture.decide(makeOpening(1), 1s);
+    CHECK_FALSE(first.isSuspectedNow);
+    const auto copy = fixture.decide(makeOpening(1, 1), 1200ms);
+    REQUIRE(copy.reason == packet_reason::PlacedAgain);
+    CHECK(copy.isSuspectedNow);
+    CHECK(copy.unanswered == first.upstream);
+    CHECK_FALSE(copy.isTrustedAgain);
+
+    const auto opened = fixture.decide(makeOpening(2), 1210ms);
+    REQUIRE(opened.upstream != first.upstream);
+    const auto answered = fixture.decide(makeData(2, opened.tag, 1, 1, 0), 1220ms);
+    CHECK_FALSE(answered.isTrustedAgain);
+
+    const auto late = fixture.decide(makeData(1, first.tag, 1, 1, 0), 1230ms);
+    CHECK(late.isTrustedAgain);
+    CHECK_FALSE(fixture.decide(makeData(1, first.tag, 1, 1, 0), 1240ms).isTrustedAgain);
+}
