--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points for newcomers; all of them install what is missing and build first.
 BUILD ?= build
 
-.PHONY: deps build test demo lint format sanitize clean
+.PHONY: deps build test demo bench soak lint format sanitize clean
 
 deps:
 	@.ci/install_packages
@@ -13,6 +13,16 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j 8
 
+bench: build
+	@$(BUILD)/bench/chicoryhead_bench --benchmark_min_time=0.2
+
+# Short enough for CI; docs/soak.md tells how to run more seeds. REGRESSIONS are seeds that failed.
+soak: build
+	@$(BUILD)/tests/soak/chicoryhead-soak --break all --jobs 6 --folder $(BUILD)/soak \
+		--program $(BUILD)/src/entry/chicoryhead-entry
+	@$(BUILD)/tests/soak/chicoryhead-soak --first 1 --count 3 --jobs 3 --folder $(BUILD)/soak \
+		--program $(BUILD)/src/entry/chicoryhead-entry
+
 sanitize: deps
 	@cmake -S . -B build-sanitize -G Ninja -DCHICORYHEAD_SANITIZE=ON -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
 	@cmake --build build-sanitize --target chicoryhead_tests
--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -206,7 +206,7 @@
     return instance.misses < missesOutOfRotation;
 }
 
-std::optional<endpoint> deployment_standin::route(unsigned domain, const flow_key &flow) const
+std::optional<endpoint> deployment_standin::route(unsigned domain, const flow_key &flow)
 {
     std::vector<const deployed_instance *> own;
     std::vector<const deployed_instance *> ready;
@@ -221,9 +221,17 @@
     // Like the platform's routers: all of a domain if less than half is in rotation, another
     // domain if none is.
     auto &chosen = ready.empty() ? anywhere : ready.size() * 2 < own.size() ? own : ready;
-    if (chosen.empty())
+    if (chosen.empty() || m_areRoutersCut)
         return std::nullopt;
-    return chosen[hashFlow(flow) % chosen.size()]->program->settings().dataAddress;
+    const deployed_instance *instance = chosen[hashFlow(flow) % chosen.size()];
+    m_lastInstances[flow] = instance;
+    return instance->program->settings().dataAddress;
+}
+
+const deployed_instance *deployment_standin::lastInstance(const flow_key &flow) const
+{
+    const auto found = m_lastInstances.find(flow);
+    return found == m_lastInstances.end() ? nullptr : found->second;
 }
 
 bool deployment_standin::hadWellInstance(const flow_key &flow, monotonic_time since) const
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -20,6 +20,7 @@
 
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -105,6 +106,12 @@
     /** Whether an instance of a caller's domain was well since a time. */
     bool hadWellInstance(const flow_key &flow, monotonic_time since) const;
 
+    /** The instance that the last packet of a flow was handed to; null for none. */
+    const deployed_instance *lastInstance(const flow_key &flow) const;
+
+    /** Hands packets to nobody, to see whether an outage is noticed. */
+    void cutRouters() { m_areRoutersCut = true; }
+
     /** Ends the timers, so that the io_context runs out of work. */
     void stop();
 
@@ -113,7 +120,7 @@
     entry_settings settingsOf(unsigned domain, std::size_t number) const;
     void addInstance(unsigned domain);
     void announce(const upstream_standin &upstream);
-    std::optional<endpoint> route(unsigned domain, const flow_key &flow) const;
+    std::optional<endpoint> route(unsigned domain, const flow_key &flow);
     bool isInRotation(const deployed_instance &instance) const;
     void scheduleTick();
     void scheduleChecks();
@@ -133,6 +140,8 @@
     asio::steady_timer m_tick;
     asio::steady_timer m_checks;
     std::size_t m_upstreamsMade = 0;
+    std::map<flow_key, const deployed_instance *> m_lastInstances;
+    bool m_areRoutersCut = false;
     bool m_isStopping = false;
 };
 
--- a/standin/entry_program.cpp
+++ b/standin/entry_program.cpp
@@ -8,11 +8,12 @@
 #include "platform/standin_codec.h"
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <system_error>
@@ -20,6 +21,25 @@
 
 namespace chicoryhead::standin {
 
+namespace {
+
+/// Replaces the forked process; only calls that are safe after a fork of a program with threads.
+[[noreturn]] void becomeInstance(const char *logPath, const char *const *arguments)
+{
+    // No instance outlives the program that started it, even if that crashes.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = ::open(logPath, O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    // An inherited connection would stay open after the proxy has reset it.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execv(arguments[0], const_cast<char *const *>(arguments));
+    constexpr int notExecutable = 127; // as shells have it
+    ::_exit(notExecutable);
+}
+
+} // namespace
+
 entry_program::entry_program(std::filesystem::path program, std::filesystem::path folder,
                              entry_settings settings)
     : m_program(std::move(program)), m_folder(std::move(folder)), m_settings(std::move(settings))
@@ -41,22 +61,16 @@
     const std::string logPath = m_folder / (m_settings.name + ".log");
     std::ofstream(settingsPath) << platform::encodeSettings(m_settings);
 
-    posix_spawn_file_actions_t actions;
-    ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logPath.c_str(),
-                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    std::string program = m_program;
-    std::string settings = "--settings=" + settingsPath;
-    std::string port = "--metrics_port=" + std::to_string(m_settings.metricsPort);
-    const std::array<char *, 4> arguments {program.data(), settings.data(), port.data(), nullptr};
-    const int failure =
-        ::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments.data(), environ);
-    ::posix_spawn_file_actions_destroy(&actions);
-    if (failure != 0) {
-        m_process = 0;
-        throw std::system_error(failure, std::generic_category(), program);
-    }
+    const std::string program = m_program;
+    const std::string settings = "--settings=" + settingsPath;
+    const std::string port = "--metrics_port=" + std::to_string(m_settings.metricsPort);
+    const std::array<const char *, 4> arguments {program.c_str(), settings.c_str(), port.c_str(),
+                                                 nullptr};
+    m_process = ::fork();
+    if (m_process < 0)
+        throw std::system_error(errno, std::generic_category(), program);
+    if (m_process == 0)
+        becomeInstance(logPath.c_str(), arguments.data());
 }
 
 void entry_program::signal(int number) const
--- a/standin/entry_program.h
+++ b/standin/entry_program.h
@@ -27,7 +27,7 @@
     entry_program(const entry_program &) = delete;
     entry_program &operator=(const entry_program &) = delete;
 
-    /** Starts the process. @throw std::system_error when that is not possible. */
+    /** Starts the process. @throw std::system_error when no process can be made. */
     void start();
 
     /** Sends a signal to the process if it runs. */
--- /dev/null
+++ b/tests/soak/fault_series.h
@@ -0,0 +1,76 @@
+/**
+ * @file fault_series.h
+ * Faults and planned work of one soak, drawn from its seed.
+ */
+
+#pragma once
+
+#include "promise_check.h"
+#include "standin/deployment_standin.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicoryhead::soak {
+
+/** Draws faults, carries them out and ends them. They come in series and overlap. */
+class fault_series
+{
+public:
+    fault_series(standin::deployment_standin &deployment, promise_check &check, std::uint64_t seed,
+                 std::ostream &log);
+
+    /** Carries out what is due; called several times per second. */
+    void tick();
+
+    /** Draws no more faults and ends those that last. */
+    void calm();
+
+    /** Puts in a fault of the deployment's own that breaks a promise. */
+    void breakPromise(promise broken);
+
+private:
+    using action = void (fault_series::*)();
+
+    unsigned draw(unsigned below) { return static_cast<unsigned>(m_random.next() % below); }
+    monotonic_time drawTime(unsigned fromMs, unsigned toMs);
+    std::size_t drawInstance() { return draw(static_cast<unsigned>(m_instances().size())); }
+    std::vector<standin::deployed_instance> &m_instances() { return m_deployment.instances(); }
+    void later(monotonic_time after, std::function<void()> what);
+    void note(const std::string &text);
+
+    void pauseInstance();
+    void resume(std::size_t index);
+    void killInstance();
+    void kill(std::size_t index);
+    void killAll();
+    void stopInstance();
+    void startEnded();
+    void disturbStoreWay();
+    void disturbStore();
+    void dropHistory();
+    void reloadSettings();
+    void drainUpstream();
+    void crashUpstream();
+    void changeConfig();
+    void noteStoreState();
+
+    standin::deployment_standin &m_deployment;
+    promise_check &m_check;
+    standin::seeded_random m_random;
+    std::ostream &m_log;
+    monotonic_time m_startedAt;
+    monotonic_time m_nextFault;
+    std::multimap<monotonic_time, std::function<void()>> m_later;
+    std::map<std::size_t, monotonic_time> m_restartAt; ///< of ended processes, by instance
+    bool m_isCalm = false;
+    bool m_isStoreDisturbed = false;
+};
+
+} // namespace chicoryhead::soak
--- /dev/null
+++ b/tests/soak/promise_check.cpp
@@ -0,0 +1,274 @@
+/**
+ * @file promise_check.cpp
+ * Checks of the soak. A promise with a time bound counts only where nothing disturbed the process
+ * and the store, as the platform's rules have it.
+ */
+
+#include "promise_check.h"
+
+#include "entry/status_documents.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sys/wait.h>
+
+#include <algorithm>
+
+namespace chicoryhead::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Windows of openings that recovery is judged by.
+constexpr std::size_t judgedWindows = 3;
+constexpr monotonic_time windowTime = 1s;
+
+std::string formatFlow(const flow_key &flow)
+{
+    return toString(flow.caller) + '>' + toString(flow.service);
+}
+
+std::string formatSeconds(monotonic_time time)
+{
+    return std::to_string(time / 1ms) + " ms";
+}
+
+} // namespace
+
+std::string_view toString(promise value)
+{
+    return promiseNames.at(static_cast<std::size_t>(value));
+}
+
+void promise_check::watch(standin::deployment_standin &deployment)
+{
+    m_deployment = &deployment;
+    m_disturbedAt = deployment.clock().now();
+    for (const auto &instance : deployment.instances()) {
+        const auto &settings = instance.program->settings();
+        const endpoint pages {settings.dataAddress.address, settings.metricsPort};
+        watched_process process;
+        process.pages = std::make_unique<http_connection>(m_context, pages, toString(pages));
+        process.disturbedAt = m_disturbedAt;
+        m_processes.push_back(std::move(process));
+    }
+}
+
+void promise_check::report(promise broken, const std::string &text)
+{
+    m_violations.push_back({broken, text});
+}
+
+void promise_check::noteStore(bool isStable)
+{
+    const auto now = m_deployment->clock().now();
+    m_disturbedAt = now;
+    if (!isStable)
+        m_storeStableSince.reset();
+    else if (!m_storeStableSince)
+        m_storeStableSince = now;
+}
+
+void promise_check::noteDisturbed(std::size_t instance)
+{
+    m_disturbedAt = m_processes[instance].disturbedAt = m_deployment->clock().now();
+}
+
+void promise_check::noteConfig(config_version version)
+{
+    m_expected.push_back({version, m_deployment->clock().now()});
+}
+
+void promise_check::noteDrain(const std::string &upstream, monotonic_time at)
+{
+    m_draining.emplace(upstream, at);
+}
+
+void promise_check::noteStop(std::size_t instance)
+{
+    noteDisturbed(instance);
+    m_processes[instance].stopAt = m_deployment->clock().now();
+}
+
+void promise_check::noteKill(std::size_t instance)
+{
+    noteDisturbed(instance);
+    m_processes[instance].isKilled = true;
+}
+
+bool promise_check::takeEnd(std::size_t instance)
+{
+    return std::exchange(m_processes[instance].hasEnded, false);
+}
+
+bool promise_check::wasCalm(const watched_process &process, monotonic_time since) const
+{
+    return process.disturbedAt + m_bounds.contact <= since;
+}
+
+bool promise_check::wasStoreStable(monotonic_time since) const
+{
+    return m_storeStableSince && *m_storeStableSince + m_bounds.contact <= since;
+}
+
+void promise_check::tick()
+{
+    const auto now = m_deployment->clock().now();
+    while (!m_expected.empty() && m_expected.front().at + 4 * m_bounds.config < now)
+        m_expected.pop_front();
+    for (std::size_t i = 0; i < m_processes.size(); ++i) {
+        checkProcess(i);
+        askVersion(i);
+    }
+    checkRecovery();
+}
+
+void promise_check::checkProcess(std::size_t index)
+{
+    auto &program = *m_deployment->instances()[index].program;
+    watched_process &process = m_processes[index];
+    const auto now = m_deployment->clock().now();
+    const std::string &name = program.settings().name;
+    if (const auto status = program.takeEnd()) {
+        const bool isClean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+        if (!process.isKilled && (process.stopAt.count() == 0 || !isClean))
+            report(promise::Stop, name + " ended by itself, status " + std::to_string(*status));
+        process.hasEnded = true;
+        process.isKilled = false;
+        process.stopAt = monotonic_time {0};
+        return;
+    }
+    const bool isLate =
+        process.stopAt.count() > 0 && now - process.stopAt > m_bounds.grace + m_bounds.slack;
+    if (isLate && !process.isKilled) {
+        report(promise::Stop, name + " did not end in time");
+        process.isKilled = true;
+        program.signal(SIGKILL);
+    }
+}
+
+void promise_check::askVersion(std::size_t index)
+{
+    watched_process &process = m_processes[index];
+    const auto &program = *m_deployment->instances()[index].program;
+    if (process.process != program.process()) {
+        process.process = program.process();
+        process.version = 0;
+    }
+    if (!program.isRunning() || process.pages->isBusy())
+        return;
+    const http_call call {"GET", std::string(instancePath), {}, 400ms};
+    process.pages->start(call, [this, index, asked = process.process](
+                                   const result<http_answer> &answer) {
+        if (!answer || answer.value().status != 200 || asked != m_processes[index].process)
+            return;
+        const auto page = nlohmann::json::parse(answer.value().body, nullptr, false);
+        if (page.is_object())
+            takeVersion(index, page.value("version", config_version {0}));
+    });
+}
+
+void promise_check::takeVersion(std::size_t index, config_version version)
+{
+    watched_process &process = m_processes[index];
+    const auto now = m_deployment->clock().now();
+    const std::string &name = m_deployment->instances()[index].program->settings().name;
+    if (version < process.version)
+        report(promise::Config, name + " went back to version " + std::to_string(version));
+    process.version = version;
+    for (const expected_config &expected : m_expected) {
+        const auto age = now - expected.at;
+        if (age > m_bounds.config + m_bounds.slack && version < expected.version
+            && wasCalm(process, expected.at) && wasStoreStable(expected.at)) {
+            report(promise::Config, name + " has version " + std::to_string(version) + ", "
+                       + formatSeconds(age) + " after " + std::to_string(expected.version));
+            m_expected.clear();
+            return;
+        }
+    }
+}
+
+promise_check::opening_window &promise_check::window()
+{
+    const auto now = m_deployment->clock().now();
+    if (m_windows.empty() || now - m_windows.back().at >= windowTime) {
+        m_windows.push_back({now, 0, 0});
+        if (m_windows.size() > judgedWindows)
+            m_windows.pop_front();
+    }
+    return m_windows.back();
+}
+
+void promise_check::checkRecovery()
+{
+    window();
+    if (m_windows.front().at - m_disturbedAt < m_bounds.recovery)
+        return;
+    unsigned opened = 0;
+    unsigned notOpened = 0;
+    for (const opening_window &part : m_windows) {
+        opened += part.opened;
+        notOpened += part.notOpened;
+    }
+    // The same share as in the platform's rules.
+    if (notOpened > 3 * opened) {
+        report(promise::Recovery, std::to_string(notOpened) + " flows not opened, "
+                   + std::to_string(opened) + " opened, " + formatSeconds(m_bounds.recovery)
+                   + " after the last fault");
+        m_disturbedAt = m_deployment->clock().now();
+    }
+}
+
+void promise_check::onOpeningPacket(const std::string &upstream, const flow_key &flow)
+{
+    const auto found = m_draining.find(upstream);
+    const auto *instance = m_deployment->lastInstance(flow);
+    if (found == m_draining.end() || instance == nullptr)
+        return;
+    const auto index = static_cast<std::size_t>(instance - m_deployment->instances().data());
+    const auto age = m_deployment->clock().now() - found->second;
+    if (age > m_bounds.drain + m_bounds.slack && wasCalm(m_processes[index], found->second)
+        && wasStoreStable(found->second))
+        report(promise::Drain, "flow " + formatFlow(flow) + " placed at " + upstream + " by "
+                   + instance->program->settings().name + ' ' + formatSeconds(age)
+                   + " after it announced that it leaves");
+}
+
+void promise_check::onForeignPacket(const std::string &upstream, const flow_key &flow)
+{
+    report(promise::Service, "packet of " + formatFlow(flow) + " at " + upstream);
+}
+
+void promise_check::onOpened(const flow_key & /*flow*/, const std::string & /*upstream*/)
+{
+    ++m_opened;
+    ++window().opened;
+}
+
+void promise_check::onNotOpened(const flow_key & /*flow*/, bool /*isRefused*/)
+{
+    ++m_notOpened;
+    ++window().notOpened;
+}
+
+void promise_check::onAnswered(const flow_key & /*flow*/, const std::string & /*upstream*/,
+                               monotonic_time /*latency*/)
+{
+    ++m_answered;
+}
+
+void promise_check::onBroken(const flow_key &flow, const std::string &upstream,
+                             const std::string &reason)
+{
+    if (m_deployment->findUpstream(upstream) == nullptr)
+        return;
+    // Silence counts only if somebody could have forwarded the caller's repetitions.
+    const bool isSilence = reason == "request without answer";
+    if (isSilence
+        && !m_deployment->hadWellInstance(flow, m_deployment->clock().now() - m_bounds.recovery))
+        return;
+    report(promise::OpenFlow, "flow " + formatFlow(flow) + " at " + upstream + ": " + reason);
+}
+
+} // namespace chicoryhead::soak
--- /dev/null
+++ b/tests/soak/promise_check.h
@@ -0,0 +1,159 @@
+/**
+ * @file promise_check.h
+ * The promises that a soak checks while it runs, from what callers, upstreams and routers see.
+ */
+
+#pragma once
+
+#include "standin/deployment_standin.h"
+
+#include <asio/io_context.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicoryhead::soak {
+
+/** What is promised. */
+enum class promise : std::uint8_t {
+    OpenFlow, ///< an open flow goes on while its upstream lives
+    Service,  ///< no packet reaches an upstream of another service
+    Drain,    ///< no new flow reaches an upstream that leaves after the bound
+    Config,   ///< a configuration is in force within the bound and never goes back
+    Recovery, ///< flows open again within the bound after all faults ended
+    Stop,     ///< a process ends when it is told to, in time, and only then
+};
+
+inline constexpr std::array<std::string_view, 6> promiseNames {"open_flow", "service",  "drain",
+                                                               "config",    "recovery", "stop"};
+
+/** Name of a promise. */
+std::string_view toString(promise value);
+
+/** A promise that was broken. */
+struct violation
+{
+    promise broken;
+    std::string text;
+};
+
+/** Bounds of the promises; those of the platform's deployments. */
+struct promise_bounds
+{
+    monotonic_time config = std::chrono::seconds(3);
+    monotonic_time drain = std::chrono::seconds(3);
+    monotonic_time grace = std::chrono::seconds(6);
+    monotonic_time recovery = std::chrono::seconds(12);
+    /// A machine counts when nothing has disturbed it for this long.
+    monotonic_time contact = std::chrono::seconds(4);
+    /// The checks themselves look twice per second.
+    monotonic_time slack = std::chrono::milliseconds(600);
+};
+
+/** Watches a deployment. */
+class promise_check : public standin::deployment_observer
+{
+public:
+    explicit promise_check(asio::io_context &context) : m_context(context) { }
+
+    /** Watches a deployment from now on; it must outlive the checks. */
+    void watch(standin::deployment_standin &deployment);
+
+    /** Looks at processes, pages and windows; called twice per second. */
+    void tick();
+
+    /** The store or the way to it is disturbed for all instances, or not any more. */
+    void noteStore(bool isStable);
+
+    /** An instance is disturbed from outside. */
+    void noteDisturbed(std::size_t instance);
+
+    /** A configuration with a version was put in the store. */
+    void noteConfig(config_version version);
+
+    /** An upstream announced in the store that it leaves. */
+    void noteDrain(const std::string &upstream, monotonic_time at);
+
+    /** A process was told to stop. */
+    void noteStop(std::size_t instance);
+
+    /** A process was killed. */
+    void noteKill(std::size_t instance);
+
+    /** Whether the process ended since the last look; the instance can be started again. */
+    bool takeEnd(std::size_t instance);
+
+    const std::vector<violation> &violations() const { return m_violations; }
+    std::uint64_t answered() const { return m_answered; }
+    std::uint64_t opened() const { return m_opened; }
+    std::uint64_t notOpened() const { return m_notOpened; }
+
+    void onOpeningPacket(const std::string &upstream, const flow_key &flow) override;
+    void onForeignPacket(const std::string &upstream, const flow_key &flow) override;
+    void onOpened(const flow_key &flow, const std::string &upstream) override;
+    void onNotOpened(const flow_key &flow, bool isRefused) override;
+    void onAnswered(const flow_key &flow, const std::string &upstream,
+                    monotonic_time latency) override;
+    void onBroken(const flow_key &flow, const std::string &upstream,
+                  const std::string &reason) override;
+
+private:
+    /** What is known of one instance's process. */
+    struct watched_process
+    {
+        std::unique_ptr<http_connection> pages;
+        config_version version = 0; ///< last one seen in the process
+        pid_t process = 0;
+        monotonic_time disturbedAt {0};
+        monotonic_time stopAt {0}; ///< when it was told to stop; 0 for not
+        bool isKilled = false;
+        bool hasEnded = false;
+    };
+
+    /** A configuration that has to be in force by now or soon. */
+    struct expected_config
+    {
+        config_version version = 0;
+        monotonic_time at {0};
+    };
+
+    /** How attempts to open flows ended in one second. */
+    struct opening_window
+    {
+        monotonic_time at {0};
+        unsigned opened = 0;
+        unsigned notOpened = 0;
+    };
+
+    void report(promise broken, const std::string &text);
+    void checkProcess(std::size_t index);
+    void askVersion(std::size_t index);
+    void takeVersion(std::size_t index, config_version version);
+    void checkRecovery();
+    bool wasCalm(const watched_process &process, monotonic_time since) const;
+    bool wasStoreStable(monotonic_time since) const;
+    opening_window &window();
+
+    asio::io_context &m_context;
+    standin::deployment_standin *m_deployment = nullptr; ///< set by watch()
+    promise_bounds m_bounds;
+    std::vector<watched_process> m_processes;
+    std::vector<violation> m_violations;
+    std::map<std::string, monotonic_time> m_draining; ///< since when, by upstream
+    std::deque<expected_config> m_expected;
+    std::deque<opening_window> m_windows;
+    std::optional<monotonic_time> m_storeStableSince = monotonic_time {0};
+    monotonic_time m_disturbedAt {0}; ///< last disturbance of any kind
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_opened = 0;
+    std::uint64_t m_notOpened = 0;
+};
+
+} // namespace chicoryhead::soak
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,225 @@
+/**
+ * @file soak_main.cpp
+ * Runs seeded soaks: instances as processes on loopback under faults, promises checked meanwhile.
+ */
+
+#include "fault_series.h"
+#include "promise_check.h"
+
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <span>
+#include <thread>
+
+DEFINE_string(program, "build/src/entry/chicoryhead-entry", "program of an instance");
+DEFINE_string(folder, "build/soak", "folder for settings and logs, one below it per seed");
+DEFINE_uint64(first, 1, "first seed");
+DEFINE_uint64(count, 1, "number of seeds");
+DEFINE_uint32(jobs, 3, "seeds that run at the same time");
+DEFINE_uint32(seconds, 24, "time with faults, in s");
+DEFINE_string(break, "", "promise to break on purpose without other faults, or \"all\" of them");
+
+namespace {
+
+using namespace chicoryhead;
+using namespace chicoryhead::soak;
+
+/// Calm time at the end, in which recovery is judged: its bound and three seconds of openings.
+constexpr std::chrono::seconds calmTime {17};
+/// When a promise is broken on purpose: instances are in touch by then.
+constexpr std::chrono::seconds breakTime {8};
+/// Longer than any bound, a caller's deadline of 15 s included.
+constexpr std::chrono::seconds brokenTime {28};
+constexpr std::chrono::milliseconds stepTime {100};
+constexpr unsigned checkSteps = 5;   ///< steps between looks of the checks
+constexpr std::size_t openFlows = 15; ///< of each caller
+constexpr std::size_t maxShown = 5;   ///< violations of one soak that are printed
+
+/** One soak. */
+class soak_run
+{
+public:
+    soak_run(std::uint64_t seed, unsigned slot, std::optional<promise> toBreak)
+        : m_folder(std::filesystem::path(FLAGS_folder)
+                   / (toBreak ? std::string(toString(*toBreak)) : std::to_string(seed)))
+        , m_toBreak(toBreak)
+        , m_check(m_context)
+        , m_deployment(m_context, plan(seed, slot, m_folder), m_check)
+        , m_log(m_folder / "faults.log")
+        , m_faults(m_deployment, m_check, seed, m_log)
+        , m_step(m_context)
+        , m_startedAt(m_deployment.clock().now())
+    {
+        m_check.watch(m_deployment);
+    }
+
+    /** Runs to the end; gives the promises that were broken. */
+    const std::vector<violation> &run()
+    {
+        m_deployment.start();
+        step();
+        m_context.run();
+        return m_check.violations();
+    }
+
+    const promise_check &check() const { return m_check; }
+
+private:
+    static standin::deployment_plan plan(std::uint64_t seed, unsigned slot,
+                                         const std::filesystem::path &folder)
+    {
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(folder);
+        standin::deployment_plan made;
+        made.program = FLAGS_program;
+        made.folder = folder;
+        made.slot = slot;
+        made.seed = seed;
+        return made;
+    }
+
+    void step()
+    {
+        const auto elapsed = m_deployment.clock().now() - m_startedAt;
+        const auto faultTime =
+            m_toBreak ? breakTime + brokenTime : std::chrono::seconds(FLAGS_seconds);
+        if (elapsed >= faultTime + (m_toBreak ? std::chrono::seconds(0) : calmTime)) {
+            m_deployment.stop();
+            m_context.stop();
+            return;
+        }
+        advance(elapsed, faultTime);
+        m_step.expires_after(stepTime);
+        m_step.async_wait([this](std::error_code code) {
+            if (!code)
+                step();
+        });
+    }
+
+    void advance(monotonic_time elapsed, monotonic_time faultTime)
+    {
+        if (!m_toBreak) {
+            if (elapsed >= faultTime && !m_isCalm) {
+                m_isCalm = true;
+                m_faults.calm();
+            }
+            m_faults.tick();
+        } else if (elapsed >= breakTime && !m_isBroken) {
+            m_isBroken = true;
+            m_faults.breakPromise(*m_toBreak);
+        }
+        if (++m_steps % checkSteps == 0)
+            m_check.tick();
+        for (const auto &caller : m_deployment.callers()) {
+            while (caller->flows() < openFlows)
+                caller->open(m_deployment.serviceAddress(m_steps++ % 2),
+                             1 + static_cast<unsigned>(m_deployment.random().next() % 100));
+        }
+    }
+
+    asio::io_context m_context {1};
+    std::filesystem::path m_folder;
+    std::optional<promise> m_toBreak;
+    promise_check m_check;
+    standin::deployment_standin m_deployment;
+    std::ofstream m_log;
+    fault_series m_faults;
+    asio::steady_timer m_step;
+    monotonic_time m_startedAt;
+    std::uint64_t m_steps = 0;
+    bool m_isCalm = false;
+    bool m_isBroken = false;
+};
+
+/** One soak to run. */
+struct soak_job
+{
+    std::uint64_t seed = 1;
+    std::optional<promise> toBreak;
+};
+
+std::vector<soak_job> jobs()
+{
+    std::vector<soak_job> made;
+    for (std::size_t i = 0; i < promiseNames.size(); ++i) {
+        if (FLAGS_break == "all" || FLAGS_break == promiseNames.at(i))
+            made.push_back({FLAGS_first, static_cast<promise>(i)});
+    }
+    if (FLAGS_break.empty()) {
+        for (std::uint64_t seed = FLAGS_first; seed < FLAGS_first + FLAGS_count; ++seed)
+            made.push_back({seed, std::nullopt});
+    }
+    return made;
+}
+
+/// A promise that is broken on purpose has to be reported, and no other one; without a fault none.
+bool isAsExpected(const soak_job &job, const std::vector<violation> &violations)
+{
+    const auto isBroken = [&](const violation &found) { return found.broken == job.toBreak; };
+    // Without routers no flow opens, and the open ones are silent too.
+    const auto follows = [&](const violation &found) {
+        return job.toBreak == promise::Recovery && found.broken == promise::OpenFlow;
+    };
+    return std::any_of(violations.begin(), violations.end(), isBroken) == job.toBreak.has_value()
+        && std::all_of(violations.begin(), violations.end(), [&](const violation &found) {
+               return isBroken(found) || follows(found);
+           });
+}
+
+/// Loopback addresses of a job. A process that another thread starts holds copies of all sockets
+/// for a moment, so addresses must not be used again at once.
+unsigned slotOf(std::size_t job)
+{
+    constexpr unsigned firstSlot = 11; // 1 is the demo's
+    constexpr unsigned slots = 80;
+    return firstSlot + static_cast<unsigned>(job % slots);
+}
+
+bool runJob(const soak_job &job, unsigned slot, std::mutex &output)
+{
+    soak_run run(job.seed, slot, job.toBreak);
+    const auto &violations = run.run();
+    const bool isExpected = isAsExpected(job, violations);
+    const std::lock_guard lock(output);
+    std::cout << "seed=" << job.seed << " broken_on_purpose="
+              << (job.toBreak ? toString(*job.toBreak) : "none")
+              << " outcome=" << (isExpected ? "as_expected" : "FAILED")
+              << " violations=" << violations.size() << " answered=" << run.check().answered()
+              << " opened=" << run.check().opened() << " not_opened=" << run.check().notOpened()
+              << std::endl;
+    const std::size_t shown = std::min(violations.size(), isExpected ? 1 : maxShown);
+    for (const violation &found : std::span(violations).first(shown))
+        std::cout << "  " << toString(found.broken) << ": " << found.text << std::endl;
+    return isExpected;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("seeded fault soak: instances as processes on loopback");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto todo = jobs();
+    if (todo.empty()) {
+        std::cerr << "chicoryhead-soak: nothing to run, see --help\n";
+        return 2;
+    }
+    std::atomic<std::size_t> next {0};
+    std::atomic<unsigned> failed {0};
+    std::mutex output;
+    std::vector<std::thread> threads;
+    for (std::size_t thread = 0; thread < std::min<std::size_t>(FLAGS_jobs, todo.size()); ++thread)
+        threads.emplace_back([&] {
+            for (std::size_t i = next++; i < todo.size(); i = next++)
+                failed += runJob(todo[i], slotOf(i), output) ? 0 : 1;
+        });
+    for (std::thread &thread : threads)
+        thread.join();
+    std::cout << todo.size() << " soaks, " << failed << " failed\n";
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
