--- /dev/null
+++ b/bench/bench_entry.cpp
@@ -0,0 +1,167 @@
+/**
+ * @file bench_entry.cpp
+ * What one instance spends per packet, per upstream and per route.
+ */
+
+#include "directory/directory_base.h"
+#include "eventlog/event_log_base.h"
+#include "forward/forwarder_base.h"
+#include "gossip/gossip_codec_func.h"
+#include "placement/placement_base.h"
+#include "platform/record_codec.h"
+#include "platform/standin_codec.h"
+#include "routing/routing_base.h"
+#include "sync/fleet_state_base.h"
+#include "system/system_base.h"
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <fcntl.h>
+
+#include <array>
+#include <cstdio>
+
+using namespace chicoryhead;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Upstreams of one service, as at the users' sites.
+constexpr std::size_t upstreamsPerService = 7;
+constexpr endpoint firstService {0xc6120001, 443};
+
+std::string nameOf(std::size_t number)
+{
+    std::array<char, 16> name {};
+    std::snprintf(name.data(), name.size(), "i-%08zx", number * 2654435761U % 0xffffffffU);
+    return name.data();
+}
+
+upstream_announcement upstreamOf(std::size_t number)
+{
+    upstream_announcement announced;
+    announced.name = nameOf(number);
+    announced.wireId = number + 1;
+    announced.service = "service-" + std::to_string(number / upstreamsPerService);
+    announced.address = {static_cast<std::uint32_t>(0x0a000000 + number), 8080};
+    announced.domain = "domain-" + std::to_string(number % 3);
+    announced.slots = 3;
+    return announced;
+}
+
+routing_config configOf(std::size_t routes)
+{
+    routing_config config;
+    config.version = 1;
+    for (std::size_t i = 0; i < routes; ++i)
+        config.routes.push_back({"route-" + std::to_string(i),
+                                 {static_cast<std::uint32_t>(firstService.address + i), 443},
+                                 {{"service-" + std::to_string(i), 1}},
+                                 200ms,
+                                 1200ms,
+                                 1,
+                                 true});
+    return config;
+}
+
+/** An instance's modules without sockets. */
+struct instance_parts
+{
+    explicit instance_parts(std::size_t upstreams)
+    {
+        fleet_changes changes {1, {configOf(upstreams / upstreamsPerService + 1)}};
+        for (std::size_t i = 0; i < upstreams; ++i)
+            changes.changes.emplace_back(upstreamOf(i));
+        state.replace(changes, false, 1s);
+    }
+
+    boot_clock_source clock;
+    event_log log {::open("/dev/null", O_WRONLY), clock};
+    routing_table routes;
+    upstream_directory directory;
+    domain_first_placement placement {directory, {"domain-0", 3, 1}};
+    forwarder path {routes, directory, placement};
+    fleet_state state {routes, directory, placement, log};
+};
+
+caller_packet openingOf(std::uint32_t number)
+{
+    caller_packet packet;
+    packet.flow.caller = {0x64400000 + (number >> 14U),
+                          static_cast<std::uint16_t>(number & 0x3fffU)};
+    packet.flow.service = firstService;
+    packet.isOpening = true;
+    packet.sequence = number;
+    return packet;
+}
+
+void decideOpening(benchmark::State &state)
+{
+    instance_parts parts(static_cast<std::size_t>(state.range(0)));
+    std::uint32_t number = 0;
+    monotonic_time now = 2s;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(parts.path.decide(openingOf(++number), true, now += 4us));
+        if (number % 250000 == 0)
+            parts.path.expire(now);
+    }
+}
+BENCHMARK(decideOpening)->Arg(18)->Arg(150)->Arg(59000);
+
+void decideSteered(benchmark::State &state)
+{
+    instance_parts parts(static_cast<std::size_t>(state.range(0)));
+    auto packet = openingOf(1);
+    packet.tag = parts.path.decide(packet, true, 2s).tag;
+    packet.isOpening = false;
+    packet.dataBytes = 100;
+    for (auto _ : state) {
+        packet.sequence += 100;
+        packet.acknowledged += 100;
+        benchmark::DoNotOptimize(parts.path.decide(packet, true, 2s));
+    }
+}
+BENCHMARK(decideSteered)->Arg(18)->Arg(59000);
+
+void decodeConfiguration(benchmark::State &state)
+{
+    const std::string text =
+        platform::encodeConfig(configOf(static_cast<std::size_t>(state.range(0))));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(platform::decodeConfig(text));
+    state.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(decodeConfiguration)->Arg(12)->Arg(333)->Arg(9200)->Unit(benchmark::kMicrosecond);
+
+void adoptBeliefs(benchmark::State &state)
+{
+    instance_parts sender(static_cast<std::size_t>(state.range(0)));
+    instance_parts receiver(static_cast<std::size_t>(state.range(0)));
+    store_revision revision = 1;
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        sender.state.apply({++revision, {upstreamOf(0)}}, false, 2s);
+        const auto encoded =
+            encodeState(sender.state.snapshot(receiver.state.configVersion(), 2s));
+        const auto decoded = decodeState(encoded);
+        bytes = encoded.size();
+        benchmark::DoNotOptimize(receiver.state.adopt(decoded.value(), 2s, 2s));
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(adoptBeliefs)->Arg(18)->Arg(150)->Arg(15000)->Arg(59000)->Unit(benchmark::kMillisecond);
+
+void heapOfInstance(benchmark::State &state)
+{
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const auto before = mallinfo2().uordblks;
+        const instance_parts parts(static_cast<std::size_t>(state.range(0)));
+        bytes = mallinfo2().uordblks - before;
+    }
+    state.counters["heap_bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(heapOfInstance)->Arg(18)->Arg(150)->Arg(15000)->Arg(59000)->Unit(benchmark::kMillisecond);
+
+} // namespace
