Feature: instances tell each other what changed, not all they know

Cause: the row over budget in docs/CAPACITY.md. Whoever was behind fetched all beliefs: 4.7 MB at 59,000 upstreams for each change, above the bound of a transfer (1.2 MB).

Ruled out: a revision for each record (a map of 59,000 names in each instance); differences of two full states (a record that changed twice between them would be left out for an asker from in between).

Change: an instance remembers the names of the last 4,096 changes with the revision that includes each; a fetch says which revision the asker has, and is answered with what changed since, removed ones by name. After a load or a whole transfer the history begins anew. An asker from before it gets all. Message format 2; instances of another format read the store.

--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -143,7 +143,7 @@
     for (auto _ : state) {
         sender.state.apply({++revision, {upstreamOf(0)}}, false, 2s);
         const auto encoded =
-            encodeState(sender.state.snapshot(receiver.state.configVersion(), 2s));
+            encodeState(sender.state.snapshot(receiver.state.configVersion(), 0, 2s));
         const auto decoded = decodeState(encoded);
         bytes = encoded.size();
         benchmark::DoNotOptimize(receiver.state.adopt(decoded.value(), 2s, 2s));
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -187,7 +187,7 @@
 {
     if (!m_state.isSynchronised())
         return;
-    auto state = m_state.snapshot(fetch.version, m_clock.now());
+    auto state = m_state.snapshot(fetch.version, fetch.revision, m_clock.now());
     state.ageMs = ageMs(m_state.confirmedAt());
     const auto bytes = encodeState(state);
     ++m_transfers;
@@ -282,7 +282,8 @@
 void gossip::fetch(const endpoint &target)
 {
     m_nextFetch = m_clock.now() + m_settings.fetchRetry;
-    m_sink.sendToPeer(target, encodeGossip(gossip_fetch {m_state.configVersion()}));
+    m_sink.sendToPeer(target,
+                      encodeGossip(gossip_fetch {m_state.configVersion(), m_state.revision()}));
 }
 
 void gossip::fetchFromAnyone()
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// Raised when a message changes; instances of other formats then read the store themselves.
-constexpr std::uint8_t gossipFormat = 1;
+constexpr std::uint8_t gossipFormat = 2;
 
 enum class message_kind : std::uint8_t { Digest = 1, Fetch = 2, Part = 3 };
 
@@ -42,6 +42,21 @@
     archive(cereal::binary_data(text.data(), text.size()));
 }
 
+void saveNames(cereal::PortableBinaryOutputArchive &archive, const std::vector<std::string> &names)
+{
+    archive(static_cast<std::uint16_t>(names.size()));
+    for (const std::string &name : names)
+        saveText(archive, name);
+}
+
+void loadNames(cereal::PortableBinaryInputArchive &archive, std::vector<std::string> &names)
+{
+    std::uint16_t count = 0;
+    archive(count);
+    for (std::uint16_t i = 0; i < count; ++i)
+        loadText(archive, names.emplace_back());
+}
+
 template<typename Archive>
 void saveFlag(Archive &archive, bool flag)
 {
@@ -90,7 +105,7 @@
 template<typename Archive>
 void serialize(Archive &archive, gossip_fetch &value)
 {
-    archive(value.version);
+    archive(value.version, value.revision);
 }
 
 template<typename Archive>
@@ -230,25 +245,29 @@
 template<typename Archive>
 void save(Archive &archive, const gossip_state &value)
 {
-    archive(value.revision, value.contentRevision, value.ageMs);
+    archive(value.since, value.revision, value.contentRevision, value.ageMs);
     saveFlag(archive, value.mayLapse);
     saveFlag(archive, value.hasConfig);
     if (value.hasConfig)
         archive(value.config);
     saveBounded(archive, value.upstreams);
     saveBounded(archive, value.instances);
+    saveNames(archive, value.lostUpstreams);
+    saveNames(archive, value.lostInstances);
 }
 
 template<typename Archive>
 void load(Archive &archive, gossip_state &value)
 {
-    archive(value.revision, value.contentRevision, value.ageMs);
+    archive(value.since, value.revision, value.contentRevision, value.ageMs);
     loadFlag(archive, value.mayLapse);
     loadFlag(archive, value.hasConfig);
     if (value.hasConfig)
         archive(value.config);
     loadBounded(archive, value.upstreams, maxListed);
     loadBounded(archive, value.instances, maxListed);
+    loadNames(archive, value.lostUpstreams);
+    loadNames(archive, value.lostInstances);
 }
 
 namespace {
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -35,7 +35,8 @@
 /** Asks for the beliefs of the receiver. */
 struct gossip_fetch
 {
-    config_version version = 0; ///< of the asker's configuration; 0 for none
+    config_version version = 0;  ///< of the asker's configuration; 0 for none
+    store_revision revision = 0; ///< that the asker's beliefs include; 0 for none
 };
 
 /** Part of the beliefs of an instance. */
@@ -47,9 +48,10 @@
     std::vector<std::uint8_t> bytes;
 };
 
-/** The beliefs of an instance. */
+/** The beliefs of an instance, or what changed in them since a revision. */
 struct gossip_state
 {
+    store_revision since = 0; ///< only what changed after it; 0 for everything
     store_revision revision = 0;
     store_revision contentRevision = 0;
     std::uint32_t ageMs = 0; ///< since the revision was confirmed
@@ -58,6 +60,8 @@
     routing_config config;
     std::vector<upstream_announcement> upstreams;
     std::vector<instance_registration> instances;
+    std::vector<std::string> lostUpstreams; ///< not announced any more; empty if since is 0
+    std::vector<std::string> lostInstances; ///< not registered any more; empty if since is 0
 };
 
 } // namespace chicoryhead
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -32,9 +32,31 @@
         m_contentRevision = std::max(m_contentRevision, changes.revision);
     for (const fleet_change &change : changes.changes)
         std::visit([&](const auto &item) { applyOne(item, mayLapse, now); }, change);
+    remember(changes);
     confirm(changes.revision, now);
 }
 
+void fleet_state::remember(const fleet_changes &changes)
+{
+    // A difference from another instance may end before the newest change that is known here.
+    const auto newest = m_history.empty() ? 0 : m_history.back().revision;
+    const auto revision = std::max(changes.revision, newest);
+    for (const fleet_change &change : changes.changes) {
+        if (const auto *announced = std::get_if<upstream_announcement>(&change))
+            m_history.push_back({revision, true, announced->name});
+        else if (const auto *lost = std::get_if<upstream_withdrawal>(&change))
+            m_history.push_back({revision, true, lost->name});
+        else if (const auto *registered = std::get_if<instance_registration>(&change))
+            m_history.push_back({revision, false, registered->name});
+        else if (const auto *removed = std::get_if<instance_withdrawal>(&change))
+            m_history.push_back({revision, false, removed->name});
+    }
+    while (m_history.size() > maxHistory) {
+        m_historyFloor = std::max(m_historyFloor, m_history.front().revision);
+        m_history.pop_front();
+    }
+}
+
 void fleet_state::replace(const fleet_changes &everything, bool mayLapse, monotonic_time now)
 {
     std::set<std::string> upstreams;
@@ -51,6 +73,9 @@
     }
     std::erase_if(m_instances, [&](const auto &entry) { return !instances.contains(entry.first); });
     apply(everything, mayLapse, now);
+    // What changed between the old beliefs and these, and when, is not known.
+    m_history.clear();
+    m_historyFloor = m_revision;
 }
 
 void fleet_state::confirm(store_revision revision, monotonic_time at)
@@ -63,20 +88,40 @@
 {
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, other.mayLapse, now);
-    if (other.revision <= m_revision)
+    if (other.revision <= m_revision || other.since > m_revision)
         return false;
+    if (other.since > 0) {
+        adoptDifference(other, now);
+        m_revision = other.revision;
+        m_confirmedAt = confirmedAt;
+        return true;
+    }
     fleet_changes everything;
     everything.revision = other.contentRevision;
     everything.changes.assign(other.upstreams.begin(), other.upstreams.end());
     everything.changes.insert(everything.changes.end(), other.instances.begin(),
                               other.instances.end());
     replace(everything, other.mayLapse, now);
-    m_revision = other.revision;
+    m_revision = m_historyFloor = other.revision;
     m_confirmedAt = confirmedAt;
     return true;
 }
 
-gossip_state fleet_state::snapshot(config_version knownVersion, monotonic_time now) const
+void fleet_state::adoptDifference(const gossip_state &other, monotonic_time now)
+{
+    fleet_changes changes;
+    changes.revision = other.contentRevision;
+    changes.changes.assign(other.upstreams.begin(), other.upstreams.end());
+    changes.changes.insert(changes.changes.end(), other.instances.begin(), other.instances.end());
+    for (const std::string &name : other.lostUpstreams)
+        changes.changes.emplace_back(upstream_withdrawal {name});
+    for (const std::string &name : other.lostInstances)
+        changes.changes.emplace_back(instance_withdrawal {name});
+    apply(changes, other.mayLapse, now);
+}
+
+gossip_state fleet_state::snapshot(config_version knownVersion, store_revision knownRevision,
+                                   monotonic_time now) const
 {
     gossip_state made;
     made.revision = m_revision;
@@ -85,16 +130,53 @@
     made.hasConfig = m_routes.version() > knownVersion;
     if (made.hasConfig)
         made.config = m_routes.config();
-    for (const std::string &name : m_directory.announcedNames()) {
-        const auto *record = m_directory.find(name);
-        if (record->standing == upstream_standing::Missing)
-            continue;
-        made.upstreams.push_back(record->announced);
-        made.upstreams.back().warmupLeft = std::max(record->warmUntil - now, monotonic_time {0});
+    if (knownRevision > 0 && knownRevision >= m_historyFloor && knownRevision <= m_revision) {
+        made.since = knownRevision;
+        addDifference(made, now);
+    } else {
+        addEverything(made, now);
     }
+    return made;
+}
+
+void fleet_state::addEverything(gossip_state &made, monotonic_time now) const
+{
+    for (const std::string &name : m_directory.announcedNames())
+        addUpstream(made, name, now);
     for (const auto &[name, registration] : m_instances)
         made.instances.push_back(registration);
-    return made;
+}
+
+void fleet_state::addDifference(gossip_state &made, monotonic_time now) const
+{
+    std::set<std::pair<bool, std::string>> changed;
+    for (auto past = m_history.rbegin(); past != m_history.rend(); ++past) {
+        if (past->revision <= made.since)
+            break;
+        changed.emplace(past->isUpstream, past->name);
+    }
+    for (const auto &[isUpstream, name] : changed) {
+        const auto registered = m_instances.find(name);
+        if (isUpstream && !addUpstream(made, name, now))
+            made.lostUpstreams.push_back(name);
+        else if (!isUpstream && registered == m_instances.end())
+            made.lostInstances.push_back(name);
+        else if (!isUpstream)
+            made.instances.push_back(registered->second);
+    }
+}
+
+bool fleet_state::addUpstream(gossip_state &made, const std::string &name, monotonic_time now) const
+{
+    const auto *record = m_directory.find(name);
+    const bool isAnnounced = record != nullptr
+        && (record->standing == upstream_standing::Ready
+            || record->standing == upstream_standing::Draining);
+    if (!isAnnounced)
+        return false;
+    made.upstreams.push_back(record->announced);
+    made.upstreams.back().warmupLeft = std::max(record->warmUntil - now, monotonic_time {0});
+    return true;
 }
 
 void fleet_state::expire(monotonic_time now)
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -15,6 +15,7 @@
 #include "placement/placement_base.h"
 #include "routing/routing_base.h"
 
+#include <deque>
 #include <map>
 #include <string>
 
@@ -40,7 +41,8 @@
     void confirm(store_revision revision, monotonic_time at);
 
     /**
-     * Takes over what another instance believes, if it is newer.
+     * Takes over what another instance believes, if it is newer and, for a difference, if its base
+     * is included here.
      * @param confirmedAt when that was confirmed.
      * @return whether anything was newer.
      */
@@ -49,8 +51,11 @@
     /**
      * What another instance can adopt. Lapsed announcements are left out.
      * @param knownVersion configuration that the other one has; it is not repeated.
+     * @param knownRevision that the other one's beliefs include. Only what changed after it is
+     * told, if that is known; else everything.
      */
-    gossip_state snapshot(config_version knownVersion, monotonic_time now) const;
+    gossip_state snapshot(config_version knownVersion, store_revision knownRevision,
+                          monotonic_time now) const;
 
     /** Lets time pass for announcements that lapsed. */
     void expire(monotonic_time now);
@@ -79,12 +84,30 @@
     void applyOne(const instance_withdrawal &withdrawal, bool mayLapse, monotonic_time now);
     void withdraw(const std::string &name, std::string_view cause, bool mayLapse,
                   monotonic_time now);
+    void adoptDifference(const gossip_state &other, monotonic_time now);
+    void remember(const fleet_changes &changes);
+    void addEverything(gossip_state &made, monotonic_time now) const;
+    void addDifference(gossip_state &made, monotonic_time now) const;
+    bool addUpstream(gossip_state &made, const std::string &name, monotonic_time now) const;
+
+    /// Changes that are remembered; a release of 59,000 upstreams in an hour makes 16 a second.
+    static constexpr std::size_t maxHistory = 4096;
+
+    /** Something that changed. */
+    struct past_change
+    {
+        store_revision revision = 0; ///< that includes the change, at most a few later than it
+        bool isUpstream = true;      ///< else an instance
+        std::string name;
+    };
 
     routing_table &m_routes;
     upstream_directory &m_directory;
     flow_placement &m_placement;
     event_log &m_log;
     std::map<std::string, instance_registration> m_instances;
+    std::deque<past_change> m_history;    ///< all changes after m_historyFloor, by revision
+    store_revision m_historyFloor = 0;    ///< at most m_revision
     store_revision m_revision = 0;        ///< never goes down
     store_revision m_contentRevision = 0; ///< at most m_revision
     monotonic_time m_confirmedAt {0};
--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -7,8 +7,8 @@
 
 #include "platform/packet_codec.h"
 
-#include <sys/socket.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -59,12 +59,10 @@
 void fault_series::tick()
 {
     constexpr std::array<action, 11> actions {
-        &fault_series::pauseInstance, &fault_series::killInstance,
-        &fault_series::stopInstance,  &fault_series::disturbStoreWay,
-        &fault_series::disturbStore,  &fault_series::dropHistory,
-        &fault_series::reloadSettings, &fault_series::drainUpstream,
-        &fault_series::crashUpstream, &fault_series::changeConfig,
-        &fault_series::killAll};
+        &fault_series::pauseInstance,   &fault_series::killInstance,  &fault_series::stopInstance,
+        &fault_series::disturbStoreWay, &fault_series::disturbStore,  &fault_series::dropHistory,
+        &fault_series::reloadSettings,  &fault_series::drainUpstream, &fault_series::crashUpstream,
+        &fault_series::changeConfig,    &fault_series::killAll};
     const auto now = m_deployment.clock().now();
     while (!m_later.empty() && m_later.begin()->first <= now) {
         const auto what = m_later.extract(m_later.begin()).mapped();
@@ -169,8 +167,8 @@
     for (unsigned i = 0; i < count; ++i) {
         const auto index = drawInstance();
         auto &instance = m_instances()[index];
-        note("way of " + instance.program->settings().name + " to the store: "
-             + std::string(standin::toString(mode)));
+        note("way of " + instance.program->settings().name
+             + " to the store: " + std::string(standin::toString(mode)));
         m_check.noteDisturbed(index);
         instance.storeProxy->setMode(mode);
         later(duration, [this, index] {
--- a/tests/soak/promise_check.cpp
+++ b/tests/soak/promise_check.cpp
@@ -159,14 +159,14 @@
     if (!program.isRunning() || process.pages->isBusy())
         return;
     const http_call call {"GET", std::string(instancePath), {}, 400ms};
-    process.pages->start(call, [this, index, asked = process.process](
-                                   const result<http_answer> &answer) {
-        if (!answer || answer.value().status != 200 || asked != m_processes[index].process)
-            return;
-        const auto page = nlohmann::json::parse(answer.value().body, nullptr, false);
-        if (page.is_object())
-            takeVersion(index, page.value("version", config_version {0}));
-    });
+    process.pages->start(
+        call, [this, index, asked = process.process](const result<http_answer> &answer) {
+            if (!answer || answer.value().status != 200 || asked != m_processes[index].process)
+                return;
+            const auto page = nlohmann::json::parse(answer.value().body, nullptr, false);
+            if (page.is_object())
+                takeVersion(index, page.value("version", config_version {0}));
+        });
 }
 
 void promise_check::takeVersion(std::size_t index, config_version version)
@@ -181,8 +181,9 @@
         const auto age = now - expected.at;
         if (age > m_bounds.config + m_bounds.slack && version < expected.version
             && wasCalm(process, expected.at) && wasStoreStable(expected.at)) {
-            report(promise::Config, name + " has version " + std::to_string(version) + ", "
-                       + formatSeconds(age) + " after " + std::to_string(expected.version));
+            report(promise::Config,
+                   name + " has version " + std::to_string(version) + ", " + formatSeconds(age)
+                       + " after " + std::to_string(expected.version));
             m_expected.clear();
             return;
         }
@@ -213,9 +214,9 @@
     }
     // The same share as in the platform's rules.
     if (notOpened > 3 * opened) {
-        report(promise::Recovery, std::to_string(notOpened) + " flows not opened, "
-                   + std::to_string(opened) + " opened, " + formatSeconds(m_bounds.recovery)
-                   + " after the last fault");
+        report(promise::Recovery,
+               std::to_string(notOpened) + " flows not opened, " + std::to_string(opened)
+                   + " opened, " + formatSeconds(m_bounds.recovery) + " after the last fault");
         m_disturbedAt = m_deployment->clock().now();
     }
 }
@@ -230,7 +231,8 @@
     const auto age = m_deployment->clock().now() - found->second;
     if (age > m_bounds.drain + m_bounds.slack && wasCalm(m_processes[index], found->second)
         && wasStoreStable(found->second))
-        report(promise::Drain, "flow " + formatFlow(flow) + " placed at " + upstream + " by "
+        report(promise::Drain,
+               "flow " + formatFlow(flow) + " placed at " + upstream + " by "
                    + instance->program->settings().name + ' ' + formatSeconds(age)
                    + " after it announced that it leaves");
 }
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -36,7 +36,7 @@
 /// Longer than any bound, a caller's deadline of 15 s included.
 constexpr std::chrono::seconds brokenTime {28};
 constexpr std::chrono::milliseconds stepTime {100};
-constexpr unsigned checkSteps = 5;   ///< steps between looks of the checks
+constexpr unsigned checkSteps = 5;    ///< steps between looks of the checks
 constexpr std::size_t openFlows = 15; ///< of each caller
 constexpr std::size_t maxShown = 5;   ///< violations of one soak that are printed
 
@@ -160,15 +160,16 @@
 /// A promise that is broken on purpose has to be reported, and no other one; without a fault none.
 bool isAsExpected(const soak_job &job, const std::vector<violation> &violations)
 {
-    const auto isBroken = [&](const violation &found) { return found.broken == job.toBreak; };
+    const auto isBroken = [&](const violation &found) {
+        return found.broken == job.toBreak;
+    };
     // Without routers no flow opens, and the open ones are silent too.
     const auto follows = [&](const violation &found) {
         return job.toBreak == promise::Recovery && found.broken == promise::OpenFlow;
     };
     return std::any_of(violations.begin(), violations.end(), isBroken) == job.toBreak.has_value()
-        && std::all_of(violations.begin(), violations.end(), [&](const violation &found) {
-               return isBroken(found) || follows(found);
-           });
+        && std::all_of(violations.begin(), violations.end(),
+                       [&](const violation &found) { return isBroken(found) || follows(found); });
 }
 
 /// Loopback addresses of a job. A process that another thread starts holds copies of all sockets
@@ -186,8 +187,8 @@
     const auto &violations = run.run();
     const bool isExpected = isAsExpected(job, violations);
     const std::lock_guard lock(output);
-    std::cout << "seed=" << job.seed << " broken_on_purpose="
-              << (job.toBreak ? toString(*job.toBreak) : "none")
+    std::cout << "seed=" << job.seed
+              << " broken_on_purpose=" << (job.toBreak ? toString(*job.toBreak) : "none")
               << " outcome=" << (isExpected ? "as_expected" : "FAILED")
               << " violations=" << violations.size() << " answered=" << run.check().answered()
               << " opened=" << run.check().opened() << " not_opened=" << run.check().notOpened()
