Fix: a process that can't start says which address is taken, in its log too

Cause: seen in the soak: a process whose address was held by another one ended with "bind: Address already in use" on standard error, without the address and without a log line. Change: the error names the address; event start_failed with the reason. Test: "A UDP address in use is named by the error".

--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -9,6 +9,8 @@
 
 #include <gflags/gflags.h>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdint>
 #include <cstdlib>
@@ -32,6 +34,10 @@
         process.run();
     } catch (const std::exception &failure) {
         std::cerr << "chicoryhead-entry: " << failure.what() << '\n';
+        const chicoryhead::boot_clock_source clock;
+        chicoryhead::event_log log(STDOUT_FILENO, clock);
+        log.write("start_failed", {{"instance", settings.name}, {"reason", failure.what()}});
+        log.flush();
         return EXIT_FAILURE;
     }
     return EXIT_SUCCESS;
--- a/src/system/udp_socket.cpp
+++ b/src/system/udp_socket.cpp
@@ -47,11 +47,24 @@
     }
 }
 
+namespace {
+
+asio::ip::udp::socket bindSocket(asio::io_context &context, const endpoint &address)
+{
+    try {
+        return {context,
+                asio::ip::udp::endpoint(asio::ip::address_v4(address.address), address.port)};
+    } catch (const std::system_error &failure) {
+        throw std::system_error(failure.code(), "UDP address " + toString(address));
+    }
+}
+
+} // namespace
+
 udp_socket::udp_socket(asio::io_context &context, const endpoint &address, receiver handler,
                        std::size_t batchSize)
     : m_batchSize(batchSize)
-    , m_socket(context,
-               asio::ip::udp::endpoint(asio::ip::address_v4(address.address), address.port))
+    , m_socket(bindSocket(context, address))
     , m_handler(std::move(handler))
     , m_incoming(batchSize)
     , m_outgoing(batchSize)
--- a/tests/test_belief_changes.cpp
+++ b/tests/test_belief_changes.cpp
@@ -123,8 +123,8 @@
     /** Fetches from another instance; returns the bytes that takes. */
     std::size_t fetch(const believer &other)
     {
-        const auto bytes = encodeState(
-            other.state.snapshot(state.configVersion(), state.revision(), other.now()));
+        const auto bytes =
+            encodeState(other.state.snapshot(state.configVersion(), state.revision(), other.now()));
         const auto decoded = decodeState(bytes);
         REQUIRE(decoded);
         state.adopt(decoded.value(), now(), now());
--- a/tests/test_entry_parts.cpp
+++ b/tests/test_entry_parts.cpp
@@ -10,6 +10,7 @@
 #include "entry_support.h"
 #include "eventlog/event_log_base.h"
 #include "forward/arrival_queue_base.h"
+#include "system/udp_socket_base.h"
 
 #include <catch2/catch.hpp>
 
@@ -191,3 +192,14 @@
     ::unlink(path.c_str());
     CHECK(file.read().isChanged);
 }
+
+TEST_CASE("A UDP address in use is named by the error", "[entry]")
+{
+    // Guards against a process that ends and doesn't say which of its addresses was taken.
+    asio::io_context context(1);
+    const auto ignore = [](std::span<const std::byte> /*bytes*/, const endpoint & /*from*/) {
+    };
+    const udp_socket first(context, {0x7f000001, 0}, ignore, 1);
+    const endpoint taken {0x7f000001, first.localPort()};
+    CHECK_THROWS_WITH(udp_socket(context, taken, ignore, 1), Catch::Contains(toString(taken)));
+}
