--- a/src/cli/flow_story.cpp
+++ b/src/cli/flow_story.cpp
@@ -82,7 +82,7 @@
     std::optional<double> from;
     std::optional<double> until;
 
-    void note(const log_line &line)
+    void note(const log_line &line, bool hasTime)
     {
         instances.insert(line.instance);
         for (const char *key : {"upstream", "unanswered_by"}) {
@@ -90,7 +90,7 @@
             if (!upstream.empty() && upstream != "none")
                 upstreams.insert(upstream);
         }
-        if (!line.collectedAt)
+        if (!line.collectedAt || !hasTime)
             return;
         from = std::min(from.value_or(*line.collectedAt), *line.collectedAt);
         until = std::max(until.value_or(*line.collectedAt), *line.collectedAt);
@@ -158,9 +158,13 @@
 /// What instances learn of an upstream one after the other; empty for other lines.
 std::string sharedNews(const log_line &line)
 {
-    if (line.field("event") != "upstream_changed")
-        return {};
-    return line.field("upstream") + " became " + line.field("standing");
+    const std::string &event = line.field("event");
+    const std::string &upstream = line.field("upstream");
+    if (event == "upstream_changed")
+        return upstream + " became " + line.field("standing");
+    if (event == "upstream_suspected")
+        return upstream + " got no new flows because it did not answer";
+    return event == "upstream_trusted" ? upstream + " answered again" : std::string();
 }
 
 /// Keeps the first line of news that many instances learnt, and tells how many did.
@@ -180,7 +184,7 @@
     for (const auto &[news, instances] : instancesByNews) {
         const std::size_t count = instances.size();
         addFinding(story.findings,
-                   news + ", known to " + std::to_string(count)
+                   news + ", logged by " + std::to_string(count)
                        + (count == 1 ? " instance" : " instances"));
     }
 }
@@ -190,12 +194,7 @@
     const std::string &event = line.field("event");
     if (!sharedNews(line).empty())
         return;
-    if (event == "upstream_suspected" || event == "upstream_trusted")
-        addFinding(findings,
-                   line.instance + (event == "upstream_trusted" ? " trusted " : " avoided ")
-                       + line.field("upstream")
-                       + (event == "upstream_trusted" ? " again" : " from then on"));
-    else if (event == "resumed")
+    if (event == "resumed")
         addFinding(findings, line.instance + " was suspended for " + line.field("gap_ms") + " ms");
     else if (event != "config_applied")
         addFinding(findings, line.instance + ": " + event);
@@ -245,12 +244,16 @@
     flow_story story;
     story.flows.assign(flows.begin(), flows.end());
     story_context context;
-    const auto isOfFlow = [&flows](const log_line &line) {
-        return flows.contains(line.field("flow"));
+    // A flow carries many requests; those that were not asked for are left out.
+    const bool isWholeFlow = flows.contains(flowOrRequest);
+    const auto isOfFlow = [&](const log_line &line) {
+        const std::string &request = line.field("request");
+        return flows.contains(line.field("flow"))
+            && (isWholeFlow || request.empty() || request == flowOrRequest);
     };
     for (const log_line &line : log) {
         if (isOfFlow(line))
-            context.note(line);
+            context.note(line, isWholeFlow || line.field("request") == flowOrRequest);
     }
     for (const log_line &line : log) {
         if (!isOfFlow(line) && !context.explains(line))
--- a/tests/test_flow_story.cpp
+++ b/tests/test_flow_story.cpp
@@ -79,6 +79,9 @@
                    + " upstream=i-1 standing=ready",
                "2.2 f-1 t_ms=1 event=request_repeated request=r1 flow=" + flow
                    + " upstream=i-1 standing=ready",
+               "60 f-1 t_ms=1 event=request_forwarded request=r2 flow=" + flow
+                   + " upstream=i-1 standing=gone",
+               "60 f-1 t_ms=1 event=stopping signal=15",
                "2.3 f-3 t_ms=1 event=flow_placed flow=1.1.1.1:1>2.2.2.2:2 unanswered_by=i-1",
                "2.4 f-3 t_ms=1 event=flow_placed flow=1.1.1.1:3>2.2.2.2:2 unanswered_by=i-1",
                "30.0 f-3 t_ms=1 event=flow_placed flow=1.1.1.1:4>2.2.2.2:2 unanswered_by=i-1",
@@ -88,7 +91,7 @@
         "r1");
     CHECK(story.flows == std::vector<std::string> {flow});
     CHECK(finds(story, "the caller repeated request r1 to i-1, which was ready"));
-    CHECK(finds(story, "i-1 became gone, known to 2 instances"));
+    CHECK(finds(story, "i-1 became gone, logged by 2 instances"));
     CHECK(finds(story, "2 other flows got no answer from i-1 at that time"));
     CHECK(story.findings.size() == 3);
 }
