--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -134,7 +134,8 @@
 }
 BENCHMARK(decodeConfiguration)->Arg(12)->Arg(333)->Arg(9200)->Unit(benchmark::kMicrosecond);
 
-void adoptBeliefs(benchmark::State &state)
+/// One upstream's change passes from one instance to another, with the whole beliefs or without.
+void passChange(benchmark::State &state, bool isWhole)
 {
     instance_parts sender(static_cast<std::size_t>(state.range(0)));
     instance_parts receiver(static_cast<std::size_t>(state.range(0)));
@@ -142,15 +143,32 @@
     std::size_t bytes = 0;
     for (auto _ : state) {
         sender.state.apply({++revision, {upstreamOf(0)}}, false, 2s);
+        const auto known = isWhole ? 0 : receiver.state.revision();
         const auto encoded =
-            encodeState(sender.state.snapshot(receiver.state.configVersion(), 0, 2s));
+            encodeState(sender.state.snapshot(receiver.state.configVersion(), known, 2s));
         const auto decoded = decodeState(encoded);
         bytes = encoded.size();
         benchmark::DoNotOptimize(receiver.state.adopt(decoded.value(), 2s, 2s));
     }
     state.counters["bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(adoptBeliefs)->Arg(18)->Arg(150)->Arg(15000)->Arg(59000)->Unit(benchmark::kMillisecond);
+
+void passWholeBeliefs(benchmark::State &state)
+{
+    passChange(state, true);
+}
+BENCHMARK(passWholeBeliefs)
+    ->Arg(18)
+    ->Arg(150)
+    ->Arg(15000)
+    ->Arg(59000)
+    ->Unit(benchmark::kMicrosecond);
+
+void passDifference(benchmark::State &state)
+{
+    passChange(state, false);
+}
+BENCHMARK(passDifference)->Arg(18)->Arg(150)->Arg(15000)->Arg(59000)->Unit(benchmark::kMicrosecond);
 
 void heapOfInstance(benchmark::State &state)
 {
