--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -9,6 +9,8 @@
 #include "text_table.h"
 
 #include <charconv>
+#include <functional>
+#include <utility>
 
 namespace chicoryhead {
 
@@ -30,6 +32,30 @@
     return text;
 }
 
+void printRoutes(const command_call &call, const routing_config &config)
+{
+    text_table table({"ROUTE", "ADDRESS", "SERVICES", "PRIORITY", "TARGET_MS", "TIMEOUT_MS"});
+    const auto milliseconds = [](monotonic_time time) {
+        return std::to_string(time / std::chrono::milliseconds(1));
+    };
+    for (const route &shown : config.routes)
+        table.addRow({shown.name, toString(shown.address), formatTargets(shown),
+                      std::to_string(shown.priority), milliseconds(shown.targetLatency),
+                      milliseconds(shown.timeout)});
+    table.print(call.environment.out);
+}
+
+/// Runs a function with the store and the configuration in it.
+exit_code withConfig(const command_call &call,
+                     const std::function<exit_code(operator_store &, const stored_config &)> &run)
+{
+    const auto store = openStore(call);
+    if (store == nullptr)
+        return exit_code::Usage;
+    const auto config = store->readConfig();
+    return config ? run(*store, config.value()) : failStore(call, config.error());
+}
+
 /// Outcome of a replacement whose answer was lost: the store tells whose configuration it has.
 exit_code resolveUnknown(const command_call &call, operator_store &store, const std::string &text,
                          const stored_config &base)
@@ -61,44 +87,64 @@
     return fail(call, exit_code::Unavailable, "nothing was changed: " + failure.message());
 }
 
+/** A configuration in a file. */
+struct written_config
+{
+    std::string text;
+    routing_config decoded;
+};
+
+/// Reads the file that the first operand names; anything but Done after a message.
+exit_code readConfigFile(const command_call &call, written_config &file)
+{
+    auto text = readTextFile(call, call.operands[0]);
+    if (!text)
+        return fail(call, exit_code::Unavailable, "can't read " + call.operands[0]);
+    auto config = call.environment.decodeConfig(text.value());
+    if (!config)
+        return fail(call, exit_code::Invalid, "no JSON object with a version and a list of routes");
+    file = {std::move(text.value()), std::move(config.value())};
+    return exit_code::Done;
+}
+
+exit_code putAbove(const command_call &call, operator_store &store, const written_config &file,
+                   const stored_config &base)
+{
+    const config_version version = file.decoded.version;
+    const config_version current = base.decoded.version;
+    if (FLAGS_base != 0 && FLAGS_base != current)
+        return fail(call, exit_code::Refused,
+                    "based on version " + std::to_string(FLAGS_base) + ", the store has "
+                        + std::to_string(current));
+    if (version <= current)
+        return fail(call, exit_code::Invalid,
+                    "version " + std::to_string(version) + " is not above the store's "
+                        + std::to_string(current));
+    return submit(call, store, file.text, version, base);
+}
+
 } // namespace
 
 exit_code runConfigShow(const command_call &call)
 {
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto config = store->readConfig();
-    if (!config)
-        return failStore(call, config.error());
-    auto &out = call.environment.out;
-    if (FLAGS_json) {
-        out << config.value().text << '\n';
+    return withConfig(call, [&call](operator_store & /*store*/, const stored_config &config) {
+        auto &out = call.environment.out;
+        if (FLAGS_json) {
+            out << config.text << '\n';
+            return exit_code::Done;
+        }
+        out << "version " << config.decoded.version << '\n';
+        printRoutes(call, config.decoded);
         return exit_code::Done;
-    }
-    out << "version " << config.value().decoded.version << '\n';
-    text_table table({"ROUTE", "ADDRESS", "SERVICES", "PRIORITY", "TARGET_MS", "TIMEOUT_MS"});
-    const auto milliseconds = [](monotonic_time time) {
-        return std::to_string(time / std::chrono::milliseconds(1));
-    };
-    for (const route &shown : config.value().decoded.routes)
-        table.addRow({shown.name, toString(shown.address), formatTargets(shown),
-                      std::to_string(shown.priority), milliseconds(shown.targetLatency),
-                      milliseconds(shown.timeout)});
-    table.print(out);
-    return exit_code::Done;
+    });
 }
 
 exit_code runConfigVersion(const command_call &call)
 {
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto config = store->readConfig();
-    if (!config)
-        return failStore(call, config.error());
-    call.environment.out << config.value().decoded.version << '\n';
-    return exit_code::Done;
+    return withConfig(call, [&call](operator_store & /*store*/, const stored_config &config) {
+        call.environment.out << config.decoded.version << '\n';
+        return exit_code::Done;
+    });
 }
 
 exit_code runConfigWait(const command_call &call)
@@ -136,41 +182,22 @@
 
 exit_code runConfigCheck(const command_call &call)
 {
-    const auto text = readTextFile(call, call.operands[0]);
-    if (!text)
-        return fail(call, exit_code::Unavailable, "can't read " + call.operands[0]);
-    const auto config = call.environment.decodeConfig(text.value());
-    if (!config)
-        return fail(call, exit_code::Invalid, "no JSON object with a version and a list of routes");
-    call.environment.out << "version " << config.value().version << ", "
-                         << config.value().routes.size() << " routes that can be used\n";
+    written_config file;
+    if (const auto code = readConfigFile(call, file); code != exit_code::Done)
+        return code;
+    call.environment.out << "version " << file.decoded.version << ", "
+                         << file.decoded.routes.size() << " routes that can be used\n";
     return exit_code::Done;
 }
 
 exit_code runConfigPut(const command_call &call)
 {
-    const auto text = readTextFile(call, call.operands[0]);
-    if (!text)
-        return fail(call, exit_code::Unavailable, "can't read " + call.operands[0]);
-    const auto config = call.environment.decodeConfig(text.value());
-    if (!config)
-        return fail(call, exit_code::Invalid, "no JSON object with a version and a list of routes");
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto base = store->readConfig();
-    if (!base)
-        return failStore(call, base.error());
-    const config_version current = base.value().decoded.version;
-    if (FLAGS_base != 0 && FLAGS_base != current)
-        return fail(call, exit_code::Refused,
-                    "based on version " + std::to_string(FLAGS_base) + ", the store has "
-                        + std::to_string(current));
-    if (config.value().version <= current)
-        return fail(call, exit_code::Invalid,
-                    "version " + std::to_string(config.value().version)
-                        + " is not above the store's " + std::to_string(current));
-    return submit(call, *store, text.value(), config.value().version, base.value());
+    written_config file;
+    if (const auto code = readConfigFile(call, file); code != exit_code::Done)
+        return code;
+    return withConfig(call, [&](operator_store &store, const stored_config &base) {
+        return putAbove(call, store, file, base);
+    });
 }
 
 } // namespace chicoryhead
--- a/src/cli/command_fleet.cpp
+++ b/src/cli/command_fleet.cpp
@@ -12,6 +12,7 @@
 #include <iomanip>
 #include <sstream>
 #include <tuple>
+#include <utility>
 
 namespace chicoryhead {
 
@@ -32,19 +33,28 @@
     return text.str();
 }
 
-} // namespace
-
-exit_code runInstances(const command_call &call)
+exit_code listInstances(const command_call &call, std::vector<instance_row> &instances)
 {
     const auto store = openStore(call);
     if (store == nullptr)
         return exit_code::Usage;
-    const auto instances = readInstances(call, *store);
-    if (!instances)
-        return failStore(call, instances.error());
+    auto listed = readInstances(call, *store);
+    if (!listed)
+        return failStore(call, listed.error());
+    instances = std::move(listed.value());
+    return exit_code::Done;
+}
+
+} // namespace
+
+exit_code runInstances(const command_call &call)
+{
+    std::vector<instance_row> instances;
+    if (const auto code = listInstances(call, instances); code != exit_code::Done)
+        return code;
     text_table table(
         {"INSTANCE", "DOMAIN", "ADDRESS", "STATE", "VERSION", "AGE_MS", "READER", "FLOWS"});
-    for (const instance_row &row : instances.value()) {
+    for (const instance_row &row : instances) {
         const auto &registered = row.registration;
         if (row.page)
             table.addRow({registered.name, registered.domain, toString(registered.peerAddress),
@@ -90,15 +100,12 @@
 
 exit_code runFlows(const command_call &call)
 {
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto instances = readInstances(call, *store);
-    if (!instances)
-        return failStore(call, instances.error());
+    std::vector<instance_row> instances;
+    if (const auto code = listInstances(call, instances); code != exit_code::Done)
+        return code;
     text_table table(
         {"INSTANCE", "SERVICE", "UPSTREAM", "STANDING", "SUSPECTED", "LATENCY_MS", "FLOWS"});
-    for (const instance_row &row : instances.value()) {
+    for (const instance_row &row : instances) {
         const auto upstreams = readUpstreamPage(call, row.registration);
         if (!upstreams) {
             fail(call, exit_code::Unavailable,
--- a/src/core/core_base.h
+++ b/src/core/core_base.h
@@ -16,7 +16,7 @@
 
 namespace chicoryhead {
 
-/** Source of monotonic and wall-clock time. */
+/** Source of monotonic time. */
 class clock_source
 {
 public:
@@ -24,9 +24,6 @@
 
     /** Monotonic time; never goes back. */
     virtual monotonic_time now() const = 0;
-
-    /** Wall-clock time; may jump. */
-    virtual wall_time wallNow() const = 0;
 };
 
 /** Source of random bits, seeded by whoever builds the core. */
--- a/src/core/core_type.h
+++ b/src/core/core_type.h
@@ -22,9 +22,6 @@
 /** Time since an arbitrary start that never goes back, in microseconds. */
 using monotonic_time = std::chrono::microseconds;
 
-/** Wall-clock time in seconds since 1970-01-01 UTC; only for marks that operators set. */
-using wall_time = std::chrono::seconds;
-
 /** Number of an upstream within one process; never reused. */
 enum class upstream_id : std::uint32_t {};
 
--- a/src/system/system.cpp
+++ b/src/system/system.cpp
@@ -17,9 +17,4 @@
                                                       + std::chrono::nanoseconds(time.tv_nsec));
 }
 
-wall_time boot_clock_source::wallNow() const
-{
-    return wall_time(::time(nullptr));
-}
-
 } // namespace chicoryhead
--- a/src/system/system_base.h
+++ b/src/system/system_base.h
@@ -11,12 +11,11 @@
 
 namespace chicoryhead {
 
-/** Boot-time clock, which counts the time that the machine was suspended, and wall clock. */
+/** Boot-time clock, which counts the time that the machine was suspended. */
 class boot_clock_source : public clock_source
 {
 public:
     monotonic_time now() const override;
-    wall_time wallNow() const override;
 };
 
 /** Random source seeded by the machine. */
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -10,6 +10,7 @@
 #include "deployment_observer.h"
 #include "entry_program.h"
 #include "http/http_connection_base.h"
+#include "seeded_random.h"
 #include "store_standin.h"
 #include "system/system_base.h"
 #include "tcp_proxy.h"
@@ -22,7 +23,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -41,17 +41,6 @@
     std::uint64_t seed = 1;
 };
 
-/** Random source with a seed. */
-class seeded_random : public random_source
-{
-public:
-    explicit seeded_random(std::uint64_t seed) : m_engine(seed) { }
-    std::uint64_t next() override { return m_engine(); }
-
-private:
-    std::mt19937_64 m_engine;
-};
-
 /** One instance with what the deployment knows of it. */
 struct deployed_instance
 {
--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -223,13 +223,20 @@
     program.signal(SIGHUP);
 }
 
-void fault_series::drainUpstream()
+std::string fault_series::drawUpstream(unsigned service)
 {
-    const unsigned service = draw(2);
     const auto names = m_deployment.upstreamsOf(service);
     if (names.size() <= fewestUpstreams)
+        return {};
+    return names[draw(static_cast<unsigned>(names.size()))];
+}
+
+void fault_series::drainUpstream()
+{
+    const unsigned service = draw(2);
+    const std::string name = drawUpstream(service);
+    if (name.empty())
         return;
-    const std::string &name = names[draw(static_cast<unsigned>(names.size()))];
     note("upstream " + name + " leaves");
     m_deployment.drainUpstream(name);
     m_check.noteDrain(name, m_deployment.clock().now());
@@ -242,10 +249,9 @@
 void fault_series::crashUpstream()
 {
     const unsigned service = draw(2);
-    const auto names = m_deployment.upstreamsOf(service);
-    if (names.size() <= fewestUpstreams)
+    const std::string name = drawUpstream(service);
+    if (name.empty())
         return;
-    const std::string &name = names[draw(static_cast<unsigned>(names.size()))];
     note("upstream " + name + " crashes");
     m_deployment.removeUpstream(name);
     later(drawTime(500, 4000), [this, service] {
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -56,6 +56,8 @@
     void disturbStore();
     void dropHistory();
     void reloadSettings();
+    /** An upstream that may go; empty when too few are left. */
+    std::string drawUpstream(unsigned service);
     void drainUpstream();
     void crashUpstream();
     void changeConfig();
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -54,7 +54,7 @@
     endpoint m_address;
     event_log m_log;
     domain_first_placement m_placement;
-    stepped_random m_random;
+    seeded_random m_random;
 
 public:
     fleet_state state;
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -53,7 +53,7 @@
 
     int sink = ::open("/dev/null", O_WRONLY);
     stepped_clock clock;
-    stepped_random random {1};
+    seeded_random random {1};
     event_log log {sink, clock};
     routing_table routes;
     upstream_directory directory;
@@ -191,7 +191,7 @@
     std::set<monotonic_time> pauses;
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
         follower_fixture fixture;
-        fixture.random = stepped_random(seed);
+        fixture.random = seeded_random(seed);
         for (int failure = 0; failure < 5; ++failure) {
             fixture.store.answer(error::Throttled);
             const auto pause = fixture.untilCall();
--- a/tests/virtual_time.h
+++ b/tests/virtual_time.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/core_base.h"
+#include "standin/seeded_random.h"
 
 #include <cstddef>
 #include <functional>
@@ -17,15 +18,13 @@
 
 namespace chicoryhead::test {
 
+using standin::seeded_random;
+
 /** Clock that a test moves. */
 class stepped_clock : public clock_source
 {
 public:
     monotonic_time now() const override { return m_now; }
-    wall_time wallNow() const override
-    {
-        return wall_time(1'800'000'000 + m_now.count() / 1'000'000);
-    }
 
     /** Moves the clock forward. */
     void advance(monotonic_time step) { m_now += step; }
@@ -34,17 +33,6 @@
     monotonic_time m_now = std::chrono::seconds(1);
 };
 
-/** Seeded random source. */
-class stepped_random : public random_source
-{
-public:
-    explicit stepped_random(std::uint64_t seed) : m_engine(seed) { }
-    std::uint64_t next() override { return m_engine(); }
-
-private:
-    std::mt19937_64 m_engine;
-};
-
 /** Datagrams between endpoints, with delay, loss, duplication and cuts. */
 class virtual_network
 {
