Fix: a new configuration is pushed on by whoever adopts it as a difference

Cause: found by reading. With differences between instances, a change of the configuration alone carries no upstream or instance, so the revision of the last change that meant something was not raised, and the instance did not tell four others at once; they learnt from the next digests instead. Test: "A change of the configuration alone counts as a change for whoever adopts it"; failed first.

--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -100,6 +100,7 @@
         return false;
     if (other.since > 0) {
         adoptDifference(other, now);
+        m_contentRevision = std::max(m_contentRevision, other.contentRevision);
         m_revision = other.revision;
         m_confirmedAt = confirmedAt;
         return true;
--- a/tests/test_belief_changes.cpp
+++ b/tests/test_belief_changes.cpp
@@ -278,6 +278,25 @@
     CHECK(behind.content() == store.contentAt(before));
 }
 
+TEST_CASE("A change of the configuration alone counts as a change for whoever adopts it",
+          "[beliefs]")
+{
+    // Guards against an instance that does not push a new configuration on to others, because no
+    // upstream changed with it.
+    memory_fleet store;
+    believer reader;
+    believer other;
+    store.changeUpstream("i-1", false);
+    reader.load(store);
+    other.load(store);
+    const auto revision = store.revision() + 1;
+    reader.state.apply({revision, {makeConfig(2)}}, false, reader.now());
+    other.fetch(reader);
+    CHECK(other.state.configVersion() == 2);
+    CHECK(other.state.revision() == revision);
+    CHECK(other.state.contentRevision() == revision);
+}
+
 TEST_CASE("A lapsed announcement that is told as a difference may return", "[beliefs]")
 {
     // Guards against an upstream that is taken for gone because the store was away.
