--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -134,7 +134,7 @@
 }
 BENCHMARK(decodeConfiguration)->Arg(12)->Arg(333)->Arg(9200)->Unit(benchmark::kMicrosecond);
 
-/// One upstream's change passes from one instance to another, with the whole beliefs or without.
+/// One upstream's change passes from one instance to another, with the whole state or without.
 void passChange(benchmark::State &state, bool isWhole)
 {
     instance_parts sender(static_cast<std::size_t>(state.range(0)));
@@ -153,16 +153,11 @@
     state.counters["bytes"] = static_cast<double>(bytes);
 }
 
-void passWholeBeliefs(benchmark::State &state)
+void passWholeState(benchmark::State &state)
 {
     passChange(state, true);
 }
-BENCHMARK(passWholeBeliefs)
-    ->Arg(18)
-    ->Arg(150)
-    ->Arg(15000)
-    ->Arg(59000)
-    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(passWholeState)->Arg(18)->Arg(150)->Arg(15000)->Arg(59000)->Unit(benchmark::kMicrosecond);
 
 void passDifference(benchmark::State &state)
 {
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -55,6 +55,6 @@
 exit_code runInstances(const command_call &call);
 exit_code runUpstreams(const command_call &call);
 exit_code runFlows(const command_call &call);
-exit_code runStory(const command_call &call);
+exit_code runTrace(const command_call &call);
 
 } // namespace chicoryhead
--- a/src/cli/command_fleet.cpp
+++ b/src/cli/command_fleet.cpp
@@ -59,8 +59,8 @@
         if (row.page)
             table.addRow({registered.name, registered.domain, toString(registered.peerAddress),
                           row.page->state, std::to_string(row.page->version),
-                          std::to_string(row.page->beliefAgeMs),
-                          row.page->readsStore ? "yes" : "no", std::to_string(row.page->flows)});
+                          std::to_string(row.page->stateAgeMs), row.page->readsStore ? "yes" : "no",
+                          std::to_string(row.page->flows)});
         else
             table.addRow({registered.name, registered.domain, toString(registered.peerAddress),
                           "no answer", "-", "-", "-", "-"});
--- a/src/cli/command_story.cpp
+++ b/src/cli/command_trace.cpp
@@ -1,17 +1,17 @@
 /**
- * @file command_story.cpp
- * The command that tells one flow's story from logs.
+ * @file command_trace.cpp
+ * The command that traces one flow through logs.
  */
 
 #include "command.h"
-#include "flow_story.h"
+#include "flow_trace.h"
 
 #include <filesystem>
 #include <sstream>
 
 namespace chicoryhead {
 
-exit_code runStory(const command_call &call)
+exit_code runTrace(const command_call &call)
 {
     std::vector<std::string> files(call.operands.begin() + 1, call.operands.end());
     if (files.empty())
@@ -28,19 +28,19 @@
                 log.push_back(std::move(*parsed));
         }
     }
-    const flow_story story = tellStory(log, call.operands[0]);
-    if (story.lines.empty())
+    const flow_trace trace = traceFlow(log, call.operands[0]);
+    if (trace.lines.empty())
         return fail(call, exit_code::Invalid,
                     "no line about " + call.operands[0]
                         + "; its packets reached none of these instances, or lines were left out");
-    if (!story.isOrdered)
+    if (!trace.isOrdered)
         fail(call, exit_code::Done,
              "lines without the collector's time: in order within each file only");
     auto &out = call.environment.out;
-    for (const log_line &line : story.lines)
+    for (const log_line &line : trace.lines)
         out << (line.collectedAt ? "" : line.instance + ' ') << line.text << '\n';
     out << '\n';
-    for (const std::string &finding : story.findings)
+    for (const std::string &finding : trace.findings)
         out << "- " << finding << '\n';
     return exit_code::Done;
 }
--- a/src/cli/flow_story.cpp
+++ b/src/cli/flow_trace.cpp
@@ -1,9 +1,9 @@
 /**
- * @file flow_story.cpp
+ * @file flow_trace.cpp
  * Selection of log lines, and what follows from them.
  */
 
-#include "flow_story.h"
+#include "flow_trace.h"
 
 #include <algorithm>
 #include <array>
@@ -75,7 +75,7 @@
 }
 
 /// What the flow's own lines name, to find the lines that explain them.
-struct story_context
+struct trace_context
 {
     std::set<std::string> upstreams;
     std::set<std::string> instances;
@@ -129,7 +129,7 @@
     if (event == "flow_refused")
         addFinding(findings,
                    "refused at once: " + line.field("reason") + ", with configuration "
-                       + line.field("version") + " confirmed " + line.field("belief_age_ms")
+                       + line.field("version") + " confirmed " + line.field("state_age_ms")
                        + " ms before");
     if (event == "packet_dropped")
         addFinding(findings, line.instance + " dropped a packet: " + line.field("reason"));
@@ -141,8 +141,8 @@
                        + line.field("upstream") + ", which was " + line.field("standing"));
 }
 
-/// Flows other than the story's that got no answer from an upstream at the same time.
-std::size_t countUnanswered(const std::vector<log_line> &log, const story_context &context,
+/// Flows other than the traced ones that got no answer from an upstream at the same time.
+std::size_t countUnanswered(const std::vector<log_line> &log, const trace_context &context,
                             const std::set<std::string> &flows, const std::string &upstream)
 {
     std::set<std::string> others;
@@ -156,7 +156,7 @@
 }
 
 /// What instances learn of an upstream one after the other; empty for other lines.
-std::string sharedNews(const log_line &line)
+std::string describeChange(const log_line &line)
 {
     const std::string &event = line.field("event");
     const std::string &upstream = line.field("upstream");
@@ -167,24 +167,24 @@
     return event == "upstream_trusted" ? upstream + " answered again" : std::string();
 }
 
-/// Keeps the first line of news that many instances learnt, and tells how many did.
-void mergeNews(flow_story &story)
+/// Keeps the first line of change that many instances learnt, and tells how many did.
+void mergeChanges(flow_trace &trace)
 {
-    std::map<std::string, std::set<std::string>> instancesByNews;
+    std::map<std::string, std::set<std::string>> instancesByChange;
     std::vector<log_line> kept;
-    for (log_line &line : story.lines) {
-        const std::string news = sharedNews(line);
-        const bool isFirst = news.empty() || instancesByNews[news].empty();
-        if (!news.empty())
-            instancesByNews[news].insert(line.instance);
+    for (log_line &line : trace.lines) {
+        const std::string change = describeChange(line);
+        const bool isFirst = change.empty() || instancesByChange[change].empty();
+        if (!change.empty())
+            instancesByChange[change].insert(line.instance);
         if (isFirst)
             kept.push_back(std::move(line));
     }
-    story.lines = std::move(kept);
-    for (const auto &[news, instances] : instancesByNews) {
+    trace.lines = std::move(kept);
+    for (const auto &[change, instances] : instancesByChange) {
         const std::size_t count = instances.size();
-        addFinding(story.findings,
-                   news + ", logged by " + std::to_string(count)
+        addFinding(trace.findings,
+                   change + ", logged by " + std::to_string(count)
                        + (count == 1 ? " instance" : " instances"));
     }
 }
@@ -192,7 +192,7 @@
 void findInContext(const log_line &line, std::vector<std::string> &findings)
 {
     const std::string &event = line.field("event");
-    if (!sharedNews(line).empty())
+    if (!describeChange(line).empty())
         return;
     if (event == "resumed")
         addFinding(findings, line.instance + " was suspended for " + line.field("gap_ms") + " ms");
@@ -238,12 +238,12 @@
     return line;
 }
 
-flow_story tellStory(const std::vector<log_line> &log, const std::string &flowOrRequest)
+flow_trace traceFlow(const std::vector<log_line> &log, const std::string &flowOrRequest)
 {
     const auto flows = flowsOf(log, flowOrRequest);
-    flow_story story;
-    story.flows.assign(flows.begin(), flows.end());
-    story_context context;
+    flow_trace trace;
+    trace.flows.assign(flows.begin(), flows.end());
+    trace_context context;
     // A flow carries many requests; those that were not asked for are left out.
     const bool isWholeFlow = flows.contains(flowOrRequest);
     const auto isOfFlow = [&](const log_line &line) {
@@ -258,28 +258,28 @@
     for (const log_line &line : log) {
         if (!isOfFlow(line) && !context.explains(line))
             continue;
-        story.lines.push_back(line);
-        story.isOrdered = story.isOrdered && line.collectedAt.has_value();
+        trace.lines.push_back(line);
+        trace.isOrdered = trace.isOrdered && line.collectedAt.has_value();
     }
-    if (story.isOrdered)
+    if (trace.isOrdered)
         std::stable_sort(
-            story.lines.begin(), story.lines.end(),
+            trace.lines.begin(), trace.lines.end(),
             [](const log_line &a, const log_line &b) { return *a.collectedAt < *b.collectedAt; });
-    for (const log_line &line : story.lines) {
+    for (const log_line &line : trace.lines) {
         if (isOfFlow(line))
-            findInFlow(line, story.findings);
+            findInFlow(line, trace.findings);
         else
-            findInContext(line, story.findings);
+            findInContext(line, trace.findings);
     }
-    mergeNews(story);
+    mergeChanges(trace);
     for (const std::string &upstream : context.upstreams) {
         const auto others = countUnanswered(log, context, flows, upstream);
         if (others > 0)
-            addFinding(story.findings,
+            addFinding(trace.findings,
                        std::to_string(others) + " other flows got no answer from " + upstream
                            + " at that time");
     }
-    return story;
+    return trace;
 }
 
 } // namespace chicoryhead
--- a/src/cli/flow_story.h
+++ b/src/cli/flow_trace.h
@@ -1,5 +1,5 @@
 /**
- * @file flow_story.h
+ * @file flow_trace.h
  * Finds what the logs of instances say of one flow.
  *
  * A line is "[TIME INSTANCE] t_ms=… event=… key=value …"; the collector writes the part in
@@ -32,8 +32,8 @@
 /** Parses a line; nothing when it is no line of an instance. */
 std::optional<log_line> parseLogLine(std::string_view text, const std::string &file);
 
-/** The story of one flow or request. */
-struct flow_story
+/** What the logs say of one flow or request. */
+struct flow_trace
 {
     std::vector<std::string> flows; ///< that the request was seen on, or the flow itself
     std::vector<log_line> lines;    ///< in order of the collector's time, else of reading
@@ -45,6 +45,6 @@
  * Collects the lines about a flow ("ip:port>ip:port") or the flows of a request, and those that
  * explain them: changes of their upstreams, and what happened to the instances that handled them.
  */
-flow_story tellStory(const std::vector<log_line> &log, const std::string &flowOrRequest);
+flow_trace traceFlow(const std::vector<log_line> &log, const std::string &flowOrRequest);
 
 } // namespace chicoryhead
--- a/src/cli/instance_pages.h
+++ b/src/cli/instance_pages.h
@@ -19,7 +19,7 @@
 {
     std::string state; ///< starting, ready or stopping
     config_version version = 0;
-    std::uint64_t beliefAgeMs = 0;
+    std::uint64_t stateAgeMs = 0;
     bool readsStore = false;
     std::uint64_t flows = 0; ///< seen lately
 };
--- a/src/cli/table/command_table.h
+++ b/src/cli/table/command_table.h
@@ -36,13 +36,13 @@
     {"upstreams", "[SERVICE]", 0, 1, {}, "upstreams as they announce themselves", runUpstreams},
     {"flows", "[SERVICE]", 0, 1, pageFlags,
      "flows that instances saw lately, by upstream, with its latency", runFlows},
-    {"story",
+    {"trace",
      "FLOW|REQUEST [FILE...]",
      1,
      maxLogFiles,
      {},
      "what the logs of instances say of one flow, in order of time",
-     runStory},
+     runTrace},
 }};
 
 } // namespace chicoryhead::detail
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -64,8 +64,8 @@
     }
     writeHead(out, "ready", "gauge", "Whether the fabric may send packets here.");
     out << prefix << "ready " << (gauges.isReady ? 1 : 0) << '\n';
-    writeHead(out, "belief_age_seconds", "gauge", "Time since the store's state was confirmed.");
-    out << prefix << "belief_age_seconds " << gauges.beliefAgeSeconds << '\n';
+    writeHead(out, "state_age_seconds", "gauge", "Time since the store's state was confirmed.");
+    out << prefix << "state_age_seconds " << gauges.stateAgeSeconds << '\n';
     writeHead(out, "store_calls_total", "counter", "Calls of the store by kind and outcome.");
     for (const store_call_count &calls : gauges.storeCalls)
         out << prefix << "store_calls_total{kind=\"" << calls.kind << "\",outcome=\""
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -45,7 +45,7 @@
     std::uint64_t instances = 0;
     std::uint64_t storeItemsMalformed = 0;
     std::uint64_t logLinesDropped = 0;
-    double beliefAgeSeconds = 0; ///< since the store's newest revision was last confirmed
+    double stateAgeSeconds = 0; ///< since the store's newest revision was last confirmed
     bool isReady = false;
     std::vector<store_call_count> storeCalls;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickTime {50};
-/// Messages of peers per system call; a transfer of beliefs has about ten parts.
+/// Messages of peers per system call; a transfer of the state has about ten parts.
 constexpr std::size_t peerBatchSize = 16;
 constexpr std::string_view jsonType = "application/json";
 
@@ -64,7 +64,7 @@
     const auto bound = changeBound(settings);
     follower_settings made;
     made.watchWait = std::chrono::duration_cast<std::chrono::milliseconds>(bound * 2 / 5);
-    made.maxBeliefAge = bound * 2 / 3;
+    made.maxStateAge = bound * 2 / 3;
     made.batchTime = bound / 10;
     return made;
 }
@@ -251,7 +251,7 @@
     else if (packet.isOpening && m_suspension.isDistrusted(now))
         decision.reason = packet_reason::StaleOpening;
     else
-        decision = m_forwarder.decide(packet, isBeliefFresh(now), now);
+        decision = m_forwarder.decide(packet, isStateFresh(now), now);
     ++m_metrics.packets[static_cast<std::size_t>(decision.reason)];
     if (decision.latency.count() > 0)
         m_metrics.answer.record(decision.latency);
@@ -312,7 +312,7 @@
                   decision.unanswered != nullptr ? decision.unanswered->announced.name : "none"},
                  {"copy", packet.isOpening ? std::to_string(packet.acknowledged) : "none"},
                  {"version", std::to_string(m_routes.version())},
-                 {"belief_age_ms", age()}});
+                 {"state_age_ms", age()}});
 }
 
 void entry_process::logTrust(const caller_packet &packet, const packet_decision &decision)
@@ -346,7 +346,7 @@
          {"upstream", upstream.announced.name},
          {"standing", std::string(toString(upstream.standing))},
          {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
-         {"belief_age_ms", formatMilliseconds(m_suspension.activeAt() - m_state.confirmedAt())}});
+         {"state_age_ms", formatMilliseconds(m_suspension.activeAt() - m_state.confirmedAt())}});
 }
 
 void entry_process::scheduleTick()
@@ -454,7 +454,7 @@
     return m_state.isSynchronised() && !m_stop.isStopping();
 }
 
-bool entry_process::isBeliefFresh(monotonic_time now) const
+bool entry_process::isStateFresh(monotonic_time now) const
 {
     return now - m_state.confirmedAt() < changeBound(m_settings);
 }
@@ -501,7 +501,7 @@
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
     gauges.logLinesDropped = m_log.linesDropped();
-    gauges.beliefAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
+    gauges.stateAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
     gauges.isReady = isReady();
     const auto &calls = m_store.calls();
     for (std::size_t kind = 0; kind < calls.size(); ++kind) {
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -90,7 +90,7 @@
     void reloadSettings();
 
     bool isReady() const;
-    bool isBeliefFresh(monotonic_time now) const;
+    bool isStateFresh(monotonic_time now) const;
     status_page page(std::string_view path);
     entry_gauges gauges() const;
     std::vector<upstream_view> upstreamViews() const;
--- a/src/entry/status_documents.cpp
+++ b/src/entry/status_documents.cpp
@@ -54,8 +54,8 @@
     writeText(writer, "state", stateOf(view));
     writeCount(writer, "version", view.gauges.configVersion);
     writeCount(writer, "revision", view.revision);
-    writeCount(writer, "belief_age_ms",
-               static_cast<std::uint64_t>(view.gauges.beliefAgeSeconds * 1000));
+    writeCount(writer, "state_age_ms",
+               static_cast<std::uint64_t>(view.gauges.stateAgeSeconds * 1000));
     writeFlag(writer, "reads_store", view.isReader);
     writeCount(writer, "routes", view.gauges.routes);
     writeCount(writer, "upstreams", view.gauges.upstreams);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -33,9 +33,9 @@
 }
 
 /// A refused caller comes back at once or gives up; one that gets no answer asks again.
-packet_decision refuseFor(packet_reason reason, bool isBeliefFresh)
+packet_decision refuseFor(packet_reason reason, bool isStateFresh)
 {
-    return {isBeliefFresh ? packet_action::Reset : packet_action::Drop, reason, nullptr, noTag};
+    return {isStateFresh ? packet_action::Reset : packet_action::Drop, reason, nullptr, noTag};
 }
 
 /// Whether a 32-bit position is behind another one, with wraparound.
@@ -65,13 +65,13 @@
 {
 }
 
-packet_decision forwarder::decide(const caller_packet &packet, bool isBeliefFresh,
+packet_decision forwarder::decide(const caller_packet &packet, bool isStateFresh,
                                   monotonic_time now)
 {
     if (packet.isFromUpstream)
         return dropFor(packet_reason::FromUpstream);
     if (packet.isOpening)
-        return decideOpening(packet, isBeliefFresh, now);
+        return decideOpening(packet, isStateFresh, now);
     return decideOpen(packet, now);
 }
 
@@ -86,12 +86,12 @@
     m_observer.expire(m_settings.observationTime, now);
 }
 
-packet_decision forwarder::decideOpening(const caller_packet &packet, bool isBeliefFresh,
+packet_decision forwarder::decideOpening(const caller_packet &packet, bool isStateFresh,
                                          monotonic_time now)
 {
     const route *selected = m_routes.find(packet.flow.service);
     if (selected == nullptr)
-        return refuseFor(packet_reason::NoRoute, isBeliefFresh);
+        return refuseFor(packet_reason::NoRoute, isStateFresh);
 
     observed_flow *flow = m_observer.find(packet.flow);
     const bool isCopy = flow != nullptr && flow->start == packet.sequence && flow->triedCount > 0;
@@ -109,7 +109,7 @@
     const auto tried = isCopy ? flow->triedUpstreams() : std::span<const upstream_id> {};
     const auto chosen = m_placement.choose(service, tried, now);
     if (!chosen)
-        return refuseFor(packet_reason::NoUpstream, isBeliefFresh);
+        return refuseFor(packet_reason::NoUpstream, isStateFresh);
 
     if (!isCopy) {
         m_observer.remove(packet.flow);
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -89,10 +89,10 @@
 
     /**
      * Decides about one packet.
-     * @param isBeliefFresh the configuration was confirmed lately, so that a missing route or
+     * @param isStateFresh the configuration was confirmed lately, so that a missing route or
      * upstream can be told to the caller.
      */
-    packet_decision decide(const caller_packet &packet, bool isBeliefFresh, monotonic_time now);
+    packet_decision decide(const caller_packet &packet, bool isStateFresh, monotonic_time now);
 
     /** Whether a packet names an upstream that is known, so that no configuration is needed. */
     bool isSteerable(const caller_packet &packet) const;
@@ -106,7 +106,7 @@
     std::map<upstream_id, std::uint64_t> countFlows() const { return m_observer.countByUpstream(); }
 
 private:
-    packet_decision decideOpening(const caller_packet &packet, bool isBeliefFresh,
+    packet_decision decideOpening(const caller_packet &packet, bool isStateFresh,
                                   monotonic_time now);
     packet_decision decideOpen(const caller_packet &packet, monotonic_time now);
     /** Where a copy of an opening packet goes again; null if it needs another upstream. */
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t maxSightings = 4;
+constexpr std::size_t maxReports = 4;
 /// Instances that are told of a change at once; each tells as many again.
 constexpr std::size_t changeFanout = 3;
 
@@ -86,9 +86,9 @@
     sendToOtherDomain();
 }
 
-bool gossip::isRecent(monotonic_time sighting) const
+bool gossip::isRecent(monotonic_time report) const
 {
-    return m_clock.now() - sighting <= m_settings.storeInterval + m_settings.hearsayTime;
+    return m_clock.now() - report <= m_settings.storeInterval + m_settings.propagationTime;
 }
 
 void gossip::noteStoreAnswer()
@@ -121,7 +121,7 @@
         if (rank < m_rank && isRecent(seenAt))
             ranks.insert(rank);
     }
-    // Until sightings had the time to come, registered instances are taken for well.
+    // Until reports had the time to arrive, registered instances are assumed to be alive.
     if (isRecent(m_firstStoreAnswerAt)) {
         for (const auto &[name, registration] : m_state.instances()) {
             if (registration.domain == m_own.domain && rankOf(name) < m_rank)
@@ -174,11 +174,11 @@
 void gossip::mergeReaders(const gossip_digest &digest)
 {
     const auto now = m_clock.now();
-    for (const reader_sighting &sighting : digest.readers) {
-        if (sighting.rank == m_rank)
+    for (const reader_report &report : digest.readers) {
+        if (report.rank == m_rank)
             continue;
-        auto &seenAt = m_readers[sighting.rank];
-        seenAt = std::max(seenAt, now - std::chrono::milliseconds(sighting.ageMs));
+        auto &seenAt = m_readers[report.rank];
+        seenAt = std::max(seenAt, now - std::chrono::milliseconds(report.ageMs));
     }
     std::erase_if(m_readers, [this](const auto &reader) { return !isRecent(reader.second); });
 }
@@ -220,7 +220,7 @@
         m_state.adopt(state.value(), now - std::chrono::milliseconds(state.value().ageMs), now);
     if (!hasChanged)
         return false;
-    m_log.write("beliefs_adopted",
+    m_log.write("state_adopted",
                 {{"from", toString(from)},
                  {"revision", std::to_string(state.value().revision)},
                  {"age_ms", std::to_string(state.value().ageMs)}});
@@ -240,7 +240,7 @@
     if ((isReader() || isCandidate()) && m_storeAnswerAt.count() > 0)
         readers[m_rank] = m_storeAnswerAt;
     for (const auto &[rank, seenAt] : readers) {
-        if (digest.readers.size() < maxSightings && isRecent(seenAt))
+        if (digest.readers.size() < maxReports && isRecent(seenAt))
             digest.readers.push_back({rank, ageMs(seenAt)});
     }
     m_sink.sendToPeer(target, encodeGossip(digest));
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -4,7 +4,7 @@
  *
  * A few instances of each failure domain read the store; the others learn from them. Nobody is
  * appointed: an instance reads when it knows fewer than the wanted number of readers with a lower
- * rank, and it asks the store itself when its beliefs grow old, whoever should have told it.
+ * rank, and it asks the store itself when its state grows old, whoever should have told it.
  */
 
 #pragma once
@@ -34,12 +34,13 @@
     std::size_t readersPerDomain = 2; ///< one may die unnoticed
     /// Longest time between two answers of the store to a reader.
     monotonic_time storeInterval {0};
-    /// Time that news of a reader takes to reach the others of its domain. A reader whose store did
-    /// not answer for longer than both times together does not count.
-    monotonic_time hearsayTime = std::chrono::milliseconds(2500);
+    /// Time that a report about a reader takes to reach the others of its domain: at a fan-out of
+    /// two 45 instances need six periods. A reader whose store did not answer for longer than both
+    /// times together does not count.
+    monotonic_time propagationTime = std::chrono::milliseconds(2500);
     /// After its first answer of the store an instance only tells that it could read; in three
     /// periods it learns whether others with a lower rank do.
-    monotonic_time candidacy = std::chrono::milliseconds(900);
+    monotonic_time candidacy = period * 3;
     monotonic_time fetchRetry = std::chrono::milliseconds(250);
     /// An instance that was not heard of for this long is taken for replaced under another name.
     monotonic_time silence = std::chrono::seconds(60);
@@ -55,13 +56,13 @@
            peer_sink &sink, const clock_source &clock, random_source &random, event_log &log,
            gossip_settings settings = {});
 
-    /** Handles a datagram; returns whether beliefs changed. */
+    /** Handles a datagram; returns whether the state changed. */
     bool receive(const endpoint &from, std::span<const std::byte> datagram);
 
     /** Sends what is due. */
     void tick();
 
-    /** Tells some instances at once if beliefs changed since they were told last. */
+    /** Tells some instances at once if the state changed since they were told last. */
     void announceChanges();
 
     /** The store answered this instance. */
@@ -108,7 +109,7 @@
     const clock_source &m_clock;
     random_source &m_random;
     event_log &m_log;
-    bool isRecent(monotonic_time sighting) const;
+    bool isRecent(monotonic_time report) const;
     bool isCandidate() const;
     /** Instances with a lower rank that read the store as far as is known. */
     std::size_t countReadersBefore() const;
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -97,7 +97,7 @@
 }
 
 template<typename Archive>
-void serialize(Archive &archive, reader_sighting &value)
+void serialize(Archive &archive, reader_report &value)
 {
     archive(value.rank, value.ageMs);
 }
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -14,8 +14,8 @@
 
 namespace chicoryhead {
 
-/** An instance that reads the store, as far as is known by hearsay. */
-struct reader_sighting
+/** An instance that reads the store, as far as other instances report. */
+struct reader_report
 {
     std::uint64_t rank = 0;  ///< hash of the instance's name; the lowest ranks read
     std::uint32_t ageMs = 0; ///< since the store answered it
@@ -25,21 +25,21 @@
 struct gossip_digest
 {
     instance_registration sender;
-    store_revision revision = 0;          ///< that its beliefs include
-    store_revision contentRevision = 0;   ///< of the last change that meant something
-    config_version version = 0;           ///< of the configuration in force
-    std::uint32_t ageMs = 0;              ///< since the revision was confirmed
-    std::vector<reader_sighting> readers; ///< in the sender's domain
+    store_revision revision = 0;        ///< that its state includes
+    store_revision contentRevision = 0; ///< of the last change that meant something
+    config_version version = 0;         ///< of the configuration in force
+    std::uint32_t ageMs = 0;            ///< since the revision was confirmed
+    std::vector<reader_report> readers; ///< in the sender's domain
 };
 
-/** Asks for the beliefs of the receiver. */
+/** Asks for the state of the receiver. */
 struct gossip_fetch
 {
     config_version version = 0;  ///< of the asker's configuration; 0 for none
-    store_revision revision = 0; ///< that the asker's beliefs include; 0 for none
+    store_revision revision = 0; ///< that the asker's state includes; 0 for none
 };
 
-/** Part of the beliefs of an instance. */
+/** Part of the state of an instance. */
 struct gossip_part
 {
     std::uint32_t transfer = 0; ///< number of the answer, chosen by the sender
@@ -48,7 +48,7 @@
     std::vector<std::uint8_t> bytes;
 };
 
-/** The beliefs of an instance, or what changed in them since a revision. */
+/** The state of an instance, or what changed in it since a revision. */
 struct gossip_state
 {
     store_revision since = 0; ///< only what changed after it; 0 for everything
--- a/src/gossip/part_assembler.cpp
+++ b/src/gossip/part_assembler.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// 1.2 MB: the beliefs at the design's size in one failure domain's view.
+/// 1.2 MB: the state at the design's size in one failure domain's view.
 constexpr std::size_t maxParts = 1024;
 
 } // namespace
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -73,7 +73,7 @@
     }
     std::erase_if(m_instances, [&](const auto &entry) { return !instances.contains(entry.first); });
     apply(everything, mayLapse, now);
-    // What changed between the old beliefs and these, and when, is not known.
+    // What changed between the old state and the new one, and when, is not known.
     m_history.clear();
     m_historyFloor = m_revision;
 }
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -2,7 +2,7 @@
  * @file fleet_state_base.h
  * What this instance believes about configuration, upstreams and other instances.
  *
- * Beliefs carry the store's revision that they include and the time when that was last confirmed.
+ * The state has the store's revision that it includes and the time when that was last confirmed.
  */
 
 #pragma once
@@ -37,7 +37,7 @@
     /** Replaces what is known by a full reading. */
     void replace(const fleet_changes &everything, bool mayLapse, monotonic_time now);
 
-    /** Takes over upstreams before everything is known; the beliefs stay without a revision. */
+    /** Takes over upstreams before everything is known; the state stays without a revision. */
     void announceEarly(const fleet_changes &upstreams, monotonic_time now);
 
     /** The store or an instance that follows it confirmed that nothing is newer. */
@@ -54,7 +54,7 @@
     /**
      * What another instance can adopt. Lapsed announcements are left out.
      * @param knownVersion configuration that the other one has; it is not repeated.
-     * @param knownRevision that the other one's beliefs include. Only what changed after it is
+     * @param knownRevision that the other one's state includes. Only what changed after it is
      * told, if that is known; else everything.
      */
     gossip_state snapshot(config_version knownVersion, store_revision knownRevision,
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -18,7 +18,7 @@
 
 namespace chicoryhead {
 
-/** Number of the last change of the store that a belief includes; 0 for none. */
+/** Number of the last change of the store that a state includes; 0 for none. */
 using store_revision = std::uint64_t;
 
 /** An upstream's announcement was removed, or can't be used any more. */
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -61,8 +61,8 @@
 
 bool store_follower::needsStore() const
 {
-    const bool isFresh = m_state.isSynchronised()
-        && m_clock.now() - m_state.confirmedAt() <= m_settings.maxBeliefAge;
+    const bool isFresh =
+        m_state.isSynchronised() && m_clock.now() - m_state.confirmedAt() <= m_settings.maxStateAge;
     return !isFresh || duty() != reader_duty::None;
 }
 
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -1,6 +1,6 @@
 /**
  * @file store_follower_base.h
- * Keeps the beliefs of this instance in step with the store.
+ * Keeps the state of this instance in step with the store.
  */
 
 #pragma once
@@ -25,8 +25,8 @@
     /// How long the store may hold a watch open. It bounds how long a connection that fell silent
     /// goes unnoticed, so it stays below the times within which changes must be in force.
     std::chrono::milliseconds watchWait {1200};
-    /// Age of the beliefs at which this instance asks the store even if others should tell it.
-    monotonic_time maxBeliefAge = std::chrono::milliseconds(2000);
+    /// Age of the state at which this instance asks the store even if others should tell it.
+    monotonic_time maxStateAge = std::chrono::milliseconds(2000);
     /// Pause after an answer with changes, so that one call fetches what changes together.
     /// Upstreams that warm up change their announcements every second, each at another time.
     monotonic_time batchTime = std::chrono::milliseconds(150);
@@ -49,7 +49,7 @@
     store_follower(fleet_store &store, fleet_state &state, const clock_source &clock,
                    random_source &random, event_log &log, follower_settings settings = {});
 
-    /** Sets who decides how much this instance reads the store while its beliefs are fresh. */
+    /** Sets who decides how much this instance reads the store while its state is fresh. */
     void setReaderPolicy(std::function<reader_duty()> duty) { m_dutyPolicy = std::move(duty); }
 
     /** Uses other times from the next call on. */
--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -234,12 +234,12 @@
     return found == m_lastInstances.end() ? nullptr : found->second;
 }
 
-bool deployment_standin::hadWellInstance(const flow_key &flow, monotonic_time since) const
+bool deployment_standin::hadHealthyInstance(const flow_key &flow, monotonic_time since) const
 {
     const unsigned domain = (flow.caller.address & 0xffU) - 1;
     return std::any_of(m_instances.begin(), m_instances.end(), [&](const auto &instance) {
         return instance.program->settings().domain == domainName(domain)
-            && instance.wellSince.count() > 0 && instance.wellSince <= since;
+            && instance.healthySince.count() > 0 && instance.healthySince <= since;
     });
 }
 
@@ -281,9 +281,9 @@
 {
     instance.misses = isReady ? 0 : instance.misses + 1;
     if (!isReady || instance.isPaused)
-        instance.wellSince = monotonic_time {0};
-    else if (instance.wellSince.count() == 0)
-        instance.wellSince = m_clock.now();
+        instance.healthySince = monotonic_time {0};
+    else if (instance.healthySince.count() == 0)
+        instance.healthySince = m_clock.now();
 }
 
 } // namespace chicoryhead::standin
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -49,7 +49,7 @@
     std::unique_ptr<http_connection> readiness; ///< of the routers
     unsigned misses = 2;                        ///< of readiness checks in a row
     bool isPaused = false;
-    monotonic_time wellSince {0}; ///< in rotation and not paused since then; 0 while it is not
+    monotonic_time healthySince {0}; ///< in rotation and not paused since then; 0 while it is not
 };
 
 /** The deployment. All handlers run on the caller's io_context. */
@@ -92,8 +92,8 @@
     const clock_source &clock() const { return m_clock; }
     std::string domainName(unsigned domain) const { return "d" + std::to_string(domain); }
 
-    /** Whether an instance of a caller's domain was well since a time. */
-    bool hadWellInstance(const flow_key &flow, monotonic_time since) const;
+    /** Whether an instance of a caller's domain was healthy since a time. */
+    bool hadHealthyInstance(const flow_key &flow, monotonic_time since) const;
 
     /** The instance that the last packet of a flow was handed to; null for none. */
     const deployed_instance *lastInstance(const flow_key &flow) const;
--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-fault_series::fault_series(standin::deployment_standin &deployment, promise_check &check,
+fault_series::fault_series(standin::deployment_standin &deployment, invariant_check &check,
                            std::uint64_t seed, std::ostream &log)
     : m_deployment(deployment)
     , m_check(check)
@@ -59,26 +59,28 @@
 void fault_series::tick()
 {
     constexpr std::array<action, 11> actions {
-        &fault_series::pauseInstance,   &fault_series::killInstance,  &fault_series::stopInstance,
-        &fault_series::disturbStoreWay, &fault_series::disturbStore,  &fault_series::dropHistory,
-        &fault_series::reloadSettings,  &fault_series::drainUpstream, &fault_series::crashUpstream,
-        &fault_series::changeConfig,    &fault_series::killAll};
+        &fault_series::pauseInstance,  &fault_series::killInstance,
+        &fault_series::stopInstance,   &fault_series::disturbStoreConnection,
+        &fault_series::disturbStore,   &fault_series::dropHistory,
+        &fault_series::reloadSettings, &fault_series::drainUpstream,
+        &fault_series::crashUpstream,  &fault_series::changeConfig,
+        &fault_series::killAll};
     const auto now = m_deployment.clock().now();
     while (!m_later.empty() && m_later.begin()->first <= now) {
         const auto what = m_later.extract(m_later.begin()).mapped();
         what();
     }
     startEnded();
-    if (m_isCalm || now < m_nextFault)
+    if (m_hasEnded || now < m_nextFault)
         return;
     (this->*actions.at(draw(actions.size())))();
     // Some faults come together, some with a pause that lets the bounds be checked.
     m_nextFault = now + (draw(3) == 0 ? drawTime(3000, 9000) : drawTime(20, 1200));
 }
 
-void fault_series::calm()
+void fault_series::end()
 {
-    m_isCalm = true;
+    m_hasEnded = true;
     for (auto &[at, what] : std::exchange(m_later, {}))
         what();
     for (auto &[index, at] : m_restartAt)
@@ -91,7 +93,7 @@
     const auto now = m_deployment.clock().now();
     for (std::size_t i = 0; i < m_instances().size(); ++i) {
         if (m_check.takeEnd(i))
-            m_restartAt[i] = now + (m_isCalm ? 0ms : drawTime(50, 2500));
+            m_restartAt[i] = now + (m_hasEnded ? 0ms : drawTime(50, 2500));
         const auto due = m_restartAt.find(i);
         if (due == m_restartAt.end() || due->second > now)
             continue;
@@ -111,7 +113,7 @@
     note("pause " + instance.program->settings().name);
     m_check.noteDisturbed(index);
     instance.isPaused = true;
-    instance.wellSince = monotonic_time {0};
+    instance.healthySince = monotonic_time {0};
     instance.program->signal(SIGSTOP);
     later(drawTime(200, 6000), [this, index] { resume(index); });
 }
@@ -136,7 +138,7 @@
         return;
     note("kill " + instance.program->settings().name);
     m_check.noteKill(index);
-    instance.wellSince = monotonic_time {0};
+    instance.healthySince = monotonic_time {0};
     instance.program->signal(SIGKILL);
 }
 
@@ -155,11 +157,11 @@
         return;
     note("stop " + instance.program->settings().name);
     m_check.noteStop(index);
-    instance.wellSince = monotonic_time {0};
+    instance.healthySince = monotonic_time {0};
     instance.program->signal(SIGTERM);
 }
 
-void fault_series::disturbStoreWay()
+void fault_series::disturbStoreConnection()
 {
     const auto mode = static_cast<proxy_mode>(1 + draw(standin::proxyModeCount - 1));
     const auto count = 1 + draw(static_cast<unsigned>(m_instances().size()));
@@ -167,7 +169,7 @@
     for (unsigned i = 0; i < count; ++i) {
         const auto index = drawInstance();
         auto &instance = m_instances()[index];
-        note("way of " + instance.program->settings().name
+        note("connection of " + instance.program->settings().name
              + " to the store: " + std::string(standin::toString(mode)));
         m_check.noteDisturbed(index);
         instance.storeProxy->setMode(mode);
@@ -269,15 +271,15 @@
     }
 }
 
-void fault_series::breakPromise(promise broken)
+void fault_series::breakInvariant(invariant broken)
 {
-    note("break promise " + std::string(toString(broken)));
+    note("break invariant " + std::string(toString(broken)));
     switch (broken) {
-    case promise::OpenFlow:
+    case invariant::OpenFlow:
         for (const auto &caller : m_deployment.callers())
             caller->forgetTags();
         break;
-    case promise::Service: {
+    case invariant::Service: {
         platform::wire_packet packet;
         packet.target = m_deployment.serviceAddress(0);
         auto bytes = platform::encodePacket(packet);
@@ -294,16 +296,16 @@
         ::close(descriptor);
         break;
     }
-    case promise::Drain:
+    case invariant::Drain:
         m_check.noteDrain(m_deployment.upstreamsOf(0).front(), m_deployment.clock().now());
         break;
-    case promise::Config:
+    case invariant::Config:
         m_check.noteConfig(m_deployment.config().version + 1000);
         break;
-    case promise::Recovery:
+    case invariant::Recovery:
         m_deployment.cutRouters();
         break;
-    case promise::Stop:
+    case invariant::Stop:
         m_instances().front().program->signal(SIGSTOP);
         m_check.noteStop(0);
         m_instances().front().program->signal(SIGTERM);
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -5,7 +5,7 @@
 
 #pragma once
 
-#include "promise_check.h"
+#include "invariant_check.h"
 #include "standin/deployment_standin.h"
 
 #include <cstdint>
@@ -23,17 +23,17 @@
 class fault_series
 {
 public:
-    fault_series(standin::deployment_standin &deployment, promise_check &check, std::uint64_t seed,
-                 std::ostream &log);
+    fault_series(standin::deployment_standin &deployment, invariant_check &check,
+                 std::uint64_t seed, std::ostream &log);
 
     /** Carries out what is due; called several times per second. */
     void tick();
 
     /** Draws no more faults and ends those that last. */
-    void calm();
+    void end();
 
-    /** Puts in a fault of the deployment's own that breaks a promise. */
-    void breakPromise(promise broken);
+    /** Puts in a fault of the deployment's own that breaks a invariant. */
+    void breakInvariant(invariant broken);
 
 private:
     using action = void (fault_series::*)();
@@ -52,7 +52,7 @@
     void killAll();
     void stopInstance();
     void startEnded();
-    void disturbStoreWay();
+    void disturbStoreConnection();
     void disturbStore();
     void dropHistory();
     void reloadSettings();
@@ -64,14 +64,14 @@
     void noteStoreState();
 
     standin::deployment_standin &m_deployment;
-    promise_check &m_check;
+    invariant_check &m_check;
     standin::seeded_random m_random;
     std::ostream &m_log;
     monotonic_time m_startedAt;
     monotonic_time m_nextFault;
     std::multimap<monotonic_time, std::function<void()>> m_later;
     std::map<std::size_t, monotonic_time> m_restartAt; ///< of ended processes, by instance
-    bool m_isCalm = false;
+    bool m_hasEnded = false;
     bool m_isStoreDisturbed = false;
 };
 
--- a/tests/soak/promise_check.cpp
+++ b/tests/soak/invariant_check.cpp
@@ -1,10 +1,10 @@
 /**
- * @file promise_check.cpp
- * Checks of the soak. A promise with a time bound counts only where nothing disturbed the process
+ * @file invariant_check.cpp
+ * Checks of the soak. A invariant with a time bound counts only where nothing disturbed the process
  * and the store, as the platform's rules have it.
  */
 
-#include "promise_check.h"
+#include "invariant_check.h"
 
 #include "entry/status_documents.h"
 
@@ -36,12 +36,12 @@
 
 } // namespace
 
-std::string_view toString(promise value)
+std::string_view toString(invariant value)
 {
-    return promiseNames.at(static_cast<std::size_t>(value));
+    return invariantNames.at(static_cast<std::size_t>(value));
 }
 
-void promise_check::watch(standin::deployment_standin &deployment)
+void invariant_check::watch(standin::deployment_standin &deployment)
 {
     m_deployment = &deployment;
     m_disturbedAt = deployment.clock().now();
@@ -55,12 +55,12 @@
     }
 }
 
-void promise_check::report(promise broken, const std::string &text)
+void invariant_check::report(invariant broken, const std::string &text)
 {
     m_violations.push_back({broken, text});
 }
 
-void promise_check::noteStore(bool isStable)
+void invariant_check::noteStore(bool isStable)
 {
     const auto now = m_deployment->clock().now();
     m_disturbedAt = now;
@@ -70,49 +70,49 @@
         m_storeStableSince = now;
 }
 
-void promise_check::noteDisturbed(std::size_t instance)
+void invariant_check::noteDisturbed(std::size_t instance)
 {
     m_disturbedAt = m_processes[instance].disturbedAt = m_deployment->clock().now();
 }
 
-void promise_check::noteConfig(config_version version)
+void invariant_check::noteConfig(config_version version)
 {
     m_expected.push_back({version, m_deployment->clock().now()});
 }
 
-void promise_check::noteDrain(const std::string &upstream, monotonic_time at)
+void invariant_check::noteDrain(const std::string &upstream, monotonic_time at)
 {
     m_draining.emplace(upstream, at);
 }
 
-void promise_check::noteStop(std::size_t instance)
+void invariant_check::noteStop(std::size_t instance)
 {
     noteDisturbed(instance);
     m_processes[instance].stopAt = m_deployment->clock().now();
 }
 
-void promise_check::noteKill(std::size_t instance)
+void invariant_check::noteKill(std::size_t instance)
 {
     noteDisturbed(instance);
     m_processes[instance].isKilled = true;
 }
 
-bool promise_check::takeEnd(std::size_t instance)
+bool invariant_check::takeEnd(std::size_t instance)
 {
     return std::exchange(m_processes[instance].hasEnded, false);
 }
 
-bool promise_check::wasCalm(const watched_process &process, monotonic_time since) const
+bool invariant_check::wasUndisturbed(const watched_process &process, monotonic_time since) const
 {
     return process.disturbedAt + m_bounds.contact <= since;
 }
 
-bool promise_check::wasStoreStable(monotonic_time since) const
+bool invariant_check::wasStoreStable(monotonic_time since) const
 {
     return m_storeStableSince && *m_storeStableSince + m_bounds.contact <= since;
 }
 
-void promise_check::tick()
+void invariant_check::tick()
 {
     const auto now = m_deployment->clock().now();
     while (!m_expected.empty() && m_expected.front().at + 4 * m_bounds.config < now)
@@ -124,7 +124,7 @@
     checkRecovery();
 }
 
-void promise_check::checkProcess(std::size_t index)
+void invariant_check::checkProcess(std::size_t index)
 {
     auto &program = *m_deployment->instances()[index].program;
     watched_process &process = m_processes[index];
@@ -133,7 +133,7 @@
     if (const auto status = program.takeEnd()) {
         const bool isClean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
         if (!process.isKilled && (process.stopAt.count() == 0 || !isClean))
-            report(promise::Stop, name + " ended by itself, status " + std::to_string(*status));
+            report(invariant::Stop, name + " ended by itself, status " + std::to_string(*status));
         process.hasEnded = true;
         process.isKilled = false;
         process.stopAt = monotonic_time {0};
@@ -142,13 +142,13 @@
     const bool isLate =
         process.stopAt.count() > 0 && now - process.stopAt > m_bounds.grace + m_bounds.slack;
     if (isLate && !process.isKilled) {
-        report(promise::Stop, name + " did not end in time");
+        report(invariant::Stop, name + " did not end in time");
         process.isKilled = true;
         program.signal(SIGKILL);
     }
 }
 
-void promise_check::askVersion(std::size_t index)
+void invariant_check::askVersion(std::size_t index)
 {
     watched_process &process = m_processes[index];
     const auto &program = *m_deployment->instances()[index].program;
@@ -169,19 +169,19 @@
         });
 }
 
-void promise_check::takeVersion(std::size_t index, config_version version)
+void invariant_check::takeVersion(std::size_t index, config_version version)
 {
     watched_process &process = m_processes[index];
     const auto now = m_deployment->clock().now();
     const std::string &name = m_deployment->instances()[index].program->settings().name;
     if (version < process.version)
-        report(promise::Config, name + " went back to version " + std::to_string(version));
+        report(invariant::Config, name + " went back to version " + std::to_string(version));
     process.version = version;
     for (const expected_config &expected : m_expected) {
         const auto age = now - expected.at;
         if (age > m_bounds.config + m_bounds.slack && version < expected.version
-            && wasCalm(process, expected.at) && wasStoreStable(expected.at)) {
-            report(promise::Config,
+            && wasUndisturbed(process, expected.at) && wasStoreStable(expected.at)) {
+            report(invariant::Config,
                    name + " has version " + std::to_string(version) + ", " + formatSeconds(age)
                        + " after " + std::to_string(expected.version));
             m_expected.clear();
@@ -190,7 +190,7 @@
     }
 }
 
-promise_check::opening_window &promise_check::window()
+invariant_check::opening_window &invariant_check::window()
 {
     const auto now = m_deployment->clock().now();
     if (m_windows.empty() || now - m_windows.back().at >= windowTime) {
@@ -201,7 +201,7 @@
     return m_windows.back();
 }
 
-void promise_check::checkRecovery()
+void invariant_check::checkRecovery()
 {
     window();
     if (m_windows.front().at - m_disturbedAt < m_bounds.recovery)
@@ -214,14 +214,14 @@
     }
     // The same share as in the platform's rules.
     if (notOpened > 3 * opened) {
-        report(promise::Recovery,
+        report(invariant::Recovery,
                std::to_string(notOpened) + " flows not opened, " + std::to_string(opened)
                    + " opened, " + formatSeconds(m_bounds.recovery) + " after the last fault");
         m_disturbedAt = m_deployment->clock().now();
     }
 }
 
-void promise_check::onOpeningPacket(const std::string &upstream, const flow_key &flow)
+void invariant_check::onOpeningPacket(const std::string &upstream, const flow_key &flow)
 {
     const auto found = m_draining.find(upstream);
     const auto *instance = m_deployment->lastInstance(flow);
@@ -229,48 +229,48 @@
         return;
     const auto index = static_cast<std::size_t>(instance - m_deployment->instances().data());
     const auto age = m_deployment->clock().now() - found->second;
-    if (age > m_bounds.drain + m_bounds.slack && wasCalm(m_processes[index], found->second)
+    if (age > m_bounds.drain + m_bounds.slack && wasUndisturbed(m_processes[index], found->second)
         && wasStoreStable(found->second))
-        report(promise::Drain,
+        report(invariant::Drain,
                "flow " + formatFlow(flow) + " placed at " + upstream + " by "
                    + instance->program->settings().name + ' ' + formatSeconds(age)
                    + " after it announced that it leaves");
 }
 
-void promise_check::onForeignPacket(const std::string &upstream, const flow_key &flow)
+void invariant_check::onForeignPacket(const std::string &upstream, const flow_key &flow)
 {
-    report(promise::Service, "packet of " + formatFlow(flow) + " at " + upstream);
+    report(invariant::Service, "packet of " + formatFlow(flow) + " at " + upstream);
 }
 
-void promise_check::onOpened(const flow_key & /*flow*/, const std::string & /*upstream*/)
+void invariant_check::onOpened(const flow_key & /*flow*/, const std::string & /*upstream*/)
 {
     ++m_opened;
     ++window().opened;
 }
 
-void promise_check::onNotOpened(const flow_key & /*flow*/, bool /*isRefused*/)
+void invariant_check::onNotOpened(const flow_key & /*flow*/, bool /*isRefused*/)
 {
     ++m_notOpened;
     ++window().notOpened;
 }
 
-void promise_check::onAnswered(const flow_key & /*flow*/, const std::string & /*upstream*/,
-                               monotonic_time /*latency*/)
+void invariant_check::onAnswered(const flow_key & /*flow*/, const std::string & /*upstream*/,
+                                 monotonic_time /*latency*/)
 {
     ++m_answered;
 }
 
-void promise_check::onBroken(const flow_key &flow, const std::string &upstream,
-                             const std::string &reason)
+void invariant_check::onBroken(const flow_key &flow, const std::string &upstream,
+                               const std::string &reason)
 {
     if (m_deployment->findUpstream(upstream) == nullptr)
         return;
     // Silence counts only if somebody could have forwarded the caller's repetitions.
     const bool isSilence = reason == "request without answer";
     if (isSilence
-        && !m_deployment->hadWellInstance(flow, m_deployment->clock().now() - m_bounds.recovery))
+        && !m_deployment->hadHealthyInstance(flow, m_deployment->clock().now() - m_bounds.recovery))
         return;
-    report(promise::OpenFlow, "flow " + formatFlow(flow) + " at " + upstream + ": " + reason);
+    report(invariant::OpenFlow, "flow " + formatFlow(flow) + " at " + upstream + ": " + reason);
 }
 
 } // namespace chicoryhead::soak
--- a/tests/soak/promise_check.h
+++ b/tests/soak/invariant_check.h
@@ -1,6 +1,6 @@
 /**
- * @file promise_check.h
- * The promises that a soak checks while it runs, from what callers, upstreams and routers see.
+ * @file invariant_check.h
+ * The invariants that a soak checks while it runs, from what callers, upstreams and routers see.
  */
 
 #pragma once
@@ -21,8 +21,8 @@
 
 namespace chicoryhead::soak {
 
-/** What is promised. */
-enum class promise : std::uint8_t {
+/** What must hold whatever happens. */
+enum class invariant : std::uint8_t {
     OpenFlow, ///< an open flow goes on while its upstream lives
     Service,  ///< no packet reaches an upstream of another service
     Drain,    ///< no new flow reaches an upstream that leaves after the bound
@@ -31,21 +31,21 @@
     Stop,     ///< a process ends when it is told to, in time, and only then
 };
 
-inline constexpr std::array<std::string_view, 6> promiseNames {"open_flow", "service",  "drain",
-                                                               "config",    "recovery", "stop"};
+inline constexpr std::array<std::string_view, 6> invariantNames {"open_flow", "service",  "drain",
+                                                                 "config",    "recovery", "stop"};
 
-/** Name of a promise. */
-std::string_view toString(promise value);
+/** Name of a invariant. */
+std::string_view toString(invariant value);
 
-/** A promise that was broken. */
+/** A invariant that was broken. */
 struct violation
 {
-    promise broken;
+    invariant broken;
     std::string text;
 };
 
-/** Bounds of the promises; those of the platform's deployments. */
-struct promise_bounds
+/** Bounds of the invariants; those of the platform's deployments. */
+struct invariant_bounds
 {
     monotonic_time config = std::chrono::seconds(3);
     monotonic_time drain = std::chrono::seconds(3);
@@ -58,10 +58,10 @@
 };
 
 /** Watches a deployment. */
-class promise_check : public standin::deployment_observer
+class invariant_check : public standin::deployment_observer
 {
 public:
-    explicit promise_check(asio::io_context &context) : m_context(context) { }
+    explicit invariant_check(asio::io_context &context) : m_context(context) { }
 
     /** Watches a deployment from now on; it must outlive the checks. */
     void watch(standin::deployment_standin &deployment);
@@ -132,18 +132,18 @@
         unsigned notOpened = 0;
     };
 
-    void report(promise broken, const std::string &text);
+    void report(invariant broken, const std::string &text);
     void checkProcess(std::size_t index);
     void askVersion(std::size_t index);
     void takeVersion(std::size_t index, config_version version);
     void checkRecovery();
-    bool wasCalm(const watched_process &process, monotonic_time since) const;
+    bool wasUndisturbed(const watched_process &process, monotonic_time since) const;
     bool wasStoreStable(monotonic_time since) const;
     opening_window &window();
 
     asio::io_context &m_context;
     standin::deployment_standin *m_deployment = nullptr; ///< set by watch()
-    promise_bounds m_bounds;
+    invariant_bounds m_bounds;
     std::vector<watched_process> m_processes;
     std::vector<violation> m_violations;
     std::map<std::string, monotonic_time> m_draining; ///< since when, by upstream
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,10 +1,10 @@
 /**
  * @file soak_main.cpp
- * Runs seeded soaks: instances as processes on loopback under faults, promises checked meanwhile.
+ * Runs seeded soaks: instances as processes on loopback under faults, invariants checked meanwhile.
  */
 
 #include "fault_series.h"
-#include "promise_check.h"
+#include "invariant_check.h"
 
 #include <gflags/gflags.h>
 
@@ -24,16 +24,17 @@
 DEFINE_string(seeds, "", "further seeds, separated by commas");
 DEFINE_uint32(jobs, 3, "seeds that run at the same time");
 DEFINE_uint32(seconds, 24, "time with faults, in s");
-DEFINE_string(break, "", "promise to break on purpose without other faults, or \"all\" of them");
+DEFINE_string(break, "", "invariant to break on purpose without other faults, or \"all\" of them");
 
 namespace {
 
 using namespace chicoryhead;
 using namespace chicoryhead::soak;
 
-/// Calm time at the end, in which recovery is judged: its bound and three seconds of openings.
-constexpr std::chrono::seconds calmTime {17};
-/// When a promise is broken on purpose: instances are in touch by then.
+/// Time without faults at the end, in which recovery is judged: its bound and three seconds of
+/// openings.
+constexpr std::chrono::seconds recoveryTime {17};
+/// When a invariant is broken on purpose: instances are in touch by then.
 constexpr std::chrono::seconds breakTime {8};
 /// Longer than any bound, a caller's deadline of 15 s included.
 constexpr std::chrono::seconds brokenTime {28};
@@ -46,7 +47,7 @@
 class soak_run
 {
 public:
-    soak_run(std::uint64_t seed, unsigned slot, std::optional<promise> toBreak)
+    soak_run(std::uint64_t seed, unsigned slot, std::optional<invariant> toBreak)
         : m_folder(std::filesystem::path(FLAGS_folder)
                    / (toBreak ? std::string(toString(*toBreak)) : std::to_string(seed)))
         , m_toBreak(toBreak)
@@ -60,7 +61,7 @@
         m_check.watch(m_deployment);
     }
 
-    /** Runs to the end; gives the promises that were broken. */
+    /** Runs to the end; gives the invariants that were broken. */
     const std::vector<violation> &run()
     {
         m_deployment.start();
@@ -69,7 +70,7 @@
         return m_check.violations();
     }
 
-    const promise_check &check() const { return m_check; }
+    const invariant_check &check() const { return m_check; }
 
 private:
     static standin::deployment_plan plan(std::uint64_t seed, unsigned slot,
@@ -90,7 +91,7 @@
         const auto elapsed = m_deployment.clock().now() - m_startedAt;
         const auto faultTime =
             m_toBreak ? breakTime + brokenTime : std::chrono::seconds(FLAGS_seconds);
-        if (elapsed >= faultTime + (m_toBreak ? std::chrono::seconds(0) : calmTime)) {
+        if (elapsed >= faultTime + (m_toBreak ? std::chrono::seconds(0) : recoveryTime)) {
             m_deployment.stop();
             m_context.stop();
             return;
@@ -106,14 +107,14 @@
     void advance(monotonic_time elapsed, monotonic_time faultTime)
     {
         if (!m_toBreak) {
-            if (elapsed >= faultTime && !m_isCalm) {
-                m_isCalm = true;
-                m_faults.calm();
+            if (elapsed >= faultTime && !m_hasEnded) {
+                m_hasEnded = true;
+                m_faults.end();
             }
             m_faults.tick();
         } else if (elapsed >= breakTime && !m_isBroken) {
             m_isBroken = true;
-            m_faults.breakPromise(*m_toBreak);
+            m_faults.breakInvariant(*m_toBreak);
         }
         if (++m_steps % checkSteps == 0)
             m_check.tick();
@@ -126,15 +127,15 @@
 
     asio::io_context m_context {1};
     std::filesystem::path m_folder;
-    std::optional<promise> m_toBreak;
-    promise_check m_check;
+    std::optional<invariant> m_toBreak;
+    invariant_check m_check;
     standin::deployment_standin m_deployment;
     std::ofstream m_log;
     fault_series m_faults;
     asio::steady_timer m_step;
     monotonic_time m_startedAt;
     std::uint64_t m_steps = 0;
-    bool m_isCalm = false;
+    bool m_hasEnded = false;
     bool m_isBroken = false;
 };
 
@@ -142,15 +143,15 @@
 struct soak_job
 {
     std::uint64_t seed = 1;
-    std::optional<promise> toBreak;
+    std::optional<invariant> toBreak;
 };
 
 std::vector<soak_job> jobs()
 {
     std::vector<soak_job> made;
-    for (std::size_t i = 0; i < promiseNames.size(); ++i) {
-        if (FLAGS_break == "all" || FLAGS_break == promiseNames.at(i))
-            made.push_back({FLAGS_first, static_cast<promise>(i)});
+    for (std::size_t i = 0; i < invariantNames.size(); ++i) {
+        if (FLAGS_break == "all" || FLAGS_break == invariantNames.at(i))
+            made.push_back({FLAGS_first, static_cast<invariant>(i)});
     }
     if (FLAGS_break.empty()) {
         for (std::uint64_t seed = FLAGS_first; seed < FLAGS_first + FLAGS_count; ++seed)
@@ -162,7 +163,8 @@
     return made;
 }
 
-/// A promise that is broken on purpose has to be reported, and no other one; without a fault none.
+/// A invariant that is broken on purpose has to be reported, and no other one; without a fault
+/// none.
 bool isAsExpected(const soak_job &job, const std::vector<violation> &violations)
 {
     const auto isBroken = [&](const violation &found) {
@@ -170,7 +172,7 @@
     };
     // Without routers no flow opens, and the open ones are silent too.
     const auto follows = [&](const violation &found) {
-        return job.toBreak == promise::Recovery && found.broken == promise::OpenFlow;
+        return job.toBreak == invariant::Recovery && found.broken == invariant::OpenFlow;
     };
     return std::any_of(violations.begin(), violations.end(), isBroken) == job.toBreak.has_value()
         && std::all_of(violations.begin(), violations.end(),
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -115,7 +115,7 @@
     {
         pages.pages["10.0.0." + std::to_string(instance) + ":9102/v1/instance"] =
             R"({"state":"ready","version":)" + std::to_string(version)
-            + R"(,"belief_age_ms":120,"reads_store":true,"flows_observed":7})";
+            + R"(,"state_age_ms":120,"reads_store":true,"flows_observed":7})";
     }
 
     exit_code run(const std::vector<std::string> &arguments)
@@ -284,16 +284,16 @@
     CHECK(contains(fixture.err.str(), "f-2"));
 }
 
-TEST_CASE("The story of a flow is read from standard input", "[cli]")
+TEST_CASE("The trace of a flow is read from standard input", "[cli]")
 {
     cli_fixture fixture;
     fixture.in.str("1.5 f-1 t_ms=9 event=flow_refused flow=1.2.3.4:5>6.7.8.9:10 reason=no_route "
-                   "version=4 belief_age_ms=12\n");
-    CHECK(fixture.run({"story", "1.2.3.4:5>6.7.8.9:10"}) == exit_code::Done);
+                   "version=4 state_age_ms=12\n");
+    CHECK(fixture.run({"trace", "1.2.3.4:5>6.7.8.9:10"}) == exit_code::Done);
     CHECK(contains(fixture.out.str(),
                    "- refused at once: no_route, with configuration 4 confirmed 12 ms before"));
     fixture.in.clear();
     fixture.in.str("nothing\n");
-    CHECK(fixture.run({"story", "1.2.3.4:5>6.7.8.9:10"}) == exit_code::Invalid);
-    CHECK(fixture.run({"story", "x", "/nonexistent"}) == exit_code::Unavailable);
+    CHECK(fixture.run({"trace", "1.2.3.4:5>6.7.8.9:10"}) == exit_code::Invalid);
+    CHECK(fixture.run({"trace", "x", "/nonexistent"}) == exit_code::Unavailable);
 }
--- a/tests/test_flow_story.cpp
+++ b/tests/test_flow_trace.cpp
@@ -1,9 +1,9 @@
 /**
- * @file test_flow_story.cpp
+ * @file test_flow_trace.cpp
  * What the logs say of one flow.
  */
 
-#include "cli/flow_story.h"
+#include "cli/flow_trace.h"
 
 #include <catch2/catch.hpp>
 
@@ -23,16 +23,16 @@
     return log;
 }
 
-bool finds(const flow_story &story, const std::string &finding)
+bool finds(const flow_trace &trace, const std::string &finding)
 {
-    return std::find(story.findings.begin(), story.findings.end(), finding) != story.findings.end();
+    return std::find(trace.findings.begin(), trace.findings.end(), finding) != trace.findings.end();
 }
 
 const std::string flow = "100.64.0.1:40001>198.18.0.1:443";
 
 } // namespace
 
-TEST_CASE("A line has the collector's part, fields and quoted values", "[story]")
+TEST_CASE("A line has the collector's part, fields and quoted values", "[trace]")
 {
     const auto line = parseLogLine(
         R"(24.05 f-1 t_ms=88 event=instance_registered outcome="a \"b\" c" x=1)", "log");
@@ -53,26 +53,26 @@
     CHECK_FALSE(parseLogLine("t_ms=88 no event", "log"));
 }
 
-TEST_CASE("Lines of several instances are put in order of the collector's time", "[story]")
+TEST_CASE("Lines of several instances are put in order of the collector's time", "[trace]")
 {
-    const auto story =
-        tellStory(parse({"3.0 f-2 t_ms=1 event=request_forwarded request=r flow=" + flow
+    const auto trace =
+        traceFlow(parse({"3.0 f-2 t_ms=1 event=request_forwarded request=r flow=" + flow
                              + " upstream=i-1 standing=ready",
                          "1.0 f-1 t_ms=9 event=flow_placed flow=" + flow
                              + " reason=placed upstream=i-1 unanswered_by=none",
                          "2.0 f-1 t_ms=9 event=flow_placed flow=1.1.1.1:1>2.2.2.2:2 upstream=i-1"}),
                   flow);
-    REQUIRE(story.lines.size() == 2);
-    CHECK(story.lines[0].instance == "f-1");
-    CHECK(story.lines[1].instance == "f-2");
-    CHECK(story.isOrdered);
-    CHECK(story.findings.empty());
+    REQUIRE(trace.lines.size() == 2);
+    CHECK(trace.lines[0].instance == "f-1");
+    CHECK(trace.lines[1].instance == "f-2");
+    CHECK(trace.isOrdered);
+    CHECK(trace.findings.empty());
 }
 
-TEST_CASE("A request leads to its flow, and to the upstream that died", "[story]")
+TEST_CASE("A request leads to its flow, and to the upstream that died", "[trace]")
 {
-    // Guards against a story that ends at the repeated request and doesn't tell the cause.
-    const auto story = tellStory(
+    // Guards against a trace that ends at the repeated request and doesn't tell the cause.
+    const auto trace = traceFlow(
         parse({"1.0 f-1 t_ms=1 event=flow_placed flow=" + flow
                    + " reason=placed upstream=i-1 unanswered_by=none",
                "2.0 f-1 t_ms=1 event=request_forwarded request=r1 flow=" + flow
@@ -89,34 +89,34 @@
                "5.1 f-8 t_ms=1 event=upstream_changed upstream=i-1 standing=gone cause=lapsed",
                "5.0 f-9 t_ms=1 event=upstream_changed upstream=i-2 standing=gone cause=lapsed"}),
         "r1");
-    CHECK(story.flows == std::vector<std::string> {flow});
-    CHECK(finds(story, "the caller repeated request r1 to i-1, which was ready"));
-    CHECK(finds(story, "i-1 became gone, logged by 2 instances"));
-    CHECK(finds(story, "2 other flows got no answer from i-1 at that time"));
-    CHECK(story.findings.size() == 3);
+    CHECK(trace.flows == std::vector<std::string> {flow});
+    CHECK(finds(trace, "the caller repeated request r1 to i-1, which was ready"));
+    CHECK(finds(trace, "i-1 became gone, logged by 2 instances"));
+    CHECK(finds(trace, "2 other flows got no answer from i-1 at that time"));
+    CHECK(trace.findings.size() == 3);
 }
 
-TEST_CASE("What happened to the flow's instances belongs to its story", "[story]")
+TEST_CASE("What happened to the flow's instances belongs to its trace", "[trace]")
 {
-    const auto story = tellStory(
+    const auto trace = traceFlow(
         parse({"1.0 f-1 t_ms=1 event=flow_placed flow=" + flow + " upstream=i-1 unanswered_by=none",
                "1.5 f-1 t_ms=1 event=resumed gap_ms=900", "1.6 f-2 t_ms=1 event=resumed gap_ms=900",
                "50.0 f-1 t_ms=1 event=resumed gap_ms=800",
                "1.7 f-1 t_ms=1 event=packet_dropped flow=" + flow + " reason=stale_opening"}),
         flow);
-    CHECK(story.findings
+    CHECK(trace.findings
           == std::vector<std::string> {"f-1 was suspended for 900 ms",
                                        "f-1 dropped a packet: stale_opening"});
 }
 
-TEST_CASE("Without the collector's time the story says that it is not ordered", "[story]")
+TEST_CASE("Without the collector's time the trace says that it is not ordered", "[trace]")
 {
-    const auto story = tellStory(parse({"t_ms=2 event=flow_placed flow=" + flow}), flow);
-    CHECK(story.lines.size() == 1);
-    CHECK_FALSE(story.isOrdered);
+    const auto trace = traceFlow(parse({"t_ms=2 event=flow_placed flow=" + flow}), flow);
+    CHECK(trace.lines.size() == 1);
+    CHECK_FALSE(trace.isOrdered);
 }
 
-TEST_CASE("A request that no instance saw has no story", "[story]")
+TEST_CASE("A request that no instance saw has no trace", "[trace]")
 {
-    CHECK(tellStory(parse({"1.0 f-1 t_ms=1 event=started"}), "r1").lines.empty());
+    CHECK(traceFlow(parse({"1.0 f-1 t_ms=1 event=started"}), "r1").lines.empty());
 }
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -169,7 +169,7 @@
     CHECK(fixture.decide(again, 2s).reason == packet_reason::Placed);
 }
 
-TEST_CASE("A refusal is said only when the belief is fresh", "[forwarder]")
+TEST_CASE("A refusal is said only when the state is fresh", "[forwarder]")
 {
     // Guards against a reset for a route that was added while this instance could not know.
     forwarder_fixture fixture;
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -97,7 +97,7 @@
         instance.talk.announceChanges();
     }
 
-    /// Lets time pass; readers have their beliefs confirmed by the store each second.
+    /// Lets time pass; readers have their state confirmed by the store each second.
     void run(monotonic_time duration)
     {
         for (monotonic_time passed {0}; passed < duration; passed += 10ms) {
@@ -135,7 +135,7 @@
             }));
     }
 
-    monotonic_time oldestBelief() const
+    monotonic_time oldestState() const
     {
         monotonic_time oldest {0};
         for (const auto &instance : instances) {
@@ -156,7 +156,7 @@
 
 } // namespace
 
-TEST_CASE("Beliefs survive their encoding", "[gossip]")
+TEST_CASE("The state survives its encoding", "[gossip]")
 {
     gossip_state state;
     state.revision = 17;
@@ -250,7 +250,7 @@
     }
 }
 
-TEST_CASE("While readers are well, no belief is older than two seconds", "[gossip]")
+TEST_CASE("While readers are alive, no state is older than two seconds", "[gossip]")
 {
     // Older ones make an instance ask the store itself, which is what the gossip saves.
     gossip_fixture fixture(33);
@@ -259,7 +259,7 @@
     fixture.run(5s);
     for (int step = 0; step < 50; ++step) {
         fixture.run(100ms);
-        CHECK(fixture.oldestBelief() < 2s);
+        CHECK(fixture.oldestState() < 2s);
     }
 }
 
@@ -304,7 +304,7 @@
     CHECK(fixture.countAt(2) == 30);
 }
 
-TEST_CASE("Older beliefs of another instance change nothing", "[gossip]")
+TEST_CASE("Older state of another instance changes nothing", "[gossip]")
 {
     // Guards against a configuration or an upstream's state that goes back.
     gossip_fixture fixture(6);
--- a/tests/test_belief_changes.cpp
+++ b/tests/test_state_changes.cpp
@@ -1,6 +1,6 @@
 /**
- * @file test_belief_changes.cpp
- * Beliefs that pass between instances as changes since a revision, against a store in memory.
+ * @file test_state_changes.cpp
+ * State that passes between instances as changes since a revision, against a store in memory.
  */
 
 #include "entry_support.h"
@@ -96,8 +96,8 @@
     std::map<store_revision, fleet_content> m_contents;
 };
 
-/** Beliefs of one instance. */
-struct believer
+/** The state of one instance. */
+struct replica
 {
     fleet_content content() const
     {
@@ -121,7 +121,7 @@
     }
 
     /** Fetches from another instance; returns the bytes that takes. */
-    std::size_t fetch(const believer &other)
+    std::size_t fetch(const replica &other)
     {
         const auto bytes =
             encodeState(other.state.snapshot(state.configVersion(), state.revision(), other.now()));
@@ -161,7 +161,7 @@
 }
 
 /// An answer to a fetch that has not arrived yet.
-using late_answer = std::pair<believer *, gossip_state>;
+using late_answer = std::pair<replica *, gossip_state>;
 
 /// Delivers some answer, perhaps once more later.
 void deliver(std::vector<late_answer> &underWay, std::mt19937 &random)
@@ -174,23 +174,23 @@
 
 } // namespace
 
-TEST_CASE("Whatever way beliefs came, they are what the store held at their revision", "[beliefs]")
+TEST_CASE("Whatever way the state came, it is what the store held at its revision", "[state]")
 {
     // Guards against changes that a difference leaves out: an instance would keep an upstream that
     // is gone until the next load.
     for (unsigned seed = 1; seed <= 60; ++seed) {
         std::mt19937 random(seed);
         memory_fleet store;
-        std::vector<std::unique_ptr<believer>> instances;
+        std::vector<std::unique_ptr<replica>> instances;
         for (int i = 0; i < 5; ++i)
-            instances.push_back(std::make_unique<believer>());
+            instances.push_back(std::make_unique<replica>());
         std::vector<late_answer> underWay;
         for (int step = 0; step < 400; ++step) {
             const unsigned changes = random() % 3;
             for (unsigned i = 0; i < changes; ++i)
                 changeSomething(store, random);
-            believer &one = *instances[random() % instances.size()];
-            const believer &other = *instances[random() % instances.size()];
+            replica &one = *instances[random() % instances.size()];
+            const replica &other = *instances[random() % instances.size()];
             const auto before = one.state.revision();
             const auto way = random() % 20;
             if (before == 0 || way == 0)
@@ -217,12 +217,12 @@
     }
 }
 
-TEST_CASE("Release in a large fleet: a change costs the change and not the fleet", "[beliefs]")
+TEST_CASE("Release in a large fleet: a change costs the change and not the fleet", "[state]")
 {
     // Guards against transfers that grow with the fleet: at 59,000 upstreams one took 4.7 MB.
     memory_fleet store;
-    believer reader;
-    believer other;
+    replica reader;
+    replica other;
     reader.load(store);
     for (int i = 0; i < 2000; ++i)
         store.changeUpstream("i-" + std::to_string(i), false);
@@ -235,12 +235,12 @@
     CHECK(other.content() == store.contentAt(store.revision()));
 }
 
-TEST_CASE("An asker from before the history gets everything", "[beliefs]")
+TEST_CASE("An asker from before the history gets everything", "[state]")
 {
     // Guards against a difference from a base that is not known.
     memory_fleet store;
-    believer reader;
-    believer late;
+    replica reader;
+    replica late;
     store.changeUpstream("i-1", false);
     late.load(store);
     for (int i = 0; i < 10000; ++i) {
@@ -256,12 +256,12 @@
     CHECK(late.content() == store.contentAt(store.revision()));
 }
 
-TEST_CASE("A difference from a base that the receiver does not have changes nothing", "[beliefs]")
+TEST_CASE("A difference from a base that the receiver does not have changes nothing", "[state]")
 {
     memory_fleet store;
-    believer reader;
-    believer ahead;
-    believer behind;
+    replica reader;
+    replica ahead;
+    replica behind;
     store.changeUpstream("i-1", false);
     reader.load(store);
     behind.load(store);
@@ -278,14 +278,13 @@
     CHECK(behind.content() == store.contentAt(before));
 }
 
-TEST_CASE("A change of the configuration alone counts as a change for whoever adopts it",
-          "[beliefs]")
+TEST_CASE("A change of the configuration alone counts as a change for whoever adopts it", "[state]")
 {
     // Guards against an instance that does not push a new configuration on to others, because no
     // upstream changed with it.
     memory_fleet store;
-    believer reader;
-    believer other;
+    replica reader;
+    replica other;
     store.changeUpstream("i-1", false);
     reader.load(store);
     other.load(store);
@@ -297,12 +296,12 @@
     CHECK(other.state.contentRevision() == revision);
 }
 
-TEST_CASE("A lapsed announcement that is told as a difference may return", "[beliefs]")
+TEST_CASE("A lapsed announcement that is told as a difference may return", "[state]")
 {
     // Guards against an upstream that is taken for gone because the store was away.
     memory_fleet store;
-    believer reader;
-    believer other;
+    replica reader;
+    replica other;
     store.changeUpstream("i-1", false);
     store.changeUpstream("i-2", false);
     reader.load(store);
--- a/tests/test_status_pages.cpp
+++ b/tests/test_status_pages.cpp
@@ -64,14 +64,14 @@
     instance_view view;
     view.name = "f-\"1";
     view.gauges.configVersion = 7;
-    view.gauges.beliefAgeSeconds = 0.25;
+    view.gauges.stateAgeSeconds = 0.25;
     CHECK(json::parse(renderInstance(view))["state"] == "starting");
     view.gauges.isReady = true;
     const json ready = json::parse(renderInstance(view));
     CHECK(ready["state"] == "ready");
     CHECK(ready["name"] == "f-\"1");
     CHECK(ready["version"] == 7);
-    CHECK(ready["belief_age_ms"] == 250);
+    CHECK(ready["state_age_ms"] == 250);
     view.isStopping = true;
     CHECK(json::parse(renderInstance(view))["state"] == "stopping");
 }
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -1,6 +1,6 @@
 /**
  * @file test_sync.cpp
- * Beliefs and the calls that keep them in step with the store.
+ * The state and the calls that keep it in step with the store.
  */
 
 #include "entry_support.h"
@@ -95,7 +95,7 @@
 
 TEST_CASE("After lost history everything is loaded again", "[sync]")
 {
-    // Guards against a belief that stays old because the changes in between were dropped.
+    // Guards against a state that stays old because the changes in between were dropped.
     follower_fixture fixture;
     fixture.synchronise();
     fixture.store.answer(error::HistoryLost);
@@ -202,7 +202,7 @@
     CHECK(pauses.size() > 5);
 }
 
-TEST_CASE("An instance that need not read leaves the store alone while its beliefs are fresh",
+TEST_CASE("An instance that need not read leaves the store alone while its state is fresh",
           "[sync]")
 {
     follower_fixture fixture;
