--- a/src/core/codec_func.h
+++ b/src/core/codec_func.h
@@ -48,10 +48,11 @@
         archive(item);
 }
 
-/** Writes bytes with a 16-bit count, as one block. */
-template<typename Archive>
-void saveBytes(Archive &archive, const std::vector<std::uint8_t> &bytes)
+/** Writes the bytes of a string or vector with a 16-bit count, as one block. */
+template<typename Archive, typename Bytes>
+void saveBytes(Archive &archive, const Bytes &bytes)
 {
+    static_assert(sizeof(typename Bytes::value_type) == 1);
     archive(static_cast<std::uint16_t>(bytes.size()));
     archive(cereal::binary_data(bytes.data(), bytes.size()));
 }
@@ -60,9 +61,10 @@
  * Reads bytes that saveBytes() wrote.
  * @throw std::length_error when the count is above the bound.
  */
-template<typename Archive>
-void loadBytes(Archive &archive, std::vector<std::uint8_t> &bytes, std::size_t bound)
+template<typename Archive, typename Bytes>
+void loadBytes(Archive &archive, Bytes &bytes, std::size_t bound)
 {
+    static_assert(sizeof(typename Bytes::value_type) == 1);
     std::uint16_t count = 0;
     archive(count);
     if (count > bound)
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -91,6 +91,11 @@
     return std::string(buffer.data()) + ":" + std::to_string(value.port);
 }
 
+std::string toString(const flow_key &value)
+{
+    return toString(value.caller) + '>' + toString(value.service);
+}
+
 flow_hash hashFlow(const flow_key &key)
 {
     std::array<unsigned char, flowKeyBytes> bytes {};
--- a/src/core/core_type.h
+++ b/src/core/core_type.h
@@ -69,6 +69,9 @@
     auto operator<=>(const flow_key &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+/** Formats a flow as "caller>service". */
+std::string toString(const flow_key &value);
+
 /** 64-bit hash of a flow_key. */
 using flow_hash = std::uint64_t;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -26,11 +26,6 @@
 constexpr std::size_t peerBatchSize = 16;
 constexpr std::string_view jsonType = "application/json";
 
-std::string formatFlow(const flow_key &flow)
-{
-    return toString(flow.caller) + '>' + toString(flow.service);
-}
-
 std::string formatMilliseconds(monotonic_time duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -305,7 +300,7 @@
     if (!m_log.isEnabled(event))
         return;
     m_log.write(event,
-                {{"flow", formatFlow(packet.flow)},
+                {{"flow", toString(packet.flow)},
                  {"reason", std::string(toString(decision.reason))},
                  {"upstream", isForwarded ? decision.upstream->announced.name : "none"},
                  {"unanswered_by",
@@ -320,13 +315,13 @@
     if (decision.isSuspectedNow && decision.unanswered != nullptr)
         m_log.write("upstream_suspected",
                     {{"upstream", decision.unanswered->announced.name},
-                     {"flow", formatFlow(packet.flow)},
+                     {"flow", toString(packet.flow)},
                      {"copy", std::to_string(packet.acknowledged)},
                      {"standing", std::string(toString(decision.unanswered->standing))}});
     if (decision.isTrustedAgain)
         m_log.write(
             "upstream_trusted",
-            {{"upstream", decision.upstream->announced.name}, {"flow", formatFlow(packet.flow)}});
+            {{"upstream", decision.upstream->announced.name}, {"flow", toString(packet.flow)}});
 }
 
 void entry_process::logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
@@ -342,7 +337,7 @@
     m_log.write(
         event,
         {{"request", std::string(platform::requestIdOf(bytes))},
-         {"flow", formatFlow(packet.flow)},
+         {"flow", toString(packet.flow)},
          {"upstream", upstream.announced.name},
          {"standing", std::string(toString(upstream.standing))},
          {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -26,27 +26,11 @@
 constexpr std::size_t maxListed = 65535; ///< routes, upstreams and instances: the count has 16 bits
 constexpr std::size_t maxNameBytes = 512;
 
-void saveText(cereal::PortableBinaryOutputArchive &archive, const std::string &text)
-{
-    archive(static_cast<std::uint16_t>(text.size()));
-    archive(cereal::binary_data(text.data(), text.size()));
-}
-
-void loadText(cereal::PortableBinaryInputArchive &archive, std::string &text)
-{
-    std::uint16_t size = 0;
-    archive(size);
-    if (size > maxNameBytes)
-        throw std::length_error("name above bound");
-    text.resize(size);
-    archive(cereal::binary_data(text.data(), text.size()));
-}
-
 void saveNames(cereal::PortableBinaryOutputArchive &archive, const std::vector<std::string> &names)
 {
     archive(static_cast<std::uint16_t>(names.size()));
     for (const std::string &name : names)
-        saveText(archive, name);
+        saveBytes(archive, name);
 }
 
 void loadNames(cereal::PortableBinaryInputArchive &archive, std::vector<std::string> &names)
@@ -54,7 +38,7 @@
     std::uint16_t count = 0;
     archive(count);
     for (std::uint16_t i = 0; i < count; ++i)
-        loadText(archive, names.emplace_back());
+        loadBytes(archive, names.emplace_back(), maxNameBytes);
 }
 
 template<typename Archive>
@@ -111,16 +95,16 @@
 template<typename Archive>
 void save(Archive &archive, const instance_registration &value)
 {
-    saveText(archive, value.name);
-    saveText(archive, value.domain);
+    saveBytes(archive, value.name);
+    saveBytes(archive, value.domain);
     archive(value.peerAddress);
 }
 
 template<typename Archive>
 void load(Archive &archive, instance_registration &value)
 {
-    loadText(archive, value.name);
-    loadText(archive, value.domain);
+    loadBytes(archive, value.name, maxNameBytes);
+    loadBytes(archive, value.domain, maxNameBytes);
     archive(value.peerAddress);
 }
 
@@ -155,14 +139,14 @@
 template<typename Archive>
 void save(Archive &archive, const route_target &value)
 {
-    saveText(archive, value.service);
+    saveBytes(archive, value.service);
     archive(static_cast<std::uint32_t>(value.weight));
 }
 
 template<typename Archive>
 void load(Archive &archive, route_target &value)
 {
-    loadText(archive, value.service);
+    loadBytes(archive, value.service, maxNameBytes);
     std::uint32_t weight = 0;
     archive(weight);
     value.weight = weight;
@@ -171,7 +155,7 @@
 template<typename Archive>
 void save(Archive &archive, const route &value)
 {
-    saveText(archive, value.name);
+    saveBytes(archive, value.name);
     archive(value.address);
     saveBounded(archive, value.targets);
     saveTime(archive, value.targetLatency);
@@ -183,7 +167,7 @@
 template<typename Archive>
 void load(Archive &archive, route &value)
 {
-    loadText(archive, value.name);
+    loadBytes(archive, value.name, maxNameBytes);
     archive(value.address);
     loadBounded(archive, value.targets, maxTargets);
     if (value.targets.empty())
@@ -215,11 +199,11 @@
 template<typename Archive>
 void save(Archive &archive, const upstream_announcement &value)
 {
-    saveText(archive, value.name);
+    saveBytes(archive, value.name);
     archive(value.wireId);
-    saveText(archive, value.service);
+    saveBytes(archive, value.service);
     archive(value.address);
-    saveText(archive, value.domain);
+    saveBytes(archive, value.domain);
     archive(static_cast<std::uint32_t>(value.slots));
     saveFlag(archive, value.isDraining);
     saveTime(archive, value.warmupLeft);
@@ -229,11 +213,11 @@
 template<typename Archive>
 void load(Archive &archive, upstream_announcement &value)
 {
-    loadText(archive, value.name);
+    loadBytes(archive, value.name, maxNameBytes);
     archive(value.wireId);
-    loadText(archive, value.service);
+    loadBytes(archive, value.service, maxNameBytes);
     archive(value.address);
-    loadText(archive, value.domain);
+    loadBytes(archive, value.domain, maxNameBytes);
     std::uint32_t slots = 0;
     archive(slots);
     loadFlag(archive, value.isDraining);
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -98,26 +98,6 @@
         applyOne(other.config, other.mayLapse, now);
     if (other.revision <= m_revision || other.since > m_revision)
         return false;
-    if (other.since > 0) {
-        adoptDifference(other, now);
-        m_contentRevision = std::max(m_contentRevision, other.contentRevision);
-        m_revision = other.revision;
-        m_confirmedAt = confirmedAt;
-        return true;
-    }
-    fleet_changes everything;
-    everything.revision = other.contentRevision;
-    everything.changes.assign(other.upstreams.begin(), other.upstreams.end());
-    everything.changes.insert(everything.changes.end(), other.instances.begin(),
-                              other.instances.end());
-    replace(everything, other.mayLapse, now);
-    m_revision = m_historyFloor = other.revision;
-    m_confirmedAt = confirmedAt;
-    return true;
-}
-
-void fleet_state::adoptDifference(const gossip_state &other, monotonic_time now)
-{
     fleet_changes changes;
     changes.revision = other.contentRevision;
     changes.changes.assign(other.upstreams.begin(), other.upstreams.end());
@@ -126,7 +106,18 @@
         changes.changes.emplace_back(upstream_withdrawal {name});
     for (const std::string &name : other.lostInstances)
         changes.changes.emplace_back(instance_withdrawal {name});
-    apply(changes, other.mayLapse, now);
+    const bool isEverything = other.since == 0;
+    if (isEverything)
+        replace(changes, other.mayLapse, now);
+    else
+        apply(changes, other.mayLapse, now);
+    // The configuration may be all that changed.
+    m_contentRevision = std::max(m_contentRevision, other.contentRevision);
+    m_revision = other.revision;
+    m_confirmedAt = confirmedAt;
+    if (isEverything)
+        m_historyFloor = m_revision;
+    return true;
 }
 
 gossip_state fleet_state::snapshot(config_version knownVersion, store_revision knownRevision,
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -87,7 +87,6 @@
     void applyOne(const instance_withdrawal &withdrawal, bool mayLapse, monotonic_time now);
     void withdraw(const std::string &name, std::string_view cause, bool mayLapse,
                   monotonic_time now);
-    void adoptDifference(const gossip_state &other, monotonic_time now);
     void remember(const fleet_changes &changes);
     void addEverything(gossip_state &made, monotonic_time now) const;
     void addDifference(gossip_state &made, monotonic_time now) const;
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -165,6 +165,7 @@
     if (m_failures == 0)
         m_log.write("store_lost",
                     {{"reason", code.message()}, {"revision", std::to_string(m_state.revision())}});
+    m_pause = monotonic_time {0};
     const unsigned doublings = std::min(m_failures, 8U);
     const auto pause = std::min(m_settings.firstRetry * (1U << doublings), m_settings.maxRetry);
     // Instances that lost the store together must not all come back in the same moment.
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -33,7 +33,8 @@
     /// Pause of a backup in units of batchTime; with gossip it stays within half of the bound.
     int backupBatches = 3;
     /// At the start, upstreams are read alone when everything takes longer: a configuration of
-    /// 2,000 routes takes 0.45 s on a link of 10 Mbit/s, and open flows need upstreams only.
+    /// 2,000 routes takes 0.45 s on a link of 10 Mbit/s, and open flows need upstreams only. Ten
+    /// times what the store takes for an answer when nothing delays it.
     monotonic_time earlyReadAfter = std::chrono::milliseconds(40);
     monotonic_time firstRetry = std::chrono::milliseconds(100);
     /// Longest pause between two calls to a store that does not answer.
--- a/tests/soak/invariant_check.cpp
+++ b/tests/soak/invariant_check.cpp
@@ -24,11 +24,6 @@
 constexpr std::size_t judgedWindows = 3;
 constexpr monotonic_time windowTime = 1s;
 
-std::string formatFlow(const flow_key &flow)
-{
-    return toString(flow.caller) + '>' + toString(flow.service);
-}
-
 std::string formatSeconds(monotonic_time time)
 {
     return std::to_string(time / 1ms) + " ms";
@@ -232,14 +227,14 @@
     if (age > m_bounds.drain + m_bounds.slack && wasUndisturbed(m_processes[index], found->second)
         && wasStoreStable(found->second))
         report(invariant::Drain,
-               "flow " + formatFlow(flow) + " placed at " + upstream + " by "
+               "flow " + toString(flow) + " placed at " + upstream + " by "
                    + instance->program->settings().name + ' ' + formatSeconds(age)
                    + " after it announced that it leaves");
 }
 
 void invariant_check::onForeignPacket(const std::string &upstream, const flow_key &flow)
 {
-    report(invariant::Service, "packet of " + formatFlow(flow) + " at " + upstream);
+    report(invariant::Service, "packet of " + toString(flow) + " at " + upstream);
 }
 
 void invariant_check::onOpened(const flow_key & /*flow*/, const std::string & /*upstream*/)
@@ -270,7 +265,7 @@
     if (isSilence
         && !m_deployment->hadHealthyInstance(flow, m_deployment->clock().now() - m_bounds.recovery))
         return;
-    report(invariant::OpenFlow, "flow " + formatFlow(flow) + " at " + upstream + ": " + reason);
+    report(invariant::OpenFlow, "flow " + toString(flow) + " at " + upstream + ": " + reason);
 }
 
 } // namespace chicoryhead::soak
