Fix: checks that were loose, and a client that took broken routes

- "config check" and "config put" counted the routes that can be used and passed a configuration that had others; they refuse it now.
Instances that read the store log routes_unusable.
- New: "A configuration with a route that can't be used is not put", "After a failed call a watch is held for its whole time" (failed without the reset of the pause), a configuration alone adopted as a whole.
- Warnings of the client are no failures with exit code "done" any more.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -12,9 +12,14 @@
 
 namespace chicoryhead {
 
-exit_code fail(const command_call &call, exit_code code, std::string_view message)
+void warn(const command_call &call, std::string_view message)
 {
     call.environment.err << "chicoryhead: " << message << '\n';
+}
+
+exit_code fail(const command_call &call, exit_code code, std::string_view message)
+{
+    warn(call, message);
     return code;
 }
 
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -38,6 +38,9 @@
 /** Prints a message for people to the error output and returns the code. */
 exit_code fail(const command_call &call, exit_code code, std::string_view message);
 
+/** Prints a message for people to the error output; the command goes on. */
+void warn(const command_call &call, std::string_view message);
+
 /** Access to the store that the flags or the environment name; null after a message. */
 std::unique_ptr<operator_store> openStore(const command_call &call);
 
--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -103,6 +103,10 @@
     auto config = call.environment.decodeConfig(text.value());
     if (!config)
         return fail(call, exit_code::Invalid, "no JSON object with a version and a list of routes");
+    if (config.value().unusableRoutes > 0)
+        return fail(call, exit_code::Invalid,
+                    std::to_string(config.value().unusableRoutes)
+                        + " routes without an address or a service");
     file = {std::move(text.value()), std::move(config.value())};
     return exit_code::Done;
 }
@@ -186,7 +190,7 @@
     if (const auto code = readConfigFile(call, file); code != exit_code::Done)
         return code;
     call.environment.out << "version " << file.decoded.version << ", " << file.decoded.routes.size()
-                         << " routes that can be used\n";
+                         << " routes\n";
     return exit_code::Done;
 }
 
--- a/src/cli/command_fleet.cpp
+++ b/src/cli/command_fleet.cpp
@@ -84,8 +84,7 @@
             rows.push_back(*announced);
         const auto *withdrawn = std::get_if<upstream_withdrawal>(&change);
         if (withdrawn != nullptr && withdrawn->isMalformed)
-            fail(call, exit_code::Done,
-                 "the announcement of " + withdrawn->name + " can't be read");
+            warn(call, "the announcement of " + withdrawn->name + " can't be read");
     }
     std::sort(rows.begin(), rows.end(), [](const auto &a, const auto &b) {
         return std::tie(a.service, a.domain, a.name) < std::tie(b.service, b.domain, b.name);
@@ -108,8 +107,7 @@
     for (const instance_row &row : instances) {
         const auto upstreams = readUpstreamPage(call, row.registration);
         if (!upstreams) {
-            fail(call, exit_code::Unavailable,
-                 row.registration.name + ": " + upstreams.error().message());
+            warn(call, row.registration.name + ": " + upstreams.error().message());
             continue;
         }
         for (const upstream_row &upstream : upstreams.value()) {
--- a/src/cli/command_trace.cpp
+++ b/src/cli/command_trace.cpp
@@ -34,8 +34,7 @@
                     "no line about " + call.operands[0]
                         + "; its packets reached none of these instances, or lines were left out");
     if (!trace.isOrdered)
-        fail(call, exit_code::Done,
-             "lines without the collector's time: in order within each file only");
+        warn(call, "lines without the collector's time: in order within each file only");
     auto &out = call.environment.out;
     for (const log_line &line : trace.lines)
         out << (line.collectedAt ? "" : line.instance + ' ') << line.text << '\n';
--- a/src/cli/instance_pages.cpp
+++ b/src/cli/instance_pages.cpp
@@ -37,7 +37,7 @@
         return instance_page {fields.at("state"), fields.at("version"), fields.at("state_age_ms"),
                               fields.at("reads_store"), fields.at("flows_observed")};
     } catch (const json::exception &problem) {
-        fail(call, exit_code::Unavailable, instance.name + ": " + problem.what());
+        warn(call, instance.name + ": " + problem.what());
         return std::nullopt;
     }
 }
--- a/src/routing/routing_base.h
+++ b/src/routing/routing_base.h
@@ -43,6 +43,7 @@
     config_version version = 0;
     std::vector<route> routes;
     monotonic_time idleTimeout {0}; ///< flows that are idle longer may be discarded
+    std::size_t unusableRoutes = 0; ///< left out when it was decoded; not passed on
 };
 
 /** The configuration in force; its version never goes down. */
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -194,6 +194,10 @@
                 {{"version", std::to_string(config.version)},
                  {"before", std::to_string(before)},
                  {"routes", std::to_string(config.routes.size())}});
+    if (config.unusableRoutes > 0)
+        m_log.write("routes_unusable",
+                    {{"version", std::to_string(config.version)},
+                     {"routes", std::to_string(config.unusableRoutes)}});
 }
 
 void fleet_state::applyOne(const upstream_announcement &announced, bool /*mayLapse*/,
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -206,6 +206,23 @@
     CHECK(fixture.store.config == configText(6));
 }
 
+TEST_CASE("A configuration with a route that can't be used is not put", "[cli]")
+{
+    // Guards against a typing error that takes a route away from its callers.
+    cli_fixture fixture;
+    const std::string broken =
+        R"({"version":9,"routes":[{"name":"r1","host":"198.18.0.1","prefix":"443","service":"d"}]})";
+    CHECK(fixture.put(broken) == exit_code::Invalid);
+    CHECK(contains(fixture.err.str(), "1 routes without an address or a service"));
+    CHECK(fixture.store.config == configText(4));
+    fixture.in.clear();
+    fixture.in.str(broken);
+    CHECK(fixture.run({"config", "check", "-"}) == exit_code::Invalid);
+    fixture.in.clear();
+    fixture.in.str(configText(9));
+    CHECK(fixture.run({"config", "check", "-"}) == exit_code::Done);
+}
+
 TEST_CASE("A lost answer to a change is resolved by reading the store", "[cli]")
 {
     cli_fixture fixture;
--- a/tests/test_entry_start.cpp
+++ b/tests/test_entry_start.cpp
@@ -11,9 +11,27 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <string>
+#include <thread>
+
+namespace {
+
+/// Opens a pipe for writing as soon as somebody reads it; -1 when nobody does within 10 s.
+int openWhenRead(const std::string &path)
+{
+    for (int attempt = 0; attempt < 1000; ++attempt) {
+        const int descriptor = ::open(path.c_str(), O_WRONLY | O_NONBLOCK);
+        if (descriptor >= 0)
+            return descriptor;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return -1;
+}
+
+} // namespace
 
 TEST_CASE("A reload while the process starts does not end it", "[entry]")
 {
@@ -27,7 +45,8 @@
     char *const arguments[] = {program.data(), settings.data(), nullptr};
     pid_t process = 0;
     REQUIRE(::posix_spawn(&process, program.c_str(), nullptr, nullptr, arguments, environ) == 0);
-    const int writer = ::open(path.c_str(), O_WRONLY); // waits until the process reads
+    const int writer = openWhenRead(path);
+    REQUIRE(writer >= 0);
 
     ::kill(process, SIGHUP);
     ::kill(process, SIGHUP);
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -368,7 +368,7 @@
         for (const char *domain : {"a", "b", "c"})
             most = std::max(most, fixture.countReaders(domain));
     }
-    CHECK(most <= 6);
+    CHECK(most <= gossip_settings().readersPerDomain);
     for (const char *domain : {"a", "b", "c"})
         CHECK(fixture.countReaders(domain) == 2);
     SECTION("one that is alone reads after a second")
--- a/tests/test_state_changes.cpp
+++ b/tests/test_state_changes.cpp
@@ -220,19 +220,22 @@
 TEST_CASE("Release in a large fleet: a change costs the change and not the fleet", "[state]")
 {
     // Guards against transfers that grow with the fleet: at 59,000 upstreams one took 4.7 MB.
-    memory_fleet store;
-    replica reader;
-    replica other;
-    reader.load(store);
-    for (int i = 0; i < 2000; ++i)
-        store.changeUpstream("i-" + std::to_string(i), false);
-    reader.watch(store);
-    CHECK(other.fetch(reader) > 100000);
-    store.changeUpstream("i-7", true);
-    store.removeUpstream("i-8");
-    reader.watch(store);
-    CHECK(other.fetch(reader) < 400);
-    CHECK(other.content() == store.contentAt(store.revision()));
+    const auto bytesOfChange = [](int upstreams) {
+        memory_fleet store;
+        replica reader;
+        replica other;
+        for (int i = 0; i < upstreams; ++i)
+            store.changeUpstream("i-" + std::to_string(i), false);
+        reader.load(store);
+        other.fetch(reader);
+        store.changeUpstream("i-7", true);
+        store.removeUpstream("i-8");
+        reader.watch(store);
+        const std::size_t bytes = other.fetch(reader);
+        CHECK(other.content() == store.contentAt(store.revision()));
+        return bytes;
+    };
+    CHECK(bytesOfChange(2000) == bytesOfChange(10));
 }
 
 TEST_CASE("An asker from before the history gets everything", "[state]")
@@ -290,7 +293,15 @@
     other.load(store);
     const auto revision = store.revision() + 1;
     reader.state.apply({revision, {makeConfig(2)}}, false, reader.now());
-    other.fetch(reader);
+    SECTION("as a difference")
+    {
+        other.fetch(reader);
+    }
+    SECTION("as a whole, with nothing else in it")
+    {
+        reader.state.replace({revision, {makeConfig(2)}}, false, reader.now());
+        other.state.adopt(reader.state.snapshot(0, 0, reader.now()), other.now(), other.now());
+    }
     CHECK(other.state.configVersion() == 2);
     CHECK(other.state.revision() == revision);
     CHECK(other.state.contentRevision() == revision);
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -284,6 +284,19 @@
     CHECK(calls >= mostCalls / 2);
 }
 
+TEST_CASE("After a failed call a watch is held for its whole time", "[sync]")
+{
+    // Guards against a backup that pays for short watches because it paused before an outage.
+    follower_fixture fixture;
+    fixture.follower.setReaderPolicy([] { return reader_duty::Backup; });
+    fixture.synchronise();
+    fixture.store.answer(fleet_changes {101, {makeUpstream("i-1", "desk", "a")}});
+    fixture.untilCall();
+    fixture.store.answer(error::StoreUnavailable);
+    fixture.untilCall();
+    CHECK(fixture.store.lastWait == follower_settings().watchWait);
+}
+
 TEST_CASE("The pause of a backup does not lengthen the time between two answers", "[sync]")
 {
     // Guards against a backup that others take for silent, so that a third instance reads.
