Fix: the soak puts each invariant to the test, and a seed gives one series

Cause: read again, the soak's silence said little. Further: one counter served both the checks' rhythm and the choice of a service, so the looks were not twice per second; a "crash" of an upstream withdrew its announcement in the same moment; the series depended on how long things took; a pause counted into the time that a process has to stop. The store's misbehaviour is named in the log.

--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -80,7 +80,7 @@
     }
     if (failure == error::VersionConflict)
         return fail(call, exit_code::Refused, "somebody else replaced the configuration meanwhile");
-    if (failure == error::ValidationFailed)
+    if (failure == error::Rejected)
         return fail(call, exit_code::Invalid, "the store does not take this configuration");
     if (failure == error::OutcomeUnknown || failure == error::Timeout)
         return resolveUnknown(call, store, text, base);
--- a/src/cli/operator_store_base.h
+++ b/src/cli/operator_store_base.h
@@ -34,7 +34,7 @@
 
     /**
      * Replaces the configuration if it is still the one of a revision.
-     * @return success; error::VersionConflict if it is not; error::ValidationFailed if the store
+     * @return success; error::VersionConflict if it is not; error::Rejected if the store
      * does not take it; error::OutcomeUnknown or error::Timeout if it may have been replaced.
      */
     virtual std::error_code replaceConfig(const std::string &text, store_revision expected) = 0;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -27,7 +27,7 @@
     {error::Malformed, "input is malformed"},
     {error::Unsupported, "unsupported format version"},
     {error::VersionConflict, "based on an old version"},
-    {error::ValidationFailed, "configuration is not valid"},
+    {error::Rejected, "store does not accept the change"},
     {error::StoreUnavailable, "store unavailable"},
     {error::OutcomeUnknown, "outcome of the write is unknown"},
     {error::NotFound, "not found"},
--- a/src/core/core_error.h
+++ b/src/core/core_error.h
@@ -15,7 +15,7 @@
     Malformed,        ///< input breaks its format
     Unsupported,      ///< format version that is not handled
     VersionConflict,  ///< a change is not based on the newest version
-    ValidationFailed, ///< configuration breaks a rule of the store
+    Rejected,         ///< store does not accept the change
     StoreUnavailable, ///< store did not answer; nothing was written
     OutcomeUnknown,   ///< store may have carried out the write
     NotFound,         ///< no such object
--- a/standin/demo.cpp
+++ b/standin/demo.cpp
@@ -111,7 +111,8 @@
             return;
         for (const auto &caller : m_deployment.callers()) {
             while (caller->flows() < FLAGS_flows / m_deployment.callers().size()) {
-                const auto service = static_cast<unsigned>(m_deployment.random().next() % 2);
+                const auto service = static_cast<unsigned>(m_deployment.random().next()
+                                                           % m_deployment.plan().services);
                 caller->open(m_deployment.serviceAddress(service),
                              1 + static_cast<unsigned>(m_deployment.random().next() % 60));
             }
--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -174,10 +174,14 @@
     }
 }
 
-void deployment_standin::removeUpstream(const std::string &name)
+void deployment_standin::endUpstream(const std::string &name)
 {
     std::erase_if(m_upstreams,
                   [&](const auto &upstream) { return upstream->announced().name == name; });
+}
+
+void deployment_standin::withdrawUpstream(const std::string &name)
+{
     m_store->remove(platform::announcementKey(name));
 }
 
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -68,6 +68,8 @@
     /** Puts a configuration with the next version in the store; returns the version. */
     config_version putConfig();
 
+    const deployment_plan &plan() const { return m_plan; }
+
     /** Configuration that was put last. */
     const routing_config &config() const { return m_config; }
 
@@ -77,8 +79,11 @@
     /** Announces that an upstream leaves. */
     void drainUpstream(const std::string &name);
 
-    /** Ends an upstream at once and withdraws its announcement. */
-    void removeUpstream(const std::string &name);
+    /** Ends an upstream at once; its flows get no answer any more. */
+    void endUpstream(const std::string &name);
+
+    /** Withdraws the announcement of an upstream. */
+    void withdrawUpstream(const std::string &name);
 
     /** The upstream with a name; null when it ended. */
     const upstream_standin *findUpstream(const std::string &name) const;
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -13,6 +13,7 @@
 #include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <functional>
 #include <list>
 #include <utility>
@@ -292,6 +293,13 @@
     store_behaviour behaviour = store_behaviour::Serving;
 };
 
+std::string_view toString(store_behaviour behaviour)
+{
+    constexpr std::array<std::string_view, 6> names {"serving", "busy",  "throttled",
+                                                     "silent",  "lossy", "garbage"};
+    return names.at(static_cast<std::size_t>(behaviour));
+}
+
 store_standin::store_standin(asio::io_context &context, const endpoint &listen)
     : m_implementation(std::make_unique<implementation>(context, listen))
 {
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace chicoryhead::standin {
 
@@ -28,6 +29,9 @@
     Garbage,   ///< 200 with a body that is no JSON
 };
 
+/** Name of a behaviour for logs. */
+std::string_view toString(store_behaviour behaviour);
+
 /** The store on an io_context that one thread runs. */
 class store_standin
 {
--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -25,6 +25,13 @@
 
 /// Instances become ready before the first fault.
 constexpr monotonic_time firstFault = 4s;
+/// An announcement lapses after three heartbeats of 1.2 s, as on the platform.
+constexpr monotonic_time lapseTime = 3600ms;
+/// Faults last up to 7 s and instances count as undisturbed 4 s after them; the last faults before
+/// a pause are mostly shorter.
+constexpr monotonic_time plannedWorkAfter = 9s;
+/// The bounds of planned work, and some looks at them.
+constexpr monotonic_time plannedWorkTime = 5s;
 /// Upstreams of a service that stay, so that callers are served.
 constexpr std::size_t fewestUpstreams = 3;
 
@@ -34,11 +41,14 @@
                            std::uint64_t seed, std::ostream &log)
     : m_deployment(deployment)
     , m_check(check)
+    , m_series(seed)
     , m_random(seed)
     , m_log(log)
     , m_startedAt(deployment.clock().now())
     , m_nextFault(m_startedAt + firstFault)
 {
+    for (std::size_t i = 0; i < m_instances().size(); ++i)
+        m_restarts.emplace_back(m_series.next());
 }
 
 monotonic_time fault_series::drawTime(unsigned fromMs, unsigned toMs)
@@ -73,9 +83,16 @@
     startEnded();
     if (m_hasEnded || now < m_nextFault)
         return;
+    m_random = standin::seeded_random(m_series.next());
+    // Most faults overlap. After some, planned work comes when the instances were undisturbed for
+    // long enough that its bounds hold, and the next fault when those were looked at.
+    if (draw(4) == 0) {
+        later(plannedWorkAfter, [this] { doPlannedWork(); });
+        m_nextFault += plannedWorkAfter + plannedWorkTime;
+    } else {
+        m_nextFault += draw(3) == 0 ? drawTime(1200, 5000) : drawTime(20, 1200);
+    }
     (this->*actions.at(draw(actions.size())))();
-    // Some faults come together, some with a pause that lets the bounds be checked.
-    m_nextFault = now + (draw(3) == 0 ? drawTime(3000, 9000) : drawTime(20, 1200));
 }
 
 void fault_series::end()
@@ -86,6 +103,13 @@
     for (auto &[index, at] : m_restartAt)
         at = m_deployment.clock().now();
     startEnded();
+    later(plannedWorkAfter, [this] { doPlannedWork(); });
+}
+
+void fault_series::doPlannedWork()
+{
+    changeConfig();
+    drainUpstream();
 }
 
 void fault_series::startEnded()
@@ -93,7 +117,7 @@
     const auto now = m_deployment.clock().now();
     for (std::size_t i = 0; i < m_instances().size(); ++i) {
         if (m_check.takeEnd(i))
-            m_restartAt[i] = now + (m_hasEnded ? 0ms : drawTime(50, 2500));
+            m_restartAt[i] = now + (m_hasEnded ? 0ms : drawRestart(i));
         const auto due = m_restartAt.find(i);
         if (due == m_restartAt.end() || due->second > now)
             continue;
@@ -104,6 +128,13 @@
     }
 }
 
+monotonic_time fault_series::drawRestart(std::size_t index)
+{
+    constexpr std::uint64_t shortest = 50;
+    constexpr std::uint64_t longest = 2500;
+    return std::chrono::milliseconds(shortest + m_restarts[index].next() % (longest - shortest));
+}
+
 void fault_series::pauseInstance()
 {
     const auto index = drawInstance();
@@ -121,7 +152,7 @@
 void fault_series::resume(std::size_t index)
 {
     note("resume " + m_instances()[index].program->settings().name);
-    m_check.noteDisturbed(index);
+    m_check.noteResumed(index);
     m_instances()[index].isPaused = false;
     m_instances()[index].program->signal(SIGCONT);
 }
@@ -190,7 +221,7 @@
     if (m_isStoreDisturbed)
         return;
     const auto behaviour = behaviours.at(draw(behaviours.size()));
-    note("store misbehaves, kind " + std::to_string(static_cast<int>(behaviour)));
+    note("store: " + std::string(standin::toString(behaviour)));
     m_isStoreDisturbed = true;
     m_deployment.store().setBehaviour(behaviour);
     noteStoreState();
@@ -235,29 +266,31 @@
 
 void fault_series::drainUpstream()
 {
-    const unsigned service = draw(2);
+    const unsigned service = draw(m_deployment.plan().services);
     const std::string name = drawUpstream(service);
     if (name.empty())
         return;
     note("upstream " + name + " leaves");
     m_deployment.drainUpstream(name);
     m_check.noteDrain(name, m_deployment.clock().now());
-    later(drawTime(4500, 12000), [this, name, service] {
-        m_deployment.removeUpstream(name);
-        note("upstream " + m_deployment.addUpstream(service, draw(3)) + " replaces " + name);
+    later(drawTime(4500, 12000), [this, name, service, domain = drawDomain()] {
+        m_deployment.endUpstream(name);
+        m_deployment.withdrawUpstream(name);
+        note("upstream " + m_deployment.addUpstream(service, domain) + " replaces " + name);
     });
 }
 
 void fault_series::crashUpstream()
 {
-    const unsigned service = draw(2);
+    const unsigned service = draw(m_deployment.plan().services);
     const std::string name = drawUpstream(service);
     if (name.empty())
         return;
     note("upstream " + name + " crashes");
-    m_deployment.removeUpstream(name);
-    later(drawTime(500, 4000), [this, service] {
-        note("upstream " + m_deployment.addUpstream(service, draw(3)) + " is added");
+    m_deployment.endUpstream(name);
+    later(lapseTime, [this, name] { m_deployment.withdrawUpstream(name); });
+    later(drawTime(500, 4000), [this, service, domain = drawDomain()] {
+        note("upstream " + m_deployment.addUpstream(service, domain) + " is added");
     });
 }
 
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -32,7 +32,7 @@
     /** Draws no more faults and ends those that last. */
     void end();
 
-    /** Puts in a fault of the deployment's own that breaks a invariant. */
+    /** Puts in a fault of the deployment's own that breaks an invariant. */
     void breakInvariant(invariant broken);
 
 private:
@@ -40,6 +40,8 @@
 
     unsigned draw(unsigned below) { return static_cast<unsigned>(m_random.next() % below); }
     monotonic_time drawTime(unsigned fromMs, unsigned toMs);
+    monotonic_time drawRestart(std::size_t index);
+    unsigned drawDomain() { return draw(m_deployment.plan().domains); }
     std::size_t drawInstance() { return draw(static_cast<unsigned>(m_instances().size())); }
     std::vector<standin::deployed_instance> &m_instances() { return m_deployment.instances(); }
     void later(monotonic_time after, std::function<void()> what);
@@ -61,14 +63,18 @@
     void drainUpstream();
     void crashUpstream();
     void changeConfig();
+    void doPlannedWork();
     void noteStoreState();
 
     standin::deployment_standin &m_deployment;
     invariant_check &m_check;
-    standin::seeded_random m_random;
+    standin::seeded_random m_series; ///< gives each fault a seed of its own, so that the series of
+                                     ///< a seed does not depend on how long things take
+    standin::seeded_random m_random; ///< of the current fault
+    std::vector<standin::seeded_random> m_restarts; ///< by instance
     std::ostream &m_log;
     monotonic_time m_startedAt;
-    monotonic_time m_nextFault;
+    monotonic_time m_nextFault; ///< as planned; the fault may be carried out a little later
     std::multimap<monotonic_time, std::function<void()>> m_later;
     std::map<std::size_t, monotonic_time> m_restartAt; ///< of ended processes, by instance
     bool m_hasEnded = false;
--- a/tests/soak/invariant_check.cpp
+++ b/tests/soak/invariant_check.cpp
@@ -55,6 +55,34 @@
     m_violations.push_back({broken, text});
 }
 
+void invariant_check::countOccasion(invariant checked)
+{
+    ++m_occasions.at(static_cast<std::size_t>(checked));
+}
+
+void invariant_check::countDrains()
+{
+    const auto now = m_deployment->clock().now();
+    for (const auto &[upstream, since] : m_draining) {
+        const auto drainedAt = since;
+        const bool isJudged = std::any_of(
+            m_processes.begin(), m_processes.end(),
+            [&](const watched_process &process) { return wasUndisturbed(process, drainedAt); });
+        if (now - since > m_bounds.drain + m_bounds.slack && isJudged && wasStoreStable(since)
+            && m_deployment->findUpstream(upstream) != nullptr
+            && m_countedDrains.insert(upstream).second)
+            countOccasion(invariant::Drain);
+    }
+}
+
+void invariant_check::noteResumed(std::size_t instance)
+{
+    noteDisturbed(instance);
+    auto &stopAt = m_processes[instance].stopAt;
+    if (stopAt.count() > 0)
+        stopAt = m_deployment->clock().now();
+}
+
 void invariant_check::noteStore(bool isStable)
 {
     const auto now = m_deployment->clock().now();
@@ -116,6 +144,7 @@
         checkProcess(i);
         askVersion(i);
     }
+    countDrains();
     checkRecovery();
 }
 
@@ -129,13 +158,16 @@
         const bool isClean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
         if (!process.isKilled && (process.stopAt.count() == 0 || !isClean))
             report(invariant::Stop, name + " ended by itself, status " + std::to_string(*status));
+        if (process.stopAt.count() > 0 && !process.isKilled)
+            countOccasion(invariant::Stop);
         process.hasEnded = true;
         process.isKilled = false;
         process.stopAt = monotonic_time {0};
         return;
     }
-    const bool isLate =
-        process.stopAt.count() > 0 && now - process.stopAt > m_bounds.grace + m_bounds.slack;
+    const bool isPaused = m_deployment->instances()[index].isPaused;
+    const bool isLate = process.stopAt.count() > 0 && !isPaused
+        && now - process.stopAt > m_bounds.grace + m_bounds.slack;
     if (isLate && !process.isKilled) {
         report(invariant::Stop, name + " did not end in time");
         process.isKilled = true;
@@ -174,8 +206,11 @@
     process.version = version;
     for (const expected_config &expected : m_expected) {
         const auto age = now - expected.at;
-        if (age > m_bounds.config + m_bounds.slack && version < expected.version
-            && wasUndisturbed(process, expected.at) && wasStoreStable(expected.at)) {
+        if (age <= m_bounds.config + m_bounds.slack || !wasUndisturbed(process, expected.at)
+            || !wasStoreStable(expected.at))
+            continue;
+        countOccasion(invariant::Config);
+        if (version < expected.version) {
             report(invariant::Config,
                    name + " has version " + std::to_string(version) + ", " + formatSeconds(age)
                        + " after " + std::to_string(expected.version));
@@ -207,6 +242,8 @@
         opened += part.opened;
         notOpened += part.notOpened;
     }
+    if (opened + notOpened > 0)
+        countOccasion(invariant::Recovery);
     // The same share as in the platform's rules.
     if (notOpened > 3 * opened) {
         report(invariant::Recovery,
@@ -218,6 +255,7 @@
 
 void invariant_check::onOpeningPacket(const std::string &upstream, const flow_key &flow)
 {
+    countOccasion(invariant::Service);
     const auto found = m_draining.find(upstream);
     const auto *instance = m_deployment->lastInstance(flow);
     if (found == m_draining.end() || instance == nullptr)
@@ -252,7 +290,7 @@
 void invariant_check::onAnswered(const flow_key & /*flow*/, const std::string & /*upstream*/,
                                  monotonic_time /*latency*/)
 {
-    ++m_answered;
+    countOccasion(invariant::OpenFlow);
 }
 
 void invariant_check::onBroken(const flow_key &flow, const std::string &upstream,
--- a/tests/soak/invariant_check.h
+++ b/tests/soak/invariant_check.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,14 +85,22 @@
     /** A process was told to stop. */
     void noteStop(std::size_t instance);
 
+    /** A paused process goes on; it could not react while it was paused. */
+    void noteResumed(std::size_t instance);
+
     /** A process was killed. */
     void noteKill(std::size_t instance);
 
     /** Whether the process ended since the last look; the instance can be started again. */
     bool takeEnd(std::size_t instance);
 
+    /** Occasions on which each invariant could have been seen broken. */
+    const std::array<std::uint64_t, invariantNames.size()> &occasions() const
+    {
+        return m_occasions;
+    }
+
     const std::vector<violation> &violations() const { return m_violations; }
-    std::uint64_t answered() const { return m_answered; }
     std::uint64_t opened() const { return m_opened; }
     std::uint64_t notOpened() const { return m_notOpened; }
 
@@ -133,6 +142,8 @@
     };
 
     void report(invariant broken, const std::string &text);
+    void countOccasion(invariant checked);
+    void countDrains();
     void checkProcess(std::size_t index);
     void askVersion(std::size_t index);
     void takeVersion(std::size_t index, config_version version);
@@ -146,12 +157,13 @@
     invariant_bounds m_bounds;
     std::vector<watched_process> m_processes;
     std::vector<violation> m_violations;
+    std::array<std::uint64_t, invariantNames.size()> m_occasions {};
     std::map<std::string, monotonic_time> m_draining; ///< since when, by upstream
+    std::set<std::string> m_countedDrains;            ///< as occasions
     std::deque<expected_config> m_expected;
     std::deque<opening_window> m_windows;
     std::optional<monotonic_time> m_storeStableSince = monotonic_time {0};
     monotonic_time m_disturbedAt {0}; ///< last disturbance of any kind
-    std::uint64_t m_answered = 0;
     std::uint64_t m_opened = 0;
     std::uint64_t m_notOpened = 0;
 };
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -24,6 +24,7 @@
 DEFINE_string(seeds, "", "further seeds, separated by commas");
 DEFINE_uint32(jobs, 3, "seeds that run at the same time");
 DEFINE_uint32(seconds, 24, "time with faults, in s");
+DEFINE_bool(require_occasions, false, "fail if an invariant could never have been seen broken");
 DEFINE_string(break, "", "invariant to break on purpose without other faults, or \"all\" of them");
 
 namespace {
@@ -120,7 +121,7 @@
             m_check.tick();
         for (const auto &caller : m_deployment.callers()) {
             while (caller->flows() < openFlows)
-                caller->open(m_deployment.serviceAddress(m_steps++ % 2),
+                caller->open(m_deployment.serviceAddress(m_opened++ % m_deployment.plan().services),
                              1 + static_cast<unsigned>(m_deployment.random().next() % 100));
         }
     }
@@ -135,6 +136,7 @@
     asio::steady_timer m_step;
     monotonic_time m_startedAt;
     std::uint64_t m_steps = 0;
+    unsigned m_opened = 0; ///< flows, to take services in turn
     bool m_hasEnded = false;
     bool m_isBroken = false;
 };
@@ -188,7 +190,10 @@
     return firstSlot + static_cast<unsigned>(job % slots);
 }
 
-bool runJob(const soak_job &job, unsigned slot, std::mutex &output)
+/// Occasions of all soaks by invariant.
+using occasion_totals = std::array<std::uint64_t, invariantNames.size()>;
+
+bool runJob(const soak_job &job, unsigned slot, std::mutex &output, occasion_totals &totals)
 {
     soak_run run(job.seed, slot, job.toBreak);
     const auto &violations = run.run();
@@ -197,9 +202,13 @@
     std::cout << "seed=" << job.seed
               << " broken_on_purpose=" << (job.toBreak ? toString(*job.toBreak) : "none")
               << " outcome=" << (isExpected ? "as_expected" : "FAILED")
-              << " violations=" << violations.size() << " answered=" << run.check().answered()
-              << " opened=" << run.check().opened() << " not_opened=" << run.check().notOpened()
-              << std::endl;
+              << " violations=" << violations.size() << " opened=" << run.check().opened()
+              << " not_opened=" << run.check().notOpened();
+    for (std::size_t i = 0; i < invariantNames.size(); ++i) {
+        std::cout << ' ' << invariantNames.at(i) << '=' << run.check().occasions().at(i);
+        totals.at(i) += run.check().occasions().at(i);
+    }
+    std::cout << std::endl;
     const std::size_t shown = std::min(violations.size(), isExpected ? 1 : maxShown);
     for (const violation &found : std::span(violations).first(shown))
         std::cout << "  " << toString(found.broken) << ": " << found.text << std::endl;
@@ -219,15 +228,22 @@
     }
     std::atomic<std::size_t> next {0};
     std::atomic<unsigned> failed {0};
-    std::mutex output;
+    std::mutex output; // guards totals too
+    occasion_totals totals {};
     std::vector<std::thread> threads;
     for (std::size_t thread = 0; thread < std::min<std::size_t>(FLAGS_jobs, todo.size()); ++thread)
         threads.emplace_back([&] {
             for (std::size_t i = next++; i < todo.size(); i = next++)
-                failed += runJob(todo[i], slotOf(i), output) ? 0 : 1;
+                failed += runJob(todo[i], slotOf(i), output, totals) ? 0 : 1;
         });
     for (std::thread &thread : threads)
         thread.join();
+    for (std::size_t i = 0; i < totals.size(); ++i) {
+        if (FLAGS_require_occasions && totals.at(i) == 0) {
+            std::cout << "FAILED: " << invariantNames.at(i) << " was never put to the test\n";
+            ++failed;
+        }
+    }
     std::cout << todo.size() << " soaks, " << failed << " failed\n";
     return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -234,7 +234,7 @@
     fixture.store.replacedMeanwhile = configText(8);
     CHECK(fixture.put(configText(7)) == exit_code::Refused);
     fixture.store.replacedMeanwhile.clear();
-    fixture.store.writeError = error::ValidationFailed;
+    fixture.store.writeError = error::Rejected;
     CHECK(fixture.put(configText(9)) == exit_code::Invalid);
     fixture.store.writeError = error::Throttled;
     CHECK(fixture.put(configText(9)) == exit_code::Unavailable);
