--- a/src/cli/flow_trace.cpp
+++ b/src/cli/flow_trace.cpp
@@ -167,7 +167,7 @@
     return event == "upstream_trusted" ? upstream + " answered again" : std::string();
 }
 
-/// Keeps the first line of change that many instances learnt, and tells how many did.
+/// Keeps the first line of a change that many instances learnt, and counts the instances.
 void mergeChanges(flow_trace &trace)
 {
     std::map<std::string, std::set<std::string>> instancesByChange;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -124,8 +124,9 @@
     // Until reports had the time to arrive, registered instances are assumed to be alive.
     if (isRecent(m_firstStoreAnswerAt)) {
         for (const auto &[name, registration] : m_state.instances()) {
-            if (registration.domain == m_own.domain && rankOf(name) < m_rank)
-                ranks.insert(rankOf(name));
+            const std::uint64_t rank = rankOf(name);
+            if (registration.domain == m_own.domain && rank < m_rank)
+                ranks.insert(rank);
         }
     }
     return ranks.size();
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -34,17 +34,18 @@
     std::size_t readersPerDomain = 2; ///< one may die unnoticed
     /// Longest time between two answers of the store to a reader.
     monotonic_time storeInterval {0};
-    /// Time that a report about a reader takes to reach the others of its domain: at a fan-out of
-    /// two 45 instances need six periods. A reader whose store did not answer for longer than both
-    /// times together does not count.
+    /// Time that a report about a reader takes to reach the others of its domain. At a fan-out of
+    /// two the instances that have it triple in each period, so six periods reach 729; the rest is
+    /// for lost digests. A reader whose store did not answer for longer than both times together
+    /// does not count.
     monotonic_time propagationTime = std::chrono::milliseconds(2500);
-    /// After its first answer of the store an instance only tells that it could read; in three
+    /// After its first answer of the store an instance only reports that it could read; in three
     /// periods it learns whether others with a lower rank do.
     monotonic_time candidacy = period * 3;
     monotonic_time fetchRetry = std::chrono::milliseconds(250);
-    /// An instance that was not heard of for this long is taken for replaced under another name.
+    /// An instance that sent nothing for this long was probably replaced under another name.
     monotonic_time silence = std::chrono::seconds(60);
-    /// In large domains an instance is told in turn; this many turns without a word are silence.
+    /// In large domains instances get digests in turn; this many turns without one are silence.
     std::size_t silentTurns = 4;
 };
 
@@ -100,6 +101,10 @@
     endpoint pick(const std::vector<endpoint> &peers);
     std::vector<endpoint> nextInOwnDomain(std::size_t count);
     std::uint32_t ageMs(monotonic_time at) const;
+    bool isRecent(monotonic_time report) const;
+    bool isCandidate() const;
+    /** Instances with a lower rank that read the store as far as is known. */
+    std::size_t countReadersBefore() const;
 
     instance_registration m_own;
     std::uint64_t m_rank; ///< of this instance
@@ -109,11 +114,6 @@
     const clock_source &m_clock;
     random_source &m_random;
     event_log &m_log;
-    bool isRecent(monotonic_time report) const;
-    bool isCandidate() const;
-    /** Instances with a lower rank that read the store as far as is known. */
-    std::size_t countReadersBefore() const;
-
     gossip_settings m_settings;
     part_assembler m_assembler;
     std::map<std::string, monotonic_time> m_heardAt; ///< instances of the own domain
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -1,6 +1,6 @@
 /**
  * @file fleet_state_base.h
- * What this instance believes about configuration, upstreams and other instances.
+ * What this instance knows of configuration, upstreams and other instances.
  *
  * The state has the store's revision that it includes and the time when that was last confirmed.
  */
@@ -44,7 +44,7 @@
     void confirm(store_revision revision, monotonic_time at);
 
     /**
-     * Takes over what another instance believes, if it is newer and, for a difference, if its base
+     * Takes over the state of another instance, if it is newer and, for a difference, if its base
      * is included here.
      * @param confirmedAt when that was confirmed.
      * @return whether anything was newer.
@@ -55,7 +55,7 @@
      * What another instance can adopt. Lapsed announcements are left out.
      * @param knownVersion configuration that the other one has; it is not repeated.
      * @param knownRevision that the other one's state includes. Only what changed after it is
-     * told, if that is known; else everything.
+     * included, if that is known; else everything.
      */
     gossip_state snapshot(config_version knownVersion, store_revision knownRevision,
                           monotonic_time now) const;
@@ -98,7 +98,7 @@
     /** Something that changed. */
     struct past_change
     {
-        store_revision revision = 0; ///< that includes the change, at most a few later than it
+        store_revision revision = 0; ///< of a state that includes the change
         bool isUpstream = true;      ///< else an instance
         std::string name;
     };
