Fix: one file for each part of the entry process, registrations with a delay that grows

Cause: entry_process.cpp held data path, registration, settings and logs of packets, and lower folders included headers of higher ones. A registration that the store refused was written again each second by every instance whose registration had been revoked, and once more before the first write could come back through the state. Change: packet_path, packet_log, instance_registrar and derived_settings; the state's encoding moves to sync, the settings type and the packet's head below everything that uses them.

--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -6,7 +6,7 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "forward/forwarder_base.h"
-#include "gossip/gossip_codec_func.h"
+#include "sync/state_codec_func.h"
 #include "placement/placement_base.h"
 #include "platform/record_codec.h"
 #include "platform/standin_codec.h"
--- a/src/core/log_format.cpp
+++ b/src/core/log_format.cpp
@@ -41,4 +41,9 @@
     return line;
 }
 
+std::string formatMilliseconds(monotonic_time duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace chicoryhead
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -5,6 +5,8 @@
 
 #pragma once
 
+#include "core_type.h"
+
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -24,4 +26,7 @@
  */
 std::string formatEvent(std::string_view event, std::initializer_list<log_field> fields);
 
+/** Whole milliseconds of a duration, as digits. */
+std::string formatMilliseconds(monotonic_time duration);
+
 } // namespace chicoryhead
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -9,8 +9,8 @@
 
 #pragma once
 
+#include "core/caller_packet_type.h"
 #include "core/core_type.h"
-#include "forward/caller_packet_type.h"
 
 #include <cstdint>
 #include <map>
--- /dev/null
+++ b/src/entry/derived_settings.cpp
@@ -0,0 +1,52 @@
+/**
+ * @file derived_settings.cpp
+ * Fractions of the bounds.
+ */
+
+#include "derived_settings.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace chicoryhead {
+
+monotonic_time changeBound(const entry_settings &settings)
+{
+    return std::min(settings.configBound, settings.drainBound);
+}
+
+stop_settings deriveStopSettings(const entry_settings &settings)
+{
+    stop_settings made;
+    made.grace = settings.stopGrace;
+    return made;
+}
+
+directory_settings deriveDirectorySettings(const entry_settings &settings)
+{
+    directory_settings made;
+    made.flowLifetime = settings.flowLifetime;
+    return made;
+}
+
+/// A reader's connection that falls silent, and readers that die, are noticed with a third of the
+/// bound left for asking the store. Changes wait for a tenth of the bound at the first reader, and
+/// for three tenths at the backup; gossip takes a second at most.
+follower_settings deriveFollowerSettings(const entry_settings &settings)
+{
+    const auto bound = changeBound(settings);
+    follower_settings made;
+    made.watchWait = std::chrono::duration_cast<std::chrono::milliseconds>(bound * 2 / 5);
+    made.maxStateAge = bound * 2 / 3;
+    made.batchTime = bound / 10;
+    return made;
+}
+
+gossip_settings deriveGossipSettings(const entry_settings &settings)
+{
+    gossip_settings made;
+    made.storeInterval = deriveFollowerSettings(settings).watchWait;
+    return made;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/derived_settings.h
@@ -0,0 +1,24 @@
+/**
+ * @file derived_settings.h
+ * Times of the modules, worked out from the bounds of the settings file.
+ */
+
+#pragma once
+
+#include "directory/directory_base.h"
+#include "gossip/gossip_base.h"
+#include "settings/entry_settings_type.h"
+#include "stop_sequence_base.h"
+#include "sync/store_follower_base.h"
+
+namespace chicoryhead {
+
+/** Time within which every change has to be in force. */
+monotonic_time changeBound(const entry_settings &settings);
+
+stop_settings deriveStopSettings(const entry_settings &settings);
+directory_settings deriveDirectorySettings(const entry_settings &settings);
+follower_settings deriveFollowerSettings(const entry_settings &settings);
+gossip_settings deriveGossipSettings(const entry_settings &settings);
+
+} // namespace chicoryhead
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -6,6 +6,7 @@
 #include "entry_process_base.h"
 
 #include "core/log_func.h"
+#include "derived_settings.h"
 #include "platform/platform_names.h"
 
 #include <xxhash.h>
@@ -26,51 +27,6 @@
 constexpr std::size_t peerBatchSize = 16;
 constexpr std::string_view jsonType = "application/json";
 
-std::string formatMilliseconds(monotonic_time duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-stop_settings stopSettings(const entry_settings &settings)
-{
-    stop_settings made;
-    made.grace = settings.stopGrace;
-    return made;
-}
-
-directory_settings directorySettings(const entry_settings &settings)
-{
-    directory_settings made;
-    made.flowLifetime = settings.flowLifetime;
-    return made;
-}
-
-/// Time within which every change has to be in force.
-monotonic_time changeBound(const entry_settings &settings)
-{
-    return std::min(settings.configBound, settings.drainBound);
-}
-
-/// A reader's connection that falls silent, and readers that die, are noticed with a third of the
-/// bound left for asking the store. Changes wait for a tenth of the bound at the first reader, and
-/// for three tenths at the backup; gossip takes a second at most.
-follower_settings followerSettings(const entry_settings &settings)
-{
-    const auto bound = changeBound(settings);
-    follower_settings made;
-    made.watchWait = std::chrono::duration_cast<std::chrono::milliseconds>(bound * 2 / 5);
-    made.maxStateAge = bound * 2 / 3;
-    made.batchTime = bound / 10;
-    return made;
-}
-
-gossip_settings gossipSettings(const entry_settings &settings)
-{
-    gossip_settings made;
-    made.storeInterval = followerSettings(settings).watchWait;
-    return made;
-}
-
 std::uint64_t seedOf(const std::string &name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -82,14 +38,24 @@
     : m_settings(settings)
     , m_reread(std::move(reread))
     , m_log(STDOUT_FILENO, m_clock)
-    , m_directory(directorySettings(settings))
+    , m_directory(deriveDirectorySettings(settings))
     , m_placement(m_directory, {settings.domain, settings.domainCount, seedOf(settings.name)})
     , m_forwarder(m_routes, m_directory, m_placement)
     , m_state(m_routes, m_directory, m_placement, m_log)
     , m_store(m_context, settings.storeAddress)
-    , m_follower(m_store, m_state, m_clock, m_random, m_log, followerSettings(settings))
+    , m_follower(m_store, m_state, m_clock, m_random, m_log, deriveFollowerSettings(settings))
     , m_gossip({settings.name, settings.domain, settings.peerAddress}, settings.seeds, m_state,
-               *this, m_clock, m_random, m_log, gossipSettings(settings))
+               *this, m_clock, m_random, m_log, deriveGossipSettings(settings))
+    , m_registrar({settings.name, settings.domain, settings.peerAddress}, m_store, m_state, m_clock,
+                  m_random, m_log)
+    , m_startedAt(m_clock.now())
+    , m_suspension(m_startedAt)
+    , m_packetLog(m_log, m_routes, m_state)
+    , m_packets({m_forwarder, m_state, m_suspension, m_metrics, m_packetLog},
+                settings.dataAddress.port, changeBound(settings),
+                [this](const endpoint &target, std::span<const std::byte> datagram) {
+                    m_data.send(target, datagram);
+                })
     , m_data(m_context, settings.dataAddress,
              [this](std::span<const std::byte> bytes, const endpoint & /*from*/) {
                  onDatagram(bytes);
@@ -104,9 +70,7 @@
                [this](std::string_view path) { return page(path); })
     , m_timer(m_context)
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
-    , m_stop(stopSettings(settings))
-    , m_startedAt(m_clock.now())
-    , m_suspension(m_startedAt)
+    , m_stop(deriveStopSettings(settings))
 {
     if (const auto failure = m_status.start())
         throw std::system_error(failure, "status address " + toString(settings.statusAddress));
@@ -154,35 +118,7 @@
 void entry_process::onDatagram(std::span<const std::byte> bytes)
 {
     noteActivity();
-    const auto now = m_suspension.activeAt();
-    m_packetAt = now;
-    const auto packet = platform::decodePacket(bytes);
-    if (!packet) {
-        ++m_metrics.packets[static_cast<std::size_t>(packet_reason::Malformed)];
-        m_log.write("packet_dropped",
-                    {{"reason", "malformed"},
-                     {"bytes", std::to_string(bytes.size())},
-                     {"error", packet.error().message()}});
-        return;
-    }
-    if (canDecide(packet.value()) || !m_arrivals.add(bytes, now))
-        forwardPacket(packet.value(), bytes);
-}
-
-void entry_process::removeSilentInstance()
-{
-    if (m_isWriting || !m_gossip.isReader() || !m_follower.isStoreReachable())
-        return;
-    const auto silent = m_gossip.silentInstances();
-    if (silent.empty())
-        return;
-    m_isWriting = true;
-    const std::string &name = silent.front();
-    m_store.removeInstance(name, [this, name](std::error_code code) {
-        m_isWriting = false;
-        m_log.write("instance_removed",
-                    {{"removed", name}, {"outcome", code ? code.message() : "done"}});
-    });
+    m_packets.receive(bytes);
 }
 
 void entry_process::sendToPeer(const endpoint &peer, std::span<const std::byte> datagram)
@@ -201,149 +137,25 @@
 {
     m_gossip.announceChanges();
     m_peers.flush();
-    if (!m_state.isSynchronised() || m_arrivals.isEmpty())
+    if (!m_state.isSynchronised() || !m_packets.hasHeldPackets())
         return;
-    const auto waiting = m_arrivals.take(m_clock.now());
+    const auto released = m_packets.releaseHeldPackets();
     m_log.write("synchronised",
                 {{"version", std::to_string(m_routes.version())},
                  {"revision", std::to_string(m_state.revision())},
-                 {"held_packets", std::to_string(waiting.size())}});
-    forwardAll(waiting);
+                 {"held_packets", std::to_string(released)}});
+    m_data.flush();
 }
 
 void entry_process::onUpstreamsKnown()
 {
-    const auto waiting = m_arrivals.takeIf(m_clock.now(), [this](std::span<const std::byte> bytes) {
-        const auto packet = platform::decodePacket(bytes);
-        return packet && canDecide(packet.value());
-    });
+    const auto released = m_packets.releaseHeldPackets();
     m_log.write("upstreams_known",
                 {{"upstreams", std::to_string(m_directory.size())},
-                 {"held_packets", std::to_string(waiting.size())}});
-    forwardAll(waiting);
-}
-
-void entry_process::forwardAll(const std::vector<std::vector<std::byte>> &packets)
-{
-    for (const auto &bytes : packets) {
-        if (const auto packet = platform::decodePacket(bytes))
-            forwardPacket(packet.value(), bytes);
-    }
+                 {"held_packets", std::to_string(released)}});
     m_data.flush();
 }
 
-bool entry_process::canDecide(const caller_packet &packet) const
-{
-    return m_state.isSynchronised() || m_forwarder.isSteerable(packet);
-}
-
-void entry_process::forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes)
-{
-    const auto now = m_suspension.activeAt();
-    packet_decision decision;
-    if (!canDecide(packet))
-        decision.reason = packet_reason::NotSynchronised;
-    else if (packet.isOpening && m_suspension.isDistrusted(now))
-        decision.reason = packet_reason::StaleOpening;
-    else
-        decision = m_forwarder.decide(packet, isStateFresh(now), now);
-    ++m_metrics.packets[static_cast<std::size_t>(decision.reason)];
-    if (decision.latency.count() > 0)
-        m_metrics.answer.record(decision.latency);
-    carryOut(packet, bytes, decision);
-    logDecision(packet, bytes, decision);
-    logTrust(packet, decision);
-}
-
-void entry_process::carryOut(const caller_packet &packet, std::span<const std::byte> bytes,
-                             const packet_decision &decision)
-{
-    switch (decision.action) {
-    case packet_action::Forward: {
-        std::array<std::byte, platform::prefixBytes + platform::headBytes + platform::maxDataBytes>
-            buffer;
-        const auto &announced = decision.upstream->announced;
-        const std::size_t size =
-            platform::encodeForUpstream(bytes, announced.wireId, decision.tag, buffer);
-        m_data.send(announced.address, std::span(buffer).first(size));
-        break;
-    }
-    case packet_action::Reset:
-        sendReset(packet);
-        break;
-    case packet_action::Drop:
-        break;
-    }
-}
-
-void entry_process::sendReset(const caller_packet &packet)
-{
-    const auto reset = platform::encodeReset(packet);
-    m_data.send({packet.flow.caller.address, m_settings.dataAddress.port}, reset);
-    ++m_metrics.resetsSent;
-}
-
-void entry_process::logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
-                                const packet_decision &decision)
-{
-    const auto age = [this] {
-        return formatMilliseconds(m_suspension.activeAt() - m_state.confirmedAt());
-    };
-    if (decision.reason == packet_reason::Steered) {
-        logRequest(packet, bytes, decision);
-        return;
-    }
-    const bool isForwarded = decision.action == packet_action::Forward;
-    const std::string_view event = isForwarded    ? "flow_placed"
-        : decision.action == packet_action::Reset ? "flow_refused"
-                                                  : "packet_dropped";
-    if (!m_log.isEnabled(event))
-        return;
-    m_log.write(event,
-                {{"flow", toString(packet.flow)},
-                 {"reason", std::string(toString(decision.reason))},
-                 {"upstream", isForwarded ? decision.upstream->announced.name : "none"},
-                 {"unanswered_by",
-                  decision.unanswered != nullptr ? decision.unanswered->announced.name : "none"},
-                 {"copy", packet.isOpening ? std::to_string(packet.acknowledged) : "none"},
-                 {"version", std::to_string(m_routes.version())},
-                 {"state_age_ms", age()}});
-}
-
-void entry_process::logTrust(const caller_packet &packet, const packet_decision &decision)
-{
-    if (decision.isSuspectedNow && decision.unanswered != nullptr)
-        m_log.write("upstream_suspected",
-                    {{"upstream", decision.unanswered->announced.name},
-                     {"flow", toString(packet.flow)},
-                     {"copy", std::to_string(packet.acknowledged)},
-                     {"standing", std::string(toString(decision.unanswered->standing))}});
-    if (decision.isTrustedAgain)
-        m_log.write(
-            "upstream_trusted",
-            {{"upstream", decision.upstream->announced.name}, {"flow", toString(packet.flow)}});
-}
-
-void entry_process::logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
-                               const packet_decision &decision)
-{
-    const bool isRepeated = decision.unansweredFor.count() > 0;
-    if (!isRepeated && !decision.isFirstRequestPacket)
-        return;
-    const std::string_view event = isRepeated ? "request_repeated" : "request_forwarded";
-    if (!m_log.isEnabled(event))
-        return;
-    const upstream_record &upstream = *decision.upstream;
-    m_log.write(
-        event,
-        {{"request", std::string(platform::requestIdOf(bytes))},
-         {"flow", toString(packet.flow)},
-         {"upstream", upstream.announced.name},
-         {"standing", std::string(toString(upstream.standing))},
-         {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
-         {"state_age_ms", formatMilliseconds(m_suspension.activeAt() - m_state.confirmedAt())}});
-}
-
 void entry_process::scheduleTick()
 {
     m_timer.expires_after(tickTime);
@@ -367,7 +179,7 @@
     if (m_suspension.activeAt() >= m_nextSecond)
         tickSecond();
     m_log.flush();
-    if (m_stop.mayEnd(m_packetAt, m_suspension.activeAt()))
+    if (m_stop.mayEnd(m_packets.lastPacketAt(), m_suspension.activeAt()))
         m_context.stop();
 }
 
@@ -376,26 +188,14 @@
     m_nextSecond = m_suspension.activeAt() + std::chrono::seconds(1);
     m_forwarder.expire(m_suspension.activeAt());
     m_state.expire(m_suspension.activeAt());
-    registerSelf();
-    removeSilentInstance();
+    if (!m_stop.isStopping())
+        m_registrar.registerSelf();
+    if (m_gossip.isReader() && m_follower.isStoreReachable())
+        m_registrar.removeOneOf(m_gossip.silentInstances());
     // The file may change without a signal.
     reloadSettings();
 }
 
-void entry_process::registerSelf()
-{
-    const instance_registration own {m_settings.name, m_settings.domain, m_settings.peerAddress};
-    const auto known = m_state.instances().find(own.name);
-    const bool isKnown = known != m_state.instances().end() && known->second == own;
-    if (!m_state.isSynchronised() || isKnown || m_isWriting || m_stop.isStopping())
-        return;
-    m_isWriting = true;
-    m_store.registerInstance(own, [this](std::error_code code) {
-        m_isWriting = false;
-        m_log.write("instance_registered", {{"outcome", code ? code.message() : "done"}});
-    });
-}
-
 void entry_process::awaitSignal()
 {
     m_signals.async_wait([this](std::error_code code, int signal) {
@@ -435,10 +235,11 @@
     m_settings.stopGrace = changed.stopGrace;
     m_settings.flowLifetime = changed.flowLifetime;
     m_store.setServer(m_settings.storeAddress);
-    m_follower.setSettings(followerSettings(m_settings));
-    m_gossip.setSettings(gossipSettings(m_settings));
-    m_directory.setSettings(directorySettings(m_settings));
-    m_stop.setSettings(stopSettings(m_settings));
+    m_follower.setSettings(deriveFollowerSettings(m_settings));
+    m_gossip.setSettings(deriveGossipSettings(m_settings));
+    m_directory.setSettings(deriveDirectorySettings(m_settings));
+    m_stop.setSettings(deriveStopSettings(m_settings));
+    m_packets.setFreshness(changeBound(m_settings));
     m_log.write("settings_reloaded",
                 {{"store", toString(m_settings.storeAddress)},
                  {"needs_restart", needsRestart ? "1" : "0"}});
@@ -449,11 +250,6 @@
     return m_state.isSynchronised() && !m_stop.isStopping();
 }
 
-bool entry_process::isStateFresh(monotonic_time now) const
-{
-    return now - m_state.confirmedAt() < changeBound(m_settings);
-}
-
 status_page entry_process::page(std::string_view path)
 {
     if (path == platform::names::readyPath)
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -8,15 +8,16 @@
 #include "core/core_base.h"
 #include "directory/directory_base.h"
 #include "entry_metrics_base.h"
-#include "entry_settings_type.h"
 #include "eventlog/event_log_base.h"
-#include "forward/arrival_queue_base.h"
 #include "forward/forwarder_base.h"
 #include "gossip/gossip_base.h"
+#include "instance_registrar_base.h"
+#include "packet_log_base.h"
+#include "packet_path_base.h"
 #include "placement/placement_base.h"
-#include "platform/packet_codec.h"
 #include "platform/platform_store.h"
 #include "routing/routing_base.h"
+#include "settings/entry_settings_type.h"
 #include "status_documents.h"
 #include "status_server.h"
 #include "stop_sequence_base.h"
@@ -64,22 +65,9 @@
 private:
     void sendToPeer(const endpoint &peer, std::span<const std::byte> datagram) override;
     void onPeerDatagram(std::span<const std::byte> bytes, const endpoint &from);
-    void registerSelf();
-    void removeSilentInstance();
     void onDatagram(std::span<const std::byte> bytes);
     void onUpdate();
     void onUpstreamsKnown();
-    void forwardAll(const std::vector<std::vector<std::byte>> &packets);
-    bool canDecide(const caller_packet &packet) const;
-    void forwardPacket(const caller_packet &packet, std::span<const std::byte> bytes);
-    void carryOut(const caller_packet &packet, std::span<const std::byte> bytes,
-                  const packet_decision &decision);
-    void logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
-                     const packet_decision &decision);
-    void logTrust(const caller_packet &packet, const packet_decision &decision);
-    void logRequest(const caller_packet &packet, std::span<const std::byte> bytes,
-                    const packet_decision &decision);
-    void sendReset(const caller_packet &packet);
     void noteActivity();
 
     void scheduleTick();
@@ -90,7 +78,6 @@
     void reloadSettings();
 
     bool isReady() const;
-    bool isStateFresh(monotonic_time now) const;
     status_page page(std::string_view path);
     entry_gauges gauges() const;
     std::vector<upstream_view> upstreamViews() const;
@@ -105,24 +92,24 @@
     upstream_directory m_directory;
     domain_first_placement m_placement;
     forwarder m_forwarder;
-    arrival_queue m_arrivals;
     fleet_state m_state;
     platform::platform_store m_store;
     store_follower m_follower;
     gossip m_gossip;
+    instance_registrar m_registrar;
+    entry_metrics m_metrics;
+    monotonic_time m_startedAt;
+    suspension_watch m_suspension;
+    packet_log m_packetLog;
+    packet_path m_packets;
     udp_socket m_data;
     udp_socket m_peers;
     status_server m_status;
     std::unique_ptr<status_server> m_metricsServer; ///< null when there is no metrics port
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
-    entry_metrics m_metrics;
     stop_sequence m_stop;
-    monotonic_time m_startedAt;
-    suspension_watch m_suspension;
     monotonic_time m_nextSecond {0};
-    bool m_isWriting = false;      ///< a write to the store is under way
-    monotonic_time m_packetAt {0}; ///< when the last packet of a caller came
 };
 
 } // namespace chicoryhead
--- /dev/null
+++ b/src/entry/instance_registrar.cpp
@@ -0,0 +1,75 @@
+/**
+ * @file instance_registrar.cpp
+ * Writes of registrations, with retries.
+ */
+
+#include "instance_registrar_base.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicoryhead {
+
+instance_registrar::instance_registrar(instance_registration own, fleet_store &store,
+                                       const fleet_state &state, const clock_source &clock,
+                                       random_source &random, event_log &log,
+                                       registrar_settings settings)
+    : m_own(std::move(own))
+    , m_store(store)
+    , m_state(state)
+    , m_clock(clock)
+    , m_random(random)
+    , m_log(log)
+    , m_settings(settings)
+{
+}
+
+void instance_registrar::registerSelf()
+{
+    const auto known = m_state.instances().find(m_own.name);
+    const bool isKnown = known != m_state.instances().end() && known->second == m_own;
+    if (isKnown || !m_state.isSynchronised() || !mayWrite())
+        return;
+    m_isWriting = true;
+    m_store.registerInstance(m_own, [this](std::error_code code) {
+        finish(code);
+        m_log.write("instance_registered", {{"outcome", code ? code.message() : "done"}});
+    });
+}
+
+void instance_registrar::removeOneOf(const std::vector<std::string> &silent)
+{
+    if (silent.empty() || !mayWrite())
+        return;
+    m_isWriting = true;
+    const std::string &name = silent.front();
+    m_store.removeInstance(name, [this, name](std::error_code code) {
+        finish(code);
+        m_log.write("instance_removed",
+                    {{"removed", name}, {"outcome", code ? code.message() : "done"}});
+    });
+}
+
+bool instance_registrar::mayWrite() const
+{
+    return !m_isWriting && m_clock.now() >= m_nextWrite;
+}
+
+void instance_registrar::finish(std::error_code code)
+{
+    m_isWriting = false;
+    if (!code) {
+        m_failures = 0;
+        m_nextWrite = m_clock.now() + m_settings.confirmation;
+        return;
+    }
+    const unsigned doublings = std::min(m_failures, 8U);
+    const auto pause = std::min(m_settings.firstRetry * (1U << doublings), m_settings.maxRetry);
+    // Instances whose registrations were lost together must not all come back in one moment.
+    const auto jitter = monotonic_time {
+        static_cast<std::int64_t>(m_random.next() % static_cast<std::uint64_t>(pause.count()))};
+    m_nextWrite = m_clock.now() + pause / 2 + jitter;
+    ++m_failures;
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/packet_log.cpp
@@ -0,0 +1,106 @@
+/**
+ * @file packet_log.cpp
+ * Fields of the log lines about packets.
+ */
+
+#include "packet_log_base.h"
+
+#include "core/log_func.h"
+#include "platform/packet_codec.h"
+
+#include <string>
+#include <string_view>
+
+namespace chicoryhead {
+
+namespace {
+
+std::string_view eventOf(packet_action action)
+{
+    switch (action) {
+    case packet_action::Forward:
+        return "flow_placed";
+    case packet_action::Reset:
+        return "flow_refused";
+    case packet_action::Drop:
+        break;
+    }
+    return "packet_dropped";
+}
+
+} // namespace
+
+void packet_log::noteMalformed(std::size_t bytes, std::error_code code)
+{
+    m_log.write(
+        "packet_dropped",
+        {{"reason", "malformed"}, {"bytes", std::to_string(bytes)}, {"error", code.message()}});
+}
+
+void packet_log::noteDecision(const caller_packet &packet, std::span<const std::byte> bytes,
+                              const packet_decision &decision, monotonic_time now)
+{
+    if (decision.reason == packet_reason::Steered)
+        noteRequest(packet, bytes, decision, now);
+    else
+        noteFlow(packet, decision, now);
+    noteTrust(packet, decision);
+}
+
+void packet_log::noteFlow(const caller_packet &packet, const packet_decision &decision,
+                          monotonic_time now)
+{
+    const std::string_view event = eventOf(decision.action);
+    if (!m_log.isEnabled(event))
+        return;
+    m_log.write(
+        event,
+        {{"flow", toString(packet.flow)},
+         {"reason", std::string(toString(decision.reason))},
+         {"upstream", decision.upstream != nullptr ? decision.upstream->announced.name : "none"},
+         {"unanswered_by",
+          decision.unanswered != nullptr ? decision.unanswered->announced.name : "none"},
+         {"copy", packet.isOpening ? std::to_string(packet.acknowledged) : "none"},
+         {"version", std::to_string(m_routes.version())},
+         {"state_age_ms", stateAge(now)}});
+}
+
+void packet_log::noteTrust(const caller_packet &packet, const packet_decision &decision)
+{
+    if (decision.isSuspectedNow && decision.unanswered != nullptr)
+        m_log.write("upstream_suspected",
+                    {{"upstream", decision.unanswered->announced.name},
+                     {"flow", toString(packet.flow)},
+                     {"copy", std::to_string(packet.acknowledged)},
+                     {"standing", std::string(toString(decision.unanswered->standing))}});
+    if (decision.isTrustedAgain)
+        m_log.write(
+            "upstream_trusted",
+            {{"upstream", decision.upstream->announced.name}, {"flow", toString(packet.flow)}});
+}
+
+void packet_log::noteRequest(const caller_packet &packet, std::span<const std::byte> bytes,
+                             const packet_decision &decision, monotonic_time now)
+{
+    const bool isRepeated = decision.unansweredFor.count() > 0;
+    if (!isRepeated && !decision.isFirstRequestPacket)
+        return;
+    const std::string_view event = isRepeated ? "request_repeated" : "request_forwarded";
+    if (!m_log.isEnabled(event))
+        return;
+    const upstream_record &upstream = *decision.upstream;
+    m_log.write(event,
+                {{"request", std::string(platform::requestIdOf(bytes))},
+                 {"flow", toString(packet.flow)},
+                 {"upstream", upstream.announced.name},
+                 {"standing", std::string(toString(upstream.standing))},
+                 {"unanswered_ms", formatMilliseconds(decision.unansweredFor)},
+                 {"state_age_ms", stateAge(now)}});
+}
+
+std::string packet_log::stateAge(monotonic_time now) const
+{
+    return formatMilliseconds(now - m_state.confirmedAt());
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/packet_log_base.h
@@ -0,0 +1,47 @@
+/**
+ * @file packet_log_base.h
+ * Log lines about decisions on packets.
+ */
+
+#pragma once
+
+#include "core/caller_packet_type.h"
+#include "eventlog/event_log_base.h"
+#include "forward/forwarder_base.h"
+#include "routing/routing_base.h"
+#include "sync/fleet_state_base.h"
+
+#include <cstddef>
+#include <span>
+
+namespace chicoryhead {
+
+/** Writes what was decided about a packet and from which inputs. */
+class packet_log
+{
+public:
+    packet_log(event_log &log, const routing_table &routes, const fleet_state &state)
+        : m_log(log), m_routes(routes), m_state(state)
+    {
+    }
+
+    /** Logs what can't be decoded. */
+    void noteMalformed(std::size_t bytes, std::error_code code);
+
+    /** Logs a decision, unless it is about a packet within a request that goes on as before. */
+    void noteDecision(const caller_packet &packet, std::span<const std::byte> bytes,
+                      const packet_decision &decision, monotonic_time now);
+
+private:
+    void noteFlow(const caller_packet &packet, const packet_decision &decision, monotonic_time now);
+    void noteTrust(const caller_packet &packet, const packet_decision &decision);
+    void noteRequest(const caller_packet &packet, std::span<const std::byte> bytes,
+                     const packet_decision &decision, monotonic_time now);
+    std::string stateAge(monotonic_time now) const;
+
+    event_log &m_log;
+    const routing_table &m_routes;
+    const fleet_state &m_state;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/entry/packet_path_base.h
@@ -0,0 +1,85 @@
+/**
+ * @file packet_path_base.h
+ * From a received datagram to what is sent for it.
+ */
+
+#pragma once
+
+#include "core/caller_packet_type.h"
+#include "core/core_base.h"
+#include "entry_metrics_base.h"
+#include "forward/arrival_queue_base.h"
+#include "forward/forwarder_base.h"
+#include "packet_log_base.h"
+#include "suspension_watch_base.h"
+#include "sync/fleet_state_base.h"
+
+#include <cstddef>
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace chicoryhead {
+
+/**
+ * Decodes the packets of callers, holds those that can't be decided about yet, and carries out
+ * what the forwarder decides.
+ */
+class packet_path
+{
+public:
+    /** Sends a datagram to an address. */
+    using sender = std::function<void(const endpoint &target, std::span<const std::byte> datagram)>;
+
+    /** Parts of the process that packets pass through; all outlive the path. */
+    struct parts
+    {
+        forwarder &decisions;
+        const fleet_state &state;
+        const suspension_watch &suspension;
+        entry_metrics &metrics;
+        packet_log &log;
+    };
+
+    /**
+     * @param callerPort port at which callers receive packets.
+     * @param freshness age up to which the state may be told to callers; see setFreshness().
+     */
+    packet_path(const parts &parts, std::uint16_t callerPort, monotonic_time freshness, sender send)
+        : m_parts(parts), m_callerPort(callerPort), m_freshness(freshness), m_send(std::move(send))
+    {
+    }
+
+    /** Handles one datagram; the activity was noted at the suspension watch before. */
+    void receive(std::span<const std::byte> bytes);
+
+    /** Whether packets wait for the configuration. */
+    bool hasHeldPackets() const { return !m_arrivals.isEmpty(); }
+
+    /** Forwards the held packets that can be decided about now; returns how many those were. */
+    std::size_t releaseHeldPackets();
+
+    /** Age up to which a missing route or upstream is told to callers. */
+    void setFreshness(monotonic_time freshness) { m_freshness = freshness; }
+
+    /** When the last packet came; 0 for never. */
+    monotonic_time lastPacketAt() const { return m_packetAt; }
+
+private:
+    bool canDecide(const caller_packet &packet) const;
+    void forward(const caller_packet &packet, std::span<const std::byte> bytes);
+    packet_decision decide(const caller_packet &packet, monotonic_time now);
+    void carryOut(const caller_packet &packet, std::span<const std::byte> bytes,
+                  const packet_decision &decision);
+    void sendReset(const caller_packet &packet);
+    bool isStateFresh(monotonic_time now) const;
+
+    parts m_parts;
+    std::uint16_t m_callerPort;
+    monotonic_time m_freshness;
+    sender m_send;
+    arrival_queue m_arrivals;
+    monotonic_time m_packetAt {0};
+};
+
+} // namespace chicoryhead
--- a/src/entry/settings_file_base.h
+++ b/src/entry/settings_file_base.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "entry_process_base.h"
-#include "entry_settings_type.h"
+#include "settings/entry_settings_type.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/forward/flow_observer_base.h
+++ b/src/forward/flow_observer_base.h
@@ -8,7 +8,7 @@
 
 #pragma once
 
-#include "caller_packet_type.h"
+#include "core/caller_packet_type.h"
 #include "core/core_type.h"
 
 #include <array>
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -5,7 +5,7 @@
 
 #pragma once
 
-#include "caller_packet_type.h"
+#include "core/caller_packet_type.h"
 #include "core/core_type.h"
 #include "directory/directory_base.h"
 #include "flow_observer_base.h"
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -5,6 +5,8 @@
 
 #include "gossip_base.h"
 
+#include "sync/state_codec_func.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
--- a/src/gossip/gossip_codec_func.h
+++ b/src/gossip/gossip_codec_func.h
@@ -28,10 +28,4 @@
 /** Decodes a datagram; error::Malformed or error::Unsupported. */
 result<gossip_message> decodeGossip(std::span<const std::byte> datagram);
 
-/** Encodes the state of an instance; it is sent in parts. */
-std::vector<std::byte> encodeState(const gossip_state &state);
-
-/** Decodes the state of an instance; error::Malformed or error::Unsupported. */
-result<gossip_state> decodeState(std::span<const std::byte> bytes);
-
 } // namespace chicoryhead
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -48,20 +48,4 @@
     std::vector<std::uint8_t> bytes;
 };
 
-/** The state of an instance, or what changed in it since a revision. */
-struct gossip_state
-{
-    store_revision since = 0; ///< only what changed after it; 0 for everything
-    store_revision revision = 0;
-    store_revision contentRevision = 0;
-    std::uint32_t ageMs = 0; ///< since the revision was confirmed
-    bool mayLapse = false;   ///< missing announcements may come back
-    bool hasConfig = false;  ///< left out when the asker has it
-    routing_config config;
-    std::vector<upstream_announcement> upstreams;
-    std::vector<instance_registration> instances;
-    std::vector<std::string> lostUpstreams; ///< not announced any more; empty if since is 0
-    std::vector<std::string> lostInstances; ///< not registered any more; empty if since is 0
-};
-
 } // namespace chicoryhead
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -92,7 +92,7 @@
     m_confirmedAt = std::max(m_confirmedAt, at);
 }
 
-bool fleet_state::adopt(const gossip_state &other, monotonic_time confirmedAt, monotonic_time now)
+bool fleet_state::adopt(const state_image &other, monotonic_time confirmedAt, monotonic_time now)
 {
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, other.mayLapse, now);
@@ -120,10 +120,10 @@
     return true;
 }
 
-gossip_state fleet_state::snapshot(config_version knownVersion, store_revision knownRevision,
-                                   monotonic_time now) const
+state_image fleet_state::snapshot(config_version knownVersion, store_revision knownRevision,
+                                  monotonic_time now) const
 {
-    gossip_state made;
+    state_image made;
     made.revision = m_revision;
     made.contentRevision = m_contentRevision;
     made.mayLapse = now < m_lapsesUntil;
@@ -139,7 +139,7 @@
     return made;
 }
 
-void fleet_state::addEverything(gossip_state &made, monotonic_time now) const
+void fleet_state::addEverything(state_image &made, monotonic_time now) const
 {
     for (const std::string &name : m_directory.announcedNames())
         addUpstream(made, name, now);
@@ -147,7 +147,7 @@
         made.instances.push_back(registration);
 }
 
-void fleet_state::addDifference(gossip_state &made, monotonic_time now) const
+void fleet_state::addDifference(state_image &made, monotonic_time now) const
 {
     std::set<std::pair<bool, std::string>> changed;
     for (auto past = m_history.rbegin(); past != m_history.rend(); ++past) {
@@ -166,7 +166,7 @@
     }
 }
 
-bool fleet_state::addUpstream(gossip_state &made, const std::string &name, monotonic_time now) const
+bool fleet_state::addUpstream(state_image &made, const std::string &name, monotonic_time now) const
 {
     const auto *record = m_directory.find(name);
     const bool isAnnounced = record != nullptr
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -11,9 +11,9 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "fleet_store_base.h"
-#include "gossip/gossip_type.h"
 #include "placement/placement_base.h"
 #include "routing/routing_base.h"
+#include "state_image_type.h"
 
 #include <deque>
 #include <map>
@@ -49,7 +49,7 @@
      * @param confirmedAt when that was confirmed.
      * @return whether anything was newer.
      */
-    bool adopt(const gossip_state &other, monotonic_time confirmedAt, monotonic_time now);
+    bool adopt(const state_image &other, monotonic_time confirmedAt, monotonic_time now);
 
     /**
      * What another instance can adopt. Lapsed announcements are left out.
@@ -57,8 +57,8 @@
      * @param knownRevision that the other one's state includes. Only what changed after it is
      * included, if that is known; else everything.
      */
-    gossip_state snapshot(config_version knownVersion, store_revision knownRevision,
-                          monotonic_time now) const;
+    state_image snapshot(config_version knownVersion, store_revision knownRevision,
+                         monotonic_time now) const;
 
     /** Lets time pass for announcements that lapsed. */
     void expire(monotonic_time now);
@@ -88,9 +88,9 @@
     void withdraw(const std::string &name, std::string_view cause, bool mayLapse,
                   monotonic_time now);
     void remember(const fleet_changes &changes);
-    void addEverything(gossip_state &made, monotonic_time now) const;
-    void addDifference(gossip_state &made, monotonic_time now) const;
-    bool addUpstream(gossip_state &made, const std::string &name, monotonic_time now) const;
+    void addEverything(state_image &made, monotonic_time now) const;
+    void addDifference(state_image &made, monotonic_time now) const;
+    bool addUpstream(state_image &made, const std::string &name, monotonic_time now) const;
 
     /// Changes that are remembered; a release of 59,000 upstreams in an hour makes 16 a second.
     static constexpr std::size_t maxHistory = 4096;
--- /dev/null
+++ b/src/sync/state_codec.cpp
@@ -0,0 +1,201 @@
+/**
+ * @file state_codec.cpp
+ * Serialization functions of the state. Counts are bounded before anything is allocated.
+ */
+
+#include "state_codec_func.h"
+
+#include "core/codec_func.h"
+#include "registration_codec_func.h"
+
+#include <cstdint>
+#include <stdexcept>
+
+namespace chicoryhead {
+
+namespace {
+
+/// Raised when the encoding changes; instances of other formats then read the store themselves.
+constexpr std::uint8_t stateFormat = 2;
+
+constexpr std::size_t maxTargets = 256;
+constexpr std::size_t maxListed = 65535; ///< routes, upstreams and instances: the count has 16 bits
+using detail::maxNameBytes;
+
+void saveNames(cereal::PortableBinaryOutputArchive &archive, const std::vector<std::string> &names)
+{
+    archive(static_cast<std::uint16_t>(names.size()));
+    for (const std::string &name : names)
+        saveBytes(archive, name);
+}
+
+void loadNames(cereal::PortableBinaryInputArchive &archive, std::vector<std::string> &names)
+{
+    std::uint16_t count = 0;
+    archive(count);
+    for (std::uint16_t i = 0; i < count; ++i)
+        loadBytes(archive, names.emplace_back(), maxNameBytes);
+}
+
+template<typename Archive>
+void saveFlag(Archive &archive, bool flag)
+{
+    archive(static_cast<std::uint8_t>(flag ? 1 : 0));
+}
+
+/// A byte other than 0 and 1 in a bool is undefined behaviour, and damaged messages have them.
+template<typename Archive>
+void loadFlag(Archive &archive, bool &flag)
+{
+    std::uint8_t byte = 0;
+    archive(byte);
+    if (byte > 1)
+        throw std::out_of_range("flag is neither 0 nor 1");
+    flag = byte == 1;
+}
+
+template<typename Archive>
+void saveTime(Archive &archive, monotonic_time time)
+{
+    archive(static_cast<std::int64_t>(time.count()));
+}
+
+template<typename Archive>
+void loadTime(Archive &archive, monotonic_time &time)
+{
+    std::int64_t count = 0;
+    archive(count);
+    time = monotonic_time(count);
+}
+
+} // namespace
+
+template<typename Archive>
+void save(Archive &archive, const route_target &value)
+{
+    saveBytes(archive, value.service);
+    archive(static_cast<std::uint32_t>(value.weight));
+}
+
+template<typename Archive>
+void load(Archive &archive, route_target &value)
+{
+    loadBytes(archive, value.service, maxNameBytes);
+    std::uint32_t weight = 0;
+    archive(weight);
+    value.weight = weight;
+}
+
+template<typename Archive>
+void save(Archive &archive, const route &value)
+{
+    saveBytes(archive, value.name);
+    archive(value.address);
+    saveBounded(archive, value.targets);
+    saveTime(archive, value.targetLatency);
+    saveTime(archive, value.timeout);
+    archive(static_cast<std::uint32_t>(value.priority));
+    saveFlag(archive, value.isIdempotent);
+}
+
+template<typename Archive>
+void load(Archive &archive, route &value)
+{
+    loadBytes(archive, value.name, maxNameBytes);
+    archive(value.address);
+    loadBounded(archive, value.targets, maxTargets);
+    if (value.targets.empty())
+        throw std::length_error("route without target");
+    loadTime(archive, value.targetLatency);
+    loadTime(archive, value.timeout);
+    std::uint32_t priority = 0;
+    archive(priority);
+    loadFlag(archive, value.isIdempotent);
+    value.priority = priority;
+}
+
+template<typename Archive>
+void save(Archive &archive, const routing_config &value)
+{
+    archive(value.version);
+    saveBounded(archive, value.routes);
+    saveTime(archive, value.idleTimeout);
+}
+
+template<typename Archive>
+void load(Archive &archive, routing_config &value)
+{
+    archive(value.version);
+    loadBounded(archive, value.routes, maxListed);
+    loadTime(archive, value.idleTimeout);
+}
+
+template<typename Archive>
+void save(Archive &archive, const upstream_announcement &value)
+{
+    saveBytes(archive, value.name);
+    archive(value.wireId);
+    saveBytes(archive, value.service);
+    archive(value.address);
+    saveBytes(archive, value.domain);
+    archive(static_cast<std::uint32_t>(value.slots));
+    saveFlag(archive, value.isDraining);
+    saveTime(archive, value.warmupLeft);
+    archive(value.startedAtMs, value.announcements);
+}
+
+template<typename Archive>
+void load(Archive &archive, upstream_announcement &value)
+{
+    loadBytes(archive, value.name, maxNameBytes);
+    archive(value.wireId);
+    loadBytes(archive, value.service, maxNameBytes);
+    archive(value.address);
+    loadBytes(archive, value.domain, maxNameBytes);
+    std::uint32_t slots = 0;
+    archive(slots);
+    loadFlag(archive, value.isDraining);
+    value.slots = slots;
+    loadTime(archive, value.warmupLeft);
+    archive(value.startedAtMs, value.announcements);
+}
+
+template<typename Archive>
+void save(Archive &archive, const state_image &value)
+{
+    archive(value.since, value.revision, value.contentRevision, value.ageMs);
+    saveFlag(archive, value.mayLapse);
+    saveFlag(archive, value.hasConfig);
+    if (value.hasConfig)
+        archive(value.config);
+    saveBounded(archive, value.upstreams);
+    saveBounded(archive, value.instances);
+    saveNames(archive, value.lostUpstreams);
+    saveNames(archive, value.lostInstances);
+}
+
+template<typename Archive>
+void load(Archive &archive, state_image &value)
+{
+    archive(value.since, value.revision, value.contentRevision, value.ageMs);
+    loadFlag(archive, value.mayLapse);
+    loadFlag(archive, value.hasConfig);
+    if (value.hasConfig)
+        archive(value.config);
+    loadBounded(archive, value.upstreams, maxListed);
+    loadBounded(archive, value.instances, maxListed);
+    loadNames(archive, value.lostUpstreams);
+    loadNames(archive, value.lostInstances);
+}
+
+std::vector<std::byte> encodeState(const state_image &state)
+{
+    return encodeBinary(stateFormat, state);
+}
+
+result<state_image> decodeState(std::span<const std::byte> bytes)
+{
+    return decodeBinary<state_image>(stateFormat, bytes);
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/sync/state_image_type.h
@@ -0,0 +1,33 @@
+/**
+ * @file state_image_type.h
+ * What an instance knows, in the form in which it is handed to another one.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "fleet_store_base.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chicoryhead {
+
+/** The state of an instance, or what changed in it since a revision. */
+struct state_image
+{
+    store_revision since = 0; ///< only what changed after it; 0 for everything
+    store_revision revision = 0;
+    store_revision contentRevision = 0;
+    std::uint32_t ageMs = 0; ///< since the revision was confirmed
+    bool mayLapse = false;   ///< missing announcements may come back
+    bool hasConfig = false;  ///< left out when the asker has it
+    routing_config config;
+    std::vector<upstream_announcement> upstreams;
+    std::vector<instance_registration> instances;
+    std::vector<std::string> lostUpstreams; ///< not announced any more; empty if since is 0
+    std::vector<std::string> lostInstances; ///< not registered any more; empty if since is 0
+};
+
+} // namespace chicoryhead
--- a/standin/entry_program.h
+++ b/standin/entry_program.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/core_type.h"
-#include "entry/entry_settings_type.h"
+#include "settings/entry_settings_type.h"
 
 #include <sys/types.h>
 
--- a/tests/entry_support.h
+++ b/tests/entry_support.h
@@ -5,9 +5,9 @@
 
 #pragma once
 
+#include "core/caller_packet_type.h"
 #include "core/core_base.h"
 #include "directory/directory_base.h"
-#include "forward/caller_packet_type.h"
 #include "routing/routing_base.h"
 #include "sync/fleet_store_base.h"
 #include "virtual_time.h"
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -5,6 +5,7 @@
 
 #include "entry_support.h"
 #include "gossip/gossip_base.h"
+#include "sync/state_codec_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -158,7 +159,7 @@
 
 TEST_CASE("The state survives its encoding", "[gossip]")
 {
-    gossip_state state;
+    state_image state;
     state.revision = 17;
     state.contentRevision = 15;
     state.ageMs = 250;
@@ -183,7 +184,7 @@
 TEST_CASE("Random and damaged messages between instances are refused", "[gossip][random]")
 {
     std::mt19937 random(7);
-    gossip_state state;
+    state_image state;
     state.hasConfig = true;
     state.config = makeConfig(3);
     state.upstreams = {makeUpstream("i-1", "desk", "a")};
--- /dev/null
+++ b/tests/test_instance_registrar.cpp
@@ -0,0 +1,118 @@
+/**
+ * @file test_instance_registrar.cpp
+ * Registrations of instances: retries and what is not written.
+ */
+
+#include "entry/instance_registrar_base.h"
+#include "entry_support.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+
+namespace {
+
+/** One instance that knows a configuration. */
+struct registrar_fixture
+{
+    registrar_fixture() { know({}); }
+
+    /// Replaces what the instance knows of registrations.
+    void know(const std::vector<instance_registration> &registrations)
+    {
+        fleet_changes changes;
+        changes.revision = ++revision;
+        changes.changes.emplace_back(makeConfig(1));
+        for (const auto &registration : registrations)
+            changes.changes.emplace_back(registration);
+        state.replace(changes, false, clock.now());
+    }
+
+    /// Lets time pass and answers each write with an outcome; returns how many there were.
+    std::size_t writesWithin(monotonic_time duration, std::error_code outcome)
+    {
+        std::size_t count = 0;
+        for (monotonic_time passed {0}; passed < duration; passed += 100ms) {
+            clock.advance(100ms);
+            registrar.registerSelf();
+            while (!store.writes.empty()) {
+                const auto done = std::move(store.writes.back());
+                store.writes.pop_back();
+                done(outcome);
+                ++count;
+            }
+        }
+        return count;
+    }
+
+    stepped_clock clock;
+    seeded_random random {3};
+    event_log log {::open("/dev/null", O_WRONLY), clock};
+    routing_table routes;
+    upstream_directory directory;
+    domain_first_placement placement {directory, {"a", 3, 7}};
+    fleet_state state {routes, directory, placement, log};
+    scripted_store store;
+    store_revision revision = 0;
+    const instance_registration own {"f-1", "a", {0x0a000001, 7720}};
+    instance_registrar registrar {own, store, state, clock, random, log};
+};
+
+} // namespace
+
+TEST_CASE("A store that refuses registrations is asked ever less often", "[registrar]")
+{
+    // Guards against a write each second from every instance whose registration was revoked.
+    registrar_fixture fixture;
+    CHECK(fixture.writesWithin(20s, error::StoreUnavailable) <= 8);
+    CHECK(fixture.writesWithin(13s, error::StoreUnavailable) >= 1);
+}
+
+TEST_CASE("A registration that was written is not written again before it can be known",
+          "[registrar]")
+{
+    registrar_fixture fixture;
+    CHECK(fixture.writesWithin(1900ms, {}) == 1);
+    fixture.know({fixture.own});
+    CHECK(fixture.writesWithin(30s, {}) == 0);
+}
+
+TEST_CASE("A registration that is lost or names another address is written again", "[registrar]")
+{
+    registrar_fixture fixture;
+    fixture.know({fixture.own});
+    REQUIRE(fixture.writesWithin(3s, {}) == 0);
+    SECTION("it was removed")
+    {
+        fixture.know({});
+    }
+    SECTION("an earlier process of this name had another address")
+    {
+        fixture.know({{"f-1", "a", {0x0a000009, 7720}}});
+    }
+    CHECK(fixture.writesWithin(1s, {}) == 1);
+}
+
+TEST_CASE("An instance without configuration does not register", "[registrar]")
+{
+    registrar_fixture fixture;
+    routing_table routes;
+    fleet_state state(routes, fixture.directory, fixture.placement, fixture.log);
+    instance_registrar registrar(fixture.own, fixture.store, state, fixture.clock, fixture.random,
+                                 fixture.log);
+    registrar.registerSelf();
+    CHECK(fixture.store.registered.empty());
+}
+
+TEST_CASE("One write is under way at most", "[registrar]")
+{
+    registrar_fixture fixture;
+    fixture.registrar.registerSelf();
+    fixture.registrar.removeOneOf({"f-2"});
+    fixture.registrar.registerSelf();
+    CHECK(fixture.store.registered.size() == 1);
+    CHECK(fixture.store.removed.empty());
+}
--- a/tests/test_state_changes.cpp
+++ b/tests/test_state_changes.cpp
@@ -4,7 +4,7 @@
  */
 
 #include "entry_support.h"
-#include "gossip/gossip_codec_func.h"
+#include "sync/state_codec_func.h"
 #include "sync/fleet_state_base.h"
 
 #include <catch2/catch.hpp>
@@ -161,7 +161,7 @@
 }
 
 /// An answer to a fetch that has not arrived yet.
-using late_answer = std::pair<replica *, gossip_state>;
+using late_answer = std::pair<replica *, state_image>;
 
 /// Delivers some answer, perhaps once more later.
 void deliver(std::vector<late_answer> &underWay, std::mt19937 &random)
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -241,7 +241,7 @@
     REQUIRE(fixture.store.call().after == 100);
     auto leaving = makeUpstream("i-1", "desk", "a");
     leaving.isDraining = true;
-    gossip_state newer;
+    state_image newer;
     newer.revision = 120;
     newer.contentRevision = 120;
     newer.upstreams = {leaving, makeUpstream("i-2", "desk", "a")};
