--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -6,12 +6,12 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "forward/forwarder_base.h"
-#include "sync/state_codec_func.h"
 #include "placement/placement_base.h"
 #include "platform/record_codec.h"
 #include "platform/standin_codec.h"
 #include "routing/routing_base.h"
 #include "sync/fleet_state_base.h"
+#include "sync/state_codec_func.h"
 #include "system/system_base.h"
 
 #include <benchmark/benchmark.h>
@@ -81,7 +81,8 @@
     routing_table routes;
     upstream_directory directory;
     domain_first_placement placement {directory, {"domain-0", 3, 1}};
-    forwarder path {routes, directory, placement};
+    upstream_health health {directory, "f-1", "a"};
+    forwarder path {routes, directory, placement, health};
     fleet_state state {routes, directory, placement, log};
 };
 
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace chicoryhead {
@@ -159,6 +160,30 @@
     return names;
 }
 
+std::vector<upstream_id> upstream_directory::replacedUpstreams() const
+{
+    std::set<endpoint> announced;
+    std::vector<const upstream_record *> gone;
+    for (const auto &[id, record] : m_records) {
+        if (record.standing == upstream_standing::Gone)
+            gone.push_back(&record);
+    }
+    if (gone.empty())
+        return {};
+    for (const auto &[id, record] : m_records) {
+        const bool isAnnounced = record.standing == upstream_standing::Ready
+            || record.standing == upstream_standing::Draining;
+        if (isAnnounced)
+            announced.insert(record.announced.address);
+    }
+    std::vector<upstream_id> replaced;
+    for (const upstream_record *record : gone) {
+        if (announced.contains(record->announced.address))
+            replaced.push_back(record->id);
+    }
+    return replaced;
+}
+
 upstream_record &upstream_directory::addRecord(const upstream_announcement &announced)
 {
     const upstream_id id {++m_lastId};
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -72,6 +72,16 @@
     bool isRestart = false; ///< holds nothing of before
 };
 
+/** Keeps something about upstreams that ends with them. */
+class upstream_listener
+{
+public:
+    virtual ~upstream_listener() = default;
+
+    /** An upstream is gone for good or was restarted; what was learnt of it holds no more. */
+    virtual void forget(upstream_id upstream) = 0;
+};
+
 /** Times that decide how long records are kept. */
 struct directory_settings
 {
@@ -120,6 +130,12 @@
     /** All records in no order; the pointers hold until the next change. */
     std::vector<const upstream_record *> records() const;
 
+    /**
+     * Gone upstreams whose address another one announced since. An address has one owner, so
+     * nothing of them is left.
+     */
+    std::vector<upstream_id> replacedUpstreams() const;
+
     std::size_t size() const { return m_records.size(); }
 
 private:
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -35,6 +35,9 @@
             << "\"} " << metrics.packets[i] << '\n';
     writeHead(out, "resets_sent_total", "counter", "Attempts to open a flow that were refused.");
     out << prefix << "resets_sent_total " << metrics.resetsSent << '\n';
+    writeHead(out, "flows_ended_total", "counter",
+              "Open flows that were reset because their upstream answers nobody.");
+    out << prefix << "flows_ended_total " << metrics.flowsEnded << '\n';
 }
 
 void writeHistogram(std::ostream &out, const latency_histogram &histogram)
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -22,8 +22,9 @@
     entry_metrics();
 
     std::array<std::uint64_t, packetReasonCount> packets {}; ///< by packet_reason
-    std::uint64_t resetsSent = 0;
-    latency_histogram answer; ///< from a request to the acknowledgement of its answer
+    std::uint64_t resetsSent = 0; ///< attempts to open a flow that were refused
+    std::uint64_t flowsEnded = 0; ///< open flows whose upstream answers nobody
+    latency_histogram answer;     ///< from a request to the acknowledgement of its answer
 };
 
 /** Calls of the store of one kind with one outcome. */
@@ -41,6 +42,7 @@
     std::uint64_t routes = 0;
     std::uint64_t upstreams = 0;
     std::uint64_t upstreamsSuspected = 0;
+    std::uint64_t upstreamsDead = 0;
     std::uint64_t flowsObserved = 0;
     std::uint64_t instances = 0;
     std::uint64_t storeItemsMalformed = 0;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -40,12 +40,13 @@
     , m_log(STDOUT_FILENO, m_clock)
     , m_directory(deriveDirectorySettings(settings))
     , m_placement(m_directory, {settings.domain, settings.domainCount, seedOf(settings.name)})
-    , m_forwarder(m_routes, m_directory, m_placement)
+    , m_health(m_directory, settings.name, settings.domain)
+    , m_forwarder(m_routes, m_directory, m_placement, m_health)
     , m_state(m_routes, m_directory, m_placement, m_log)
     , m_store(m_context, settings.storeAddress)
     , m_follower(m_store, m_state, m_clock, m_random, m_log, deriveFollowerSettings(settings))
     , m_gossip({settings.name, settings.domain, settings.peerAddress}, settings.seeds, m_state,
-               *this, m_clock, m_random, m_log, deriveGossipSettings(settings))
+               m_health, *this, m_clock, m_random, m_log, deriveGossipSettings(settings))
     , m_registrar({settings.name, settings.domain, settings.peerAddress}, m_store, m_state, m_clock,
                   m_random, m_log)
     , m_startedAt(m_clock.now())
@@ -93,6 +94,7 @@
     m_suspension = suspension_watch(m_clock.now());
     m_data.start();
     m_peers.start();
+    m_state.addListener(m_health);
     m_follower.setUpdateHandler([this] {
         m_gossip.noteStoreAnswer();
         onUpdate();
@@ -111,8 +113,11 @@
 
 void entry_process::noteActivity()
 {
-    if (const auto gap = m_suspension.noteActivity(m_clock.now()))
-        m_log.write("resumed", {{"gap_ms", formatMilliseconds(*gap)}});
+    const auto gap = m_suspension.noteActivity(m_clock.now());
+    if (!gap)
+        return;
+    m_health.setSteady(false);
+    m_log.write("resumed", {{"gap_ms", formatMilliseconds(*gap)}});
 }
 
 void entry_process::onDatagram(std::span<const std::byte> bytes)
@@ -158,6 +163,7 @@
 
 void entry_process::scheduleTick()
 {
+    m_tickDueAt = m_clock.now() + tickTime;
     m_timer.expires_after(tickTime);
     m_timer.async_wait([this](std::error_code code) {
         if (code)
@@ -174,6 +180,7 @@
     if (m_suspension.takeResumed())
         m_follower.refresh();
     m_follower.tick();
+    judgeUpstreams();
     m_gossip.tick();
     m_peers.flush();
     if (m_suspension.activeAt() >= m_nextSecond)
@@ -183,11 +190,51 @@
         m_context.stop();
 }
 
+void entry_process::judgeUpstreams()
+{
+    const auto now = m_suspension.activeAt();
+    m_suspension.noteTick(m_tickDueAt, now);
+    m_health.setSteady(m_suspension.isSteady(now));
+    for (const health_change &change : m_health.judge(now))
+        actOn(change);
+    m_data.flush();
+}
+
+void entry_process::actOn(const health_change &change)
+{
+    const auto now = m_suspension.activeAt();
+    std::size_t ended = 0;
+    switch (change.verdict) {
+    case health_verdict::Answering:
+        m_placement.noteAnswered(change.upstream);
+        break;
+    case health_verdict::Silent:
+        m_placement.avoid(change.upstream, false, now);
+        break;
+    case health_verdict::Dead:
+        m_placement.avoid(change.upstream, true, now);
+        ended = m_packets.endFlowsOf(change.upstream);
+        break;
+    }
+    const auto *record = m_directory.find(change.upstream);
+    m_log.write(
+        "upstream_judged",
+        {{"upstream", record == nullptr ? "unknown" : record->announced.name},
+         {"standing", std::string(record == nullptr ? "unknown" : toString(record->standing))},
+         {"before", std::string(toString(change.before))},
+         {"verdict", std::string(toString(change.verdict))},
+         {"witnesses", std::to_string(change.witnesses)},
+         {"unanswered_packets", std::to_string(change.repeats)},
+         {"silent_ms", formatMilliseconds(change.silentFor)},
+         {"flows_ended", std::to_string(ended)}});
+}
+
 void entry_process::tickSecond()
 {
     m_nextSecond = m_suspension.activeAt() + std::chrono::seconds(1);
     m_forwarder.expire(m_suspension.activeAt());
     m_state.expire(m_suspension.activeAt());
+    m_health.noteReplaced(m_directory.replacedUpstreams());
     if (!m_stop.isStopping())
         m_registrar.registerSelf();
     if (m_gossip.isReader() && m_follower.isStoreReachable())
@@ -288,6 +335,7 @@
     gauges.routes = m_routes.config().routes.size();
     gauges.upstreams = m_directory.size();
     gauges.upstreamsSuspected = m_placement.countSuspected(now);
+    gauges.upstreamsDead = m_health.countDead();
     gauges.flowsObserved = m_forwarder.observedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -11,6 +11,7 @@
 #include "eventlog/event_log_base.h"
 #include "forward/forwarder_base.h"
 #include "gossip/gossip_base.h"
+#include "health/upstream_health_base.h"
 #include "instance_registrar_base.h"
 #include "packet_log_base.h"
 #include "packet_path_base.h"
@@ -72,6 +73,8 @@
 
     void scheduleTick();
     void tick();
+    void judgeUpstreams();
+    void actOn(const health_change &change);
     void tickSecond();
     void awaitSignal();
     void beginStop(int signal);
@@ -91,6 +94,7 @@
     routing_table m_routes;
     upstream_directory m_directory;
     domain_first_placement m_placement;
+    upstream_health m_health;
     forwarder m_forwarder;
     fleet_state m_state;
     platform::platform_store m_store;
@@ -109,6 +113,7 @@
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
     stop_sequence m_stop;
+    monotonic_time m_tickDueAt {0};
     monotonic_time m_nextSecond {0};
 };
 
--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -15,13 +15,13 @@
 
 namespace {
 
-std::string_view eventOf(packet_action action)
+std::string_view eventOf(const packet_decision &decision)
 {
-    switch (action) {
+    switch (decision.action) {
     case packet_action::Forward:
         return "flow_placed";
     case packet_action::Reset:
-        return "flow_refused";
+        return decision.reason == packet_reason::UpstreamDead ? "flow_ended" : "flow_refused";
     case packet_action::Drop:
         break;
     }
@@ -50,7 +50,7 @@
 void packet_log::noteFlow(const caller_packet &packet, const packet_decision &decision,
                           monotonic_time now)
 {
-    const std::string_view event = eventOf(decision.action);
+    const std::string_view event = eventOf(decision);
     if (!m_log.isEnabled(event))
         return;
     m_log.write(
--- a/src/entry/packet_path.cpp
+++ b/src/entry/packet_path.cpp
@@ -82,6 +82,7 @@
     }
     case packet_action::Reset:
         sendReset(packet);
+        ++(packet.isOpening ? m_parts.metrics.resetsSent : m_parts.metrics.flowsEnded);
         break;
     case packet_action::Drop:
         break;
@@ -92,7 +93,15 @@
 {
     const auto reset = platform::encodeReset(packet);
     m_send({packet.flow.caller.address, m_callerPort}, reset);
-    ++m_parts.metrics.resetsSent;
+}
+
+std::size_t packet_path::endFlowsOf(upstream_id upstream)
+{
+    const auto ended = m_parts.decisions.takeFlowsOf(upstream);
+    for (const caller_packet &packet : ended)
+        sendReset(packet);
+    m_parts.metrics.flowsEnded += ended.size();
+    return ended.size();
 }
 
 bool packet_path::isStateFresh(monotonic_time now) const
--- a/src/entry/packet_path_base.h
+++ b/src/entry/packet_path_base.h
@@ -59,6 +59,9 @@
     /** Forwards the held packets that can be decided about now; returns how many those were. */
     std::size_t releaseHeldPackets();
 
+    /** Resets the open flows to an upstream that were seen here; returns how many. */
+    std::size_t endFlowsOf(upstream_id upstream);
+
     /** Age up to which a missing route or upstream is told to callers. */
     void setFreshness(monotonic_time freshness) { m_freshness = freshness; }
 
--- a/src/entry/suspension_watch_base.h
+++ b/src/entry/suspension_watch_base.h
@@ -21,6 +21,11 @@
     monotonic_time gap = std::chrono::milliseconds(300);
     /// Time to read the packets that waited during a suspension.
     monotonic_time distrust = std::chrono::milliseconds(30);
+    /// A tick that comes this much too late means that packets wait too. A processor quota may
+    /// delay it by up to a tenth of a second.
+    monotonic_time tickLateness = std::chrono::milliseconds(120);
+    /// Time after a late tick for which this instance's view of others is not trusted.
+    monotonic_time unsteadyTime = std::chrono::seconds(1);
 };
 
 /**
@@ -52,6 +57,16 @@
     /** Whether a packet that is read now may have waited during a suspension. */
     bool isDistrusted(monotonic_time now) const { return now < m_distrustUntil; }
 
+    /** A tick that was due at a time is handled. */
+    void noteTick(monotonic_time dueAt, monotonic_time now)
+    {
+        if (now - dueAt > m_settings.tickLateness)
+            m_unsteadyUntil = now + m_settings.unsteadyTime;
+    }
+
+    /** Whether packets were handled without much delay lately. */
+    bool isSteady(monotonic_time now) const { return now >= m_unsteadyUntil; }
+
     /** When the event being handled began. */
     monotonic_time activeAt() const { return m_activeAt; }
 
@@ -59,6 +74,7 @@
     suspension_settings m_settings;
     monotonic_time m_activeAt;
     monotonic_time m_distrustUntil {0};
+    monotonic_time m_unsteadyUntil {0};
     bool m_hasResumed = false;
 };
 
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,12 +31,14 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_row, 8> gaugeTable {{
+inline constexpr std::array<gauge_row, 9> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
     {"upstreams_suspected", "Upstreams that get no new flows because they did not answer.",
      &entry_gauges::upstreamsSuspected},
+    {"upstreams_dead", "Upstreams that answer nobody; their flows are ended.",
+     &entry_gauges::upstreamsDead},
     {"flows_observed", "Flows seen lately.", &entry_gauges::flowsObserved},
     {"instances", "Instances known to this one.", &entry_gauges::instances},
     {"store_items_malformed", "Items of the store that could not be decoded, since the start.",
--- a/src/forward/flow_observer.cpp
+++ b/src/forward/flow_observer.cpp
@@ -28,6 +28,20 @@
     m_flows.erase(flow);
 }
 
+std::vector<std::pair<flow_key, observed_flow>> flow_observer::takeOpen(upstream_id upstream)
+{
+    std::vector<std::pair<flow_key, observed_flow>> taken;
+    for (auto entry = m_flows.begin(); entry != m_flows.end();) {
+        if (entry->second.isOpen && entry->second.upstream == upstream) {
+            taken.emplace_back(*entry);
+            entry = m_flows.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return taken;
+}
+
 void flow_observer::expire(monotonic_time maxIdle, monotonic_time now)
 {
     std::erase_if(m_flows, [&](const auto &entry) { return now - entry.second.seenAt > maxIdle; });
--- a/src/forward/flow_observer_base.h
+++ b/src/forward/flow_observer_base.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chicoryhead {
@@ -55,6 +56,9 @@
 
     void remove(const flow_key &flow);
 
+    /** Removes the open flows whose last packet went to an upstream, and returns them. */
+    std::vector<std::pair<flow_key, observed_flow>> takeOpen(upstream_id upstream);
+
     /** Drops flows that were idle for longer than a time. */
     void expire(monotonic_time maxIdle, monotonic_time now);
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -23,6 +23,7 @@
     {packet_reason::UnknownTag, "unknown_tag"},
     {packet_reason::FromUpstream, "from_upstream"},
     {packet_reason::StaleOpening, "stale_opening"},
+    {packet_reason::UpstreamDead, "upstream_dead"},
     {packet_reason::NotSynchronised, "not_synchronised"},
     {packet_reason::Malformed, "malformed"},
 }};
@@ -56,10 +57,12 @@
 }
 
 forwarder::forwarder(const routing_table &routes, const upstream_directory &directory,
-                     flow_placement &placement, forwarder_settings settings)
+                     flow_placement &placement, upstream_health &health,
+                     forwarder_settings settings)
     : m_routes(routes)
     , m_directory(directory)
     , m_placement(placement)
+    , m_health(health)
     , m_settings(settings)
     , m_observer(settings.maxObservedFlows)
 {
@@ -102,6 +105,7 @@
         if (const upstream_record *upstream = repeatTarget(*flow, now))
             return forwardTo(packet, *upstream, packet_reason::Repeated);
         isSuspectedNow = m_placement.noteUnanswered(flow->upstream, now);
+        m_health.noteRepeated(flow->upstream, flow->placedAt, now);
         unanswered = m_directory.find(flow->upstream);
     }
     const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
@@ -151,7 +155,24 @@
         return dropFor(packet_reason::UnknownTag);
     auto decision = forwardTo(packet, *upstream, packet_reason::Steered);
     observeOpen(packet, now, decision);
-    return decision;
+    if (packet.isReset || !m_health.isDead(upstream->id))
+        return decision;
+    m_observer.remove(packet.flow);
+    packet_decision ended {packet_action::Reset, packet_reason::UpstreamDead, nullptr, noTag};
+    ended.unanswered = upstream;
+    return ended;
+}
+
+std::vector<caller_packet> forwarder::takeFlowsOf(upstream_id upstream)
+{
+    std::vector<caller_packet> taken;
+    for (const auto &[key, flow] : m_observer.takeOpen(upstream)) {
+        caller_packet packet;
+        packet.flow = key;
+        packet.acknowledged = flow.acknowledged;
+        taken.push_back(packet);
+    }
+    return taken;
 }
 
 packet_decision forwarder::forwardTo(const caller_packet &packet, const upstream_record &upstream,
@@ -177,30 +198,51 @@
         flow->acknowledged = packet.acknowledged;
     }
     flow->seenAt = now;
-    if (!flow->isOpen && flow->triedCount > 0)
+    if (!flow->isOpen && flow->triedCount > 0) {
         decision.isTrustedAgain = m_placement.noteAnswered(upstream);
+        m_health.noteAnswered(upstream, now);
+    }
     if (!flow->isOpen)
         flow->acknowledged = packet.acknowledged;
     flow->isOpen = true;
     flow->upstream = upstream;
+    observeAcknowledgement(packet, *flow, now, decision);
+    observeRequest(packet, *flow, now, decision);
+}
 
-    if (isAfter(packet.acknowledged, flow->acknowledged)) {
-        flow->acknowledged = packet.acknowledged;
-        const auto latency = now - flow->requestAt;
-        if (flow->requestAt.count() > 0 && latency < m_settings.maxLatency) {
-            m_placement.noteLatency(upstream, latency, now);
-            decision.latency = latency;
-        }
-        flow->requestAt = monotonic_time {0};
+void forwarder::observeAcknowledgement(const caller_packet &packet, observed_flow &flow,
+                                       monotonic_time now, packet_decision &decision)
+{
+    if (!isAfter(packet.acknowledged, flow.acknowledged))
+        return;
+    const upstream_id upstream = decision.upstream->id;
+    flow.acknowledged = packet.acknowledged;
+    // A new request acknowledges what came long before.
+    if (packet.dataBytes == 0)
+        m_health.noteAnswered(upstream, now);
+    const auto latency = now - flow.requestAt;
+    if (flow.requestAt.count() > 0 && latency < m_settings.maxLatency) {
+        m_placement.noteLatency(upstream, latency, now);
+        decision.latency = latency;
+    }
+    flow.requestAt = monotonic_time {0};
+}
+
+void forwarder::observeRequest(const caller_packet &packet, observed_flow &flow, monotonic_time now,
+                               packet_decision &decision)
+{
+    if (packet.dataBytes == 0)
+        return;
+    const bool isWaiting = flow.requestAt.count() > 0;
+    if (isWaiting && packet.sequence == flow.requestSequence) {
+        decision.unansweredFor = now - flow.requestAt;
+        m_health.noteRepeated(decision.upstream->id, flow.requestAt, now);
     }
-    const bool isWaiting = flow->requestAt.count() > 0;
-    if (packet.dataBytes > 0 && isWaiting && packet.sequence == flow->requestSequence)
-        decision.unansweredFor = now - flow->requestAt;
-    decision.isFirstRequestPacket = packet.dataBytes > 0 && flow->requestAt.count() == 0
-        && (flow->requestSequence == 0 || isAfter(packet.sequence, flow->requestSequence));
+    decision.isFirstRequestPacket =
+        !isWaiting && (flow.requestSequence == 0 || isAfter(packet.sequence, flow.requestSequence));
     if (decision.isFirstRequestPacket) {
-        flow->requestAt = now;
-        flow->requestSequence = packet.sequence;
+        flow.requestAt = now;
+        flow.requestSequence = packet.sequence;
     }
 }
 
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -9,6 +9,7 @@
 #include "core/core_type.h"
 #include "directory/directory_base.h"
 #include "flow_observer_base.h"
+#include "health/upstream_health_base.h"
 #include "placement/placement_base.h"
 #include "routing/routing_base.h"
 
@@ -17,13 +18,14 @@
 #include <cstdint>
 #include <map>
 #include <string_view>
+#include <vector>
 
 namespace chicoryhead {
 
 /** What happens to a packet. */
 enum class packet_action : std::uint8_t {
     Forward, ///< to the upstream
-    Reset,   ///< dropped, and the caller's attempt is ended
+    Reset,   ///< dropped, and the caller's flow or attempt to open one is ended
     Drop,
 };
 
@@ -39,12 +41,13 @@
     UnknownTag,      ///< its tag names no upstream on this service address
     FromUpstream,    ///< looks like an upstream's answer
     StaleOpening,    ///< opening packet that waited while this process did not run
+    UpstreamDead,    ///< the flow's upstream answers nobody, so that the caller may try again
     NotSynchronised, ///< this instance has no configuration yet
     Malformed,       ///< not a packet
 };
 
 /** Number of reasons, for tables of counters. */
-inline constexpr std::size_t packetReasonCount = 12;
+inline constexpr std::size_t packetReasonCount = 13;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -56,7 +59,8 @@
     packet_reason reason = packet_reason::Malformed;
     const upstream_record *upstream = nullptr; ///< not null if and only if forwarded
     steering_tag tag = noTag;                  ///< to write into the packet when forwarded
-    /// Upstream that left an earlier copy of this opening packet unanswered; null for none.
+    /// Upstream that left an earlier copy of this opening packet unanswered, or that answers nobody
+    /// on an open flow; null for none.
     const upstream_record *unanswered = nullptr;
     bool isSuspectedNow = false;       ///< the upstream that did not answer is avoided from now on
     bool isTrustedAgain = false;       ///< the upstream answered, after it had not answered others
@@ -85,7 +89,7 @@
 {
 public:
     forwarder(const routing_table &routes, const upstream_directory &directory,
-              flow_placement &placement, forwarder_settings settings = {});
+              flow_placement &placement, upstream_health &health, forwarder_settings settings = {});
 
     /**
      * Decides about one packet.
@@ -97,6 +101,12 @@
     /** Whether a packet names an upstream that is known, so that no configuration is needed. */
     bool isSteerable(const caller_packet &packet) const;
 
+    /**
+     * Takes the open flows to an upstream that were seen here, so that they can be ended.
+     * @return a packet of each flow with what its caller acknowledged last.
+     */
+    std::vector<caller_packet> takeFlowsOf(upstream_id upstream);
+
     /** Forgets flows that are idle; called about once per second. */
     void expire(monotonic_time now);
 
@@ -114,10 +124,15 @@
     packet_decision forwardTo(const caller_packet &packet, const upstream_record &upstream,
                               packet_reason reason) const;
     void observeOpen(const caller_packet &packet, monotonic_time now, packet_decision &decision);
+    void observeAcknowledgement(const caller_packet &packet, observed_flow &flow,
+                                monotonic_time now, packet_decision &decision);
+    void observeRequest(const caller_packet &packet, observed_flow &flow, monotonic_time now,
+                        packet_decision &decision);
 
     const routing_table &m_routes;
     const upstream_directory &m_directory;
     flow_placement &m_placement;
+    upstream_health &m_health;
     forwarder_settings m_settings;
     flow_observer m_observer;
 };
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -30,12 +30,13 @@
 } // namespace
 
 gossip::gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
-               peer_sink &sink, const clock_source &clock, random_source &random, event_log &log,
-               gossip_settings settings)
+               upstream_health &health, peer_sink &sink, const clock_source &clock,
+               random_source &random, event_log &log, gossip_settings settings)
     : m_own(std::move(own))
     , m_rank(rankOf(m_own.name))
     , m_seeds(std::move(seeds))
     , m_state(state)
+    , m_health(health)
     , m_sink(sink)
     , m_clock(clock)
     , m_random(random)
@@ -58,7 +59,10 @@
         return onDigest(from, *digest);
     if (const auto *part = std::get_if<gossip_part>(&message.value()))
         return onPart(from, *part);
-    onFetch(from, std::get<gossip_fetch>(message.value()));
+    if (const auto *reports = std::get_if<gossip_reports>(&message.value()))
+        onReports(from, *reports);
+    else
+        onFetch(from, std::get<gossip_fetch>(message.value()));
     return false;
 }
 
@@ -70,6 +74,7 @@
             fetchFromAnyone();
         return;
     }
+    sendReports();
     if (now < m_nextDigest)
         return;
     m_nextDigest = now + m_settings.period;
@@ -231,6 +236,44 @@
     return true;
 }
 
+void gossip::onReports(const endpoint &from, const gossip_reports &message)
+{
+    const auto now = m_clock.now();
+    m_health.merge(message.reports, message.domain == m_own.domain, now);
+    if (message.isReply)
+        return;
+    auto replies = m_health.replyTo(message.reports, now);
+    if (message.domain != m_own.domain)
+        replies = m_health.forOtherDomains(std::move(replies));
+    if (!replies.empty())
+        sendReportsTo(from, std::move(replies), true);
+}
+
+void gossip::sendReports()
+{
+    const auto now = m_clock.now();
+    if (now < m_nextReports || !m_health.hasNews())
+        return;
+    m_nextReports = now + m_settings.reportPause;
+    const auto reports = m_health.takeNews(now);
+    if (reports.empty())
+        return;
+    const auto own = peers(true);
+    for (std::size_t i = 0; i < changeFanout && !own.empty(); ++i)
+        sendReportsTo(pick(own), reports, false);
+    const auto others = peers(false);
+    const auto shared = m_health.forOtherDomains(reports);
+    if (!others.empty() && !shared.empty())
+        sendReportsTo(pick(others), shared, false);
+}
+
+void gossip::sendReportsTo(const endpoint &target, std::vector<silence_report> reports,
+                           bool isReply)
+{
+    m_sink.sendToPeer(target,
+                      encodeGossip(gossip_reports {m_own.domain, isReply, std::move(reports)}));
+}
+
 void gossip::sendDigest(const endpoint &target)
 {
     gossip_digest digest;
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -12,6 +12,7 @@
 #include "core/core_base.h"
 #include "eventlog/event_log_base.h"
 #include "gossip_codec_func.h"
+#include "health/upstream_health_base.h"
 #include "part_assembler_base.h"
 #include "sync/fleet_state_base.h"
 #include "sync/reader_duty_type.h"
@@ -32,6 +33,9 @@
     std::size_t ownFanout = 2;        ///< digests to the own domain in each period
     std::size_t otherInterval = 3;    ///< periods between digests to another domain
     std::size_t readersPerDomain = 2; ///< one may die unnoticed
+    /// Pause between messages about upstreams that don't answer, which go to three instances of
+    /// the own domain: in six of them news reach 729 instances.
+    monotonic_time reportPause = std::chrono::milliseconds(50);
     /// Longest time between two answers of the store to a reader.
     monotonic_time storeInterval {0};
     /// Time that a report about a reader takes to reach the others of its domain. At a fan-out of
@@ -54,8 +58,8 @@
 {
 public:
     gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
-           peer_sink &sink, const clock_source &clock, random_source &random, event_log &log,
-           gossip_settings settings = {});
+           upstream_health &health, peer_sink &sink, const clock_source &clock,
+           random_source &random, event_log &log, gossip_settings settings = {});
 
     /** Handles a datagram; returns whether the state changed. */
     bool receive(const endpoint &from, std::span<const std::byte> datagram);
@@ -91,6 +95,9 @@
     bool onDigest(const endpoint &from, const gossip_digest &digest);
     void onFetch(const endpoint &from, const gossip_fetch &fetch);
     bool onPart(const endpoint &from, const gossip_part &part);
+    void onReports(const endpoint &from, const gossip_reports &message);
+    void sendReports();
+    void sendReportsTo(const endpoint &target, std::vector<silence_report> reports, bool isReply);
     void mergeReaders(const gossip_digest &digest);
     void sendDigest(const endpoint &target);
     void sendToOwnDomain(std::size_t count);
@@ -110,6 +117,7 @@
     std::uint64_t m_rank; ///< of this instance
     std::vector<endpoint> m_seeds;
     fleet_state &m_state;
+    upstream_health &m_health;
     peer_sink &m_sink;
     const clock_source &m_clock;
     random_source &m_random;
@@ -126,6 +134,7 @@
     monotonic_time m_firstStoreAnswerAt {0}; ///< 0 for none
     monotonic_time m_nextDigest {0};
     monotonic_time m_nextFetch {0};
+    monotonic_time m_nextReports {0};
     std::uint64_t m_periods = 0;
     std::uint32_t m_transfers = 0;
     std::uint64_t m_malformed = 0;
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -20,9 +20,13 @@
 /// Raised when a message changes; instances of other formats then read the store themselves.
 constexpr std::uint8_t gossipFormat = 2;
 
-enum class message_kind : std::uint8_t { Digest = 1, Fetch = 2, Part = 3 };
+enum class message_kind : std::uint8_t { Digest = 1, Fetch = 2, Part = 3, Reports = 4 };
 
 constexpr std::size_t maxReaders = 8;
+constexpr std::size_t maxReports = 64;
+constexpr std::size_t maxWitnesses = 16;
+/// Stands for an upstream of which no answer is known.
+constexpr std::uint32_t neverAnswered = UINT32_MAX;
 
 } // namespace
 
@@ -52,6 +56,47 @@
     loadBounded(archive, value.readers, maxReaders);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, silence_witness &value)
+{
+    archive(value.instance, value.repeats, value.ageMs);
+}
+
+template<typename Archive>
+void save(Archive &archive, const silence_report &value)
+{
+    archive(value.upstream, value.answeredAgeMs.value_or(neverAnswered));
+    saveBounded(archive, value.witnesses);
+}
+
+template<typename Archive>
+void load(Archive &archive, silence_report &value)
+{
+    std::uint32_t answeredAgeMs = neverAnswered;
+    archive(value.upstream, answeredAgeMs);
+    if (answeredAgeMs != neverAnswered)
+        value.answeredAgeMs = answeredAgeMs;
+    loadBounded(archive, value.witnesses, maxWitnesses);
+}
+
+template<typename Archive>
+void save(Archive &archive, const gossip_reports &value)
+{
+    saveBytes(archive, value.domain);
+    archive(static_cast<std::uint8_t>(value.isReply ? 1 : 0));
+    saveBounded(archive, value.reports);
+}
+
+template<typename Archive>
+void load(Archive &archive, gossip_reports &value)
+{
+    loadBytes(archive, value.domain, detail::maxNameBytes);
+    std::uint8_t isReply = 0;
+    archive(isReply);
+    value.isReply = isReply != 0;
+    loadBounded(archive, value.reports, maxReports);
+}
+
 template<typename Archive>
 void save(Archive &archive, const gossip_part &value)
 {
@@ -102,6 +147,11 @@
     return encodeAs(message_kind::Part, message);
 }
 
+std::vector<std::byte> encodeGossip(const gossip_reports &message)
+{
+    return encodeAs(message_kind::Reports, message);
+}
+
 result<gossip_message> decodeGossip(std::span<const std::byte> datagram)
 {
     if (datagram.empty())
@@ -113,6 +163,8 @@
         return decodeAs<gossip_fetch>(datagram.subspan(1));
     case message_kind::Part:
         return decodeAs<gossip_part>(datagram.subspan(1));
+    case message_kind::Reports:
+        return decodeAs<gossip_reports>(datagram.subspan(1));
     }
     return error::Malformed;
 }
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/core_type.h"
+#include "health/silence_report_type.h"
 #include "sync/fleet_store_base.h"
 
 #include <cstdint>
@@ -32,6 +33,14 @@
     std::vector<reader_report> readers; ///< in the sender's domain
 };
 
+/** What an instance knows of upstreams that don't answer. */
+struct gossip_reports
+{
+    std::string domain;   ///< of the sender
+    bool isReply = false; ///< to reports of the receiver; not replied to
+    std::vector<silence_report> reports;
+};
+
 /** Asks for the state of the receiver. */
 struct gossip_fetch
 {
--- /dev/null
+++ b/src/health/upstream_health_base.h
@@ -0,0 +1,192 @@
+/**
+ * @file upstream_health_base.h
+ * Which upstreams answer, from what callers do at all instances.
+ *
+ * An instance sees the packets of callers only. A caller repeats a packet that was not
+ * acknowledged, and an upstream that lives acknowledges at once, however long it works on a
+ * request. At hundreds of instances each one sees few packets to each upstream, so instances pool
+ * what they see: a few repeated packets anywhere protect the callers of all.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "directory/directory_base.h"
+#include "silence_report_type.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace chicoryhead {
+
+/** What is believed of an upstream. */
+enum class health_verdict : std::uint8_t {
+    Answering,
+    Silent, ///< left some packets unanswered; gets no new flows for a while
+    Dead,   ///< answers nobody; its flows are ended
+};
+
+/** Name of a verdict for logs. */
+std::string_view toString(health_verdict verdict);
+
+/** Thresholds and times of upstream_health. */
+struct health_limits
+{
+    /// A packet is unanswered when its caller sends it again this long after it was sent on.
+    /// Callers wait 200 ms; packets that waited here together come with less between them.
+    monotonic_time repeatTime = std::chrono::milliseconds(150);
+    /// Unanswered packets that make an upstream silent. Single datagrams are lost on any network.
+    unsigned silentRepeats = 2;
+    /// Unanswered packets that make an upstream dead.
+    unsigned deadRepeats = 3;
+    /// Instances that must have seen them: one instance behind a bad link condemns nobody.
+    unsigned deadWitnesses = 2;
+    /// Time for instances that got answers to object before an upstream counts as dead.
+    monotonic_time objectionTime = std::chrono::milliseconds(100);
+    /// An answer counts against packets that were sent up to this long after it, because the ages
+    /// in reports are too small by the time that the reports travelled.
+    monotonic_time ageSlack = std::chrono::milliseconds(50);
+    /// Added to the age of an answer in each report. Without it an answer would seem newer with
+    /// each instance that passes it on, by the time that the report travelled.
+    monotonic_time relayAllowance = std::chrono::milliseconds(10);
+    /// Evidence that is older says nothing about now. Callers repeat at most 1.6 s apart.
+    monotonic_time memory = std::chrono::seconds(4);
+    /// Time after which a dead upstream that is still announced is given another chance.
+    monotonic_time deadTime = std::chrono::seconds(10);
+    std::size_t maxWitnesses = 4; ///< kept for each upstream
+    std::size_t maxReports = 24;  ///< in one message, so that it fits into a datagram
+    /// Messages in which each news is sent on; with a fan-out of three all of a domain get it.
+    unsigned reportRounds = 2;
+};
+
+/** A verdict that changed. */
+struct health_change
+{
+    upstream_id upstream = noUpstream;
+    health_verdict before = health_verdict::Answering;
+    health_verdict verdict = health_verdict::Answering;
+    std::size_t witnesses = 0;
+    unsigned repeats = 0;         ///< of all witnesses
+    monotonic_time silentFor {0}; ///< since the first unanswered packet
+};
+
+/** Pools what this instance and others see, and judges by it. */
+class upstream_health : public upstream_listener
+{
+public:
+    /** @param ownName name of this instance. */
+    upstream_health(const upstream_directory &directory, const std::string &ownName,
+                    const std::string &ownDomain, health_limits limits = {});
+
+    /** A caller sent a packet again that was first sent on at a time. */
+    void noteRepeated(upstream_id upstream, monotonic_time firstSentAt, monotonic_time now);
+
+    /** A caller acknowledged what an upstream sent just now. */
+    void noteAnswered(upstream_id upstream, monotonic_time now);
+
+    /**
+     * Sets whether this instance handles packets in time. What an instance sees that is slow or
+     * was suspended does not tell when the packets were really sent.
+     */
+    void setSteady(bool isSteady) { m_isSteady = isSteady; }
+
+    /** Whether flows of an upstream are to be ended. */
+    bool isDead(upstream_id upstream) const { return !m_dead.empty() && m_dead.contains(upstream); }
+
+    health_verdict verdictOf(upstream_id upstream) const;
+
+    void forget(upstream_id upstream) override;
+
+    /**
+     * Takes over what another instance reports. Evidence counts if it was seen from the own domain
+     * or from that of the upstream: elsewhere only the path may be cut.
+     * @param isOwnDomain whether the sender is in the domain of this instance.
+     */
+    void merge(const std::vector<silence_report> &reports, bool isOwnDomain, monotonic_time now);
+
+    /** What the sender of some reports, merged before, does not know; empty for nothing. */
+    std::vector<silence_report> replyTo(const std::vector<silence_report> &reports,
+                                        monotonic_time now) const;
+
+    /** Gone upstreams whose address has another owner are dead, whoever saw them silent. */
+    void noteReplaced(const std::vector<upstream_id> &upstreams);
+
+    /** Judges by all evidence; returns the verdicts that changed. */
+    std::vector<health_change> judge(monotonic_time now);
+
+    /** Whether there are news to report. */
+    bool hasNews() const { return !m_news.empty(); }
+
+    /** News for other instances of the own domain; each is returned a bounded number of times. */
+    std::vector<silence_report> takeNews(monotonic_time now);
+
+    /** Those of some reports that count in other domains: about upstreams of the own domain. */
+    std::vector<silence_report> forOtherDomains(std::vector<silence_report> reports) const;
+
+    std::size_t countDead() const { return m_dead.size(); }
+
+private:
+    /** What one instance saw. */
+    struct witness
+    {
+        witness_id instance = 0;
+        unsigned repeats = 0;
+        monotonic_time since {0};   ///< when the first unanswered packet was sent on
+        monotonic_time heardAt {0}; ///< when it was last seen or reported
+    };
+
+    /** What is known of one upstream. */
+    struct evidence
+    {
+        monotonic_time answeredAt {0};  ///< last known answer; 0 for none
+        std::vector<witness> witnesses; ///< all silent since answeredAt
+        health_verdict verdict = health_verdict::Answering;
+        monotonic_time judgedAt {0};    ///< when the verdict was made
+        bool isReplaced = false;        ///< another upstream has its address
+        bool isDeadByAbsence = false;   ///< dead because its announcement ended too
+        monotonic_time suspectedAt {0}; ///< when there was enough evidence for death; 0 for none
+    };
+
+    /** Sums over witnesses. */
+    struct silence
+    {
+        std::size_t witnesses = 0;
+        unsigned repeats = 0;
+        monotonic_time since {0}; ///< of the earliest; 0 for none
+    };
+
+    void addWitness(evidence &known, const witness &seen, upstream_id upstream);
+    void addAnswer(evidence &known, monotonic_time answeredAt);
+    void mergeOne(const upstream_record &record, const silence_report &report, monotonic_time now);
+    health_verdict weigh(evidence &known, const upstream_record &record, const silence &sum,
+                         monotonic_time now) const;
+    static silence sumOf(const evidence &known);
+    void expire(evidence &known, monotonic_time now) const;
+    void setVerdict(upstream_id upstream, evidence &known, health_verdict verdict,
+                    monotonic_time now);
+    silence_report makeReport(const upstream_record &record, const evidence &known,
+                              monotonic_time now) const;
+    void tell(upstream_id upstream) { m_news[upstream] = m_limits.reportRounds; }
+
+    const upstream_directory &m_directory;
+    witness_id m_own;
+    std::string m_ownDomain;
+    health_limits m_limits;
+    bool m_isSteady = true;
+    monotonic_time m_answerAt {0}; ///< last answer of any upstream that was seen here
+    std::unordered_map<upstream_id, evidence> m_evidence;
+    std::unordered_set<upstream_id> m_watched;        ///< with witnesses, or not answering
+    std::unordered_set<upstream_id> m_dead;           ///< those with the verdict Dead
+    std::unordered_map<upstream_id, unsigned> m_news; ///< with messages left to send
+};
+
+/** Number of an instance as a witness. */
+witness_id witnessOf(const std::string &instanceName);
+
+} // namespace chicoryhead
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -125,6 +125,29 @@
     return std::exchange(found->second.unanswered, 0) > 0;
 }
 
+void domain_first_placement::avoid(upstream_id upstream, bool isDead, monotonic_time now)
+{
+    experience &known = experienceOf(upstream);
+    auto duration = m_limits.suspicion;
+    if (isDead) {
+        // Instances that learnt of it together must not all try it again in one moment.
+        const double share = jitterOf(upstream, now);
+        duration = monotonic_time(static_cast<monotonic_time::rep>(
+            static_cast<double>(m_limits.maxSuspicion.count()) * (0.5 + share / 2)));
+    }
+    known.suspectedUntil = std::max(known.suspectedUntil, now + duration);
+    known.unanswered = std::max(known.unanswered, 1U);
+}
+
+/// Differs between instances, upstreams and times; from 0 to 1.
+double domain_first_placement::jitterOf(upstream_id upstream, monotonic_time now) const
+{
+    constexpr std::uint64_t steps = 1024;
+    const auto mixed =
+        mixHash(m_position.seed ^ static_cast<std::uint64_t>(now.count()), idValue(upstream));
+    return static_cast<double>(mixed % steps) / static_cast<double>(steps);
+}
+
 void domain_first_placement::noteLatency(upstream_id upstream, monotonic_time latency,
                                          monotonic_time now)
 {
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -26,11 +26,9 @@
 namespace chicoryhead {
 
 /** Chooses upstreams for new flows and learns from how they turn out. */
-class flow_placement
+class flow_placement : public upstream_listener
 {
 public:
-    virtual ~flow_placement() = default;
-
     /**
      * Chooses an upstream for a flow that is being opened.
      * @param tried upstreams that did not answer this flow; they are chosen only if no other is
@@ -49,8 +47,8 @@
     /** An upstream answered a request after some time. */
     virtual void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) = 0;
 
-    /** An upstream is gone or was restarted; what was learnt of it holds no more. */
-    virtual void forget(upstream_id upstream) = 0;
+    /** Other instances found that an upstream does not answer; it is avoided for a while. */
+    virtual void avoid(upstream_id upstream, bool isDead, monotonic_time now) = 0;
 
     /** Upstreams that are avoided at this time, for metrics. */
     virtual std::size_t countSuspected(monotonic_time now) const = 0;
@@ -113,6 +111,7 @@
     bool noteAnswered(upstream_id upstream) override;
     void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
     void forget(upstream_id upstream) override;
+    void avoid(upstream_id upstream, bool isDead, monotonic_time now) override;
     std::size_t countSuspected(monotonic_time now) const override;
 
     /** Whether an upstream is avoided because it did not answer. */
@@ -170,6 +169,7 @@
     double medianLatency(std::span<const upstream_id> upstreams, monotonic_time now) const;
     upstream_id takeTurn(std::span<const upstream_id> options, double median, monotonic_time now);
     experience &experienceOf(upstream_id upstream);
+    double jitterOf(upstream_id upstream, monotonic_time now) const;
 
     const upstream_directory &m_directory;
     placement_position m_position;
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 fleet_state::fleet_state(routing_table &routes, upstream_directory &directory,
-                         flow_placement &placement, event_log &log)
-    : m_routes(routes), m_directory(directory), m_placement(placement), m_log(log)
+                         upstream_listener &listener, event_log &log)
+    : m_routes(routes), m_directory(directory), m_listeners {&listener}, m_log(log)
 {
 }
 
@@ -182,7 +182,7 @@
 void fleet_state::expire(monotonic_time now)
 {
     for (const upstream_id id : m_directory.expire(now))
-        m_placement.forget(id);
+        forget(id);
 }
 
 void fleet_state::applyOne(const routing_config &config, bool /*mayLapse*/, monotonic_time now)
@@ -208,7 +208,7 @@
     const auto before = isNew ? upstream_standing::Gone : known->standing;
     const auto change = m_directory.announce(announced, now);
     if (change.isRestart)
-        m_placement.forget(change.id);
+        forget(change.id);
     const auto *record = m_directory.find(change.id);
     if (!isNew && !change.isRestart && record->standing == before)
         return;
@@ -242,6 +242,12 @@
     m_instances.erase(withdrawal.name);
 }
 
+void fleet_state::forget(upstream_id upstream)
+{
+    for (upstream_listener *listener : m_listeners)
+        listener->forget(upstream);
+}
+
 void fleet_state::withdraw(const std::string &name, std::string_view cause, bool mayLapse,
                            monotonic_time now)
 {
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -11,13 +11,13 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "fleet_store_base.h"
-#include "placement/placement_base.h"
 #include "routing/routing_base.h"
 #include "state_image_type.h"
 
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace chicoryhead {
 
@@ -25,9 +25,12 @@
 class fleet_state
 {
 public:
-    fleet_state(routing_table &routes, upstream_directory &directory, flow_placement &placement,
+    fleet_state(routing_table &routes, upstream_directory &directory, upstream_listener &listener,
                 event_log &log);
 
+    /** Adds another one that keeps something about upstreams; it outlives the state. */
+    void addListener(upstream_listener &listener) { m_listeners.push_back(&listener); }
+
     /**
      * Applies changes that follow what is known.
      * @param mayLapse the store was away, so a missing announcement may come back.
@@ -85,6 +88,7 @@
     void applyOne(const upstream_withdrawal &withdrawal, bool mayLapse, monotonic_time now);
     void applyOne(const instance_registration &registration, bool mayLapse, monotonic_time now);
     void applyOne(const instance_withdrawal &withdrawal, bool mayLapse, monotonic_time now);
+    void forget(upstream_id upstream);
     void withdraw(const std::string &name, std::string_view cause, bool mayLapse,
                   monotonic_time now);
     void remember(const fleet_changes &changes);
@@ -105,7 +109,7 @@
 
     routing_table &m_routes;
     upstream_directory &m_directory;
-    flow_placement &m_placement;
+    std::vector<upstream_listener *> m_listeners;
     event_log &m_log;
     std::map<std::string, instance_registration> m_instances;
     std::deque<past_change> m_history;    ///< all changes after m_historyFloor, by revision
--- /dev/null
+++ b/tests/gossip_support.h
@@ -0,0 +1,159 @@
+/**
+ * @file gossip_support.h
+ * Instances that talk to each other over a network in virtual time.
+ */
+
+#pragma once
+
+#include "entry_support.h"
+#include "gossip/gossip_base.h"
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicoryhead::test {
+
+/** One instance without a store. */
+class gossiping_instance : public peer_sink
+{
+public:
+    gossiping_instance(virtual_network &network, const stepped_clock &clock, std::uint64_t seed,
+                       const instance_registration &own, std::vector<endpoint> seeds)
+        : m_network(network)
+        , m_address(own.peerAddress)
+        , m_log(::open("/dev/null", O_WRONLY), clock)
+        , m_placement(directory, {own.domain, 3, seed})
+        , m_random(seed)
+        , state(routes, directory, m_placement, m_log)
+        , health(directory, own.name, own.domain)
+        , talk(own, std::move(seeds), state, health, *this, clock, m_random, m_log)
+    {
+        network.attach(m_address, [this](std::span<const std::byte> bytes, const endpoint &from) {
+            talk.receive(from, bytes);
+        });
+    }
+
+    void sendToPeer(const endpoint &peer, std::span<const std::byte> datagram) override
+    {
+        ++sent;
+        sentBytes += datagram.size();
+        m_network.send(m_address, peer, datagram);
+    }
+
+    std::size_t sent = 0;
+    std::size_t sentBytes = 0;
+    routing_table routes;
+    upstream_directory directory;
+
+private:
+    virtual_network &m_network;
+    endpoint m_address;
+    event_log m_log;
+    domain_first_placement m_placement;
+    seeded_random m_random;
+
+public:
+    fleet_state state;
+    upstream_health health;
+    gossip talk;
+};
+
+/** Instances of three failure domains; those that read get what the store would tell. */
+struct gossip_fixture
+{
+    explicit gossip_fixture(std::size_t count, std::uint64_t seed = 1) : network(clock, seed)
+    {
+        constexpr std::array<const char *, 3> domains {"a", "b", "c"};
+        for (std::size_t i = 0; i < count; ++i)
+            registrations.push_back({"f-" + std::to_string(i),
+                                     domains[i % 3],
+                                     {static_cast<std::uint32_t>(0x0a000001 + i), 7720}});
+        for (std::size_t i = 0; i < count; ++i)
+            instances.push_back(std::make_unique<gossiping_instance>(
+                network, clock, seed * 1000 + i, registrations[i],
+                std::vector<endpoint> {registrations[0].peerAddress}));
+    }
+
+    /// What the store holds.
+    fleet_changes content(store_revision revision, config_version version) const
+    {
+        fleet_changes changes;
+        changes.revision = revision;
+        changes.changes.emplace_back(makeConfig(version));
+        for (int i = 0; i < 18; ++i)
+            changes.changes.emplace_back(makeUpstream("i-" + std::to_string(i), "desk", "a"));
+        for (const auto &registration : registrations)
+            changes.changes.emplace_back(registration);
+        return changes;
+    }
+
+    void giveTo(gossiping_instance &instance, const fleet_changes &changes)
+    {
+        instance.state.replace(changes, false, clock.now());
+        instance.talk.noteStoreAnswer();
+        instance.talk.announceChanges();
+    }
+
+    /// Lets time pass; readers have their state confirmed by the store each second.
+    void run(monotonic_time duration)
+    {
+        for (monotonic_time passed {0}; passed < duration; passed += 10ms) {
+            clock.advance(10ms);
+            network.deliver();
+            for (auto &instance : instances) {
+                if (!instance || clock.now() < stoppedUntil)
+                    continue;
+                instance->talk.tick();
+                if (passed.count() % storeInterval.count() == 0 && isStoreThere
+                    && instance->state.isSynchronised() && instance->talk.isReader()) {
+                    instance->state.confirm(instance->state.revision(), clock.now());
+                    instance->talk.noteStoreAnswer();
+                }
+            }
+        }
+    }
+
+    std::size_t countReaders(const std::string &domain) const
+    {
+        std::size_t readers = 0;
+        for (std::size_t i = 0; i < instances.size(); ++i)
+            readers +=
+                registrations[i].domain == domain && instances[i] && instances[i]->talk.isReader()
+                ? 1
+                : 0;
+        return readers;
+    }
+
+    std::size_t countAt(config_version version) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(instances.begin(), instances.end(), [&](const auto &instance) {
+                return instance && instance->state.configVersion() == version;
+            }));
+    }
+
+    monotonic_time oldestState() const
+    {
+        monotonic_time oldest {0};
+        for (const auto &instance : instances) {
+            if (instance)
+                oldest = std::max(oldest, clock.now() - instance->state.confirmedAt());
+        }
+        return oldest;
+    }
+
+    stepped_clock clock;
+    virtual_network network;
+    std::vector<instance_registration> registrations;
+    std::vector<std::unique_ptr<gossiping_instance>> instances;
+    bool isStoreThere = true;
+    monotonic_time storeInterval = 1s; ///< between answers of the store to readers
+    monotonic_time stoppedUntil {0};
+};
+
+} // namespace chicoryhead::test
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -35,7 +35,8 @@
     routing_table routes;
     upstream_directory directory;
     domain_first_placement placement {directory, {"a", 3, 7}};
-    forwarder path {routes, directory, placement};
+    upstream_health health {directory, "f-1", "a"};
+    forwarder path {routes, directory, placement, health};
 };
 
 } // namespace
@@ -207,7 +208,7 @@
     forwarder_fixture fixture;
     forwarder_settings settings;
     settings.maxObservedFlows = 10;
-    forwarder path(fixture.routes, fixture.directory, fixture.placement, settings);
+    forwarder path(fixture.routes, fixture.directory, fixture.placement, fixture.health, settings);
     for (std::uint16_t port = 1; port <= 40; ++port) {
         const auto opened = path.decide(makeOpening(port), true, 1s);
         REQUIRE(opened.action == packet_action::Forward);
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -88,6 +88,17 @@
     CHECK(std::vector<std::byte>(reset.begin(), reset.end()) == bytesOf(resetBytes));
 }
 
+TEST_CASE("The reset of an open flow stands where its caller's acknowledgement is", "[platform]")
+{
+    // Guards against resets that callers ignore, so that they wait until their deadline.
+    auto packet = decodePacket(withData("GET / HTTP/1.1\r\n\r\n")).value();
+    packet.acknowledged = 0x0a0b0c0d;
+    packet.isOpening = false;
+    const auto reset = encodeReset(packet);
+    const std::array<unsigned char, 4> sequence {0x0d, 0x0c, 0x0b, 0x0a};
+    CHECK(std::vector<std::byte>(reset.begin() + 10, reset.begin() + 14) == bytesOf(sequence));
+}
+
 TEST_CASE("A forwarded packet differs only in prefix and tag", "[platform]")
 {
     // Guards against a packet that reaches an upstream otherwise than its sender wrote it.
--- a/tests/test_random_packets.cpp
+++ b/tests/test_random_packets.cpp
@@ -75,7 +75,8 @@
     routing_table routes;
     upstream_directory directory;
     domain_first_placement placement(directory, {"a", 2, 3});
-    forwarder path(routes, directory, placement);
+    upstream_health health(directory, "f-1", "a");
+    forwarder path(routes, directory, placement, health);
     routes.apply(makeConfig(1), 0s);
     for (int i = 0; i < 6; ++i)
         directory.announce(
--- a/tests/test_state_changes.cpp
+++ b/tests/test_state_changes.cpp
@@ -4,8 +4,8 @@
  */
 
 #include "entry_support.h"
-#include "sync/state_codec_func.h"
 #include "sync/fleet_state_base.h"
+#include "sync/state_codec_func.h"
 
 #include <catch2/catch.hpp>
 
