Feature: doubtful paths, bounded suspicion, given-up requests and rare retries

Cause: during a cut between domains opening packets went on across it, upstream by upstream; an instance with a bad link could avoid nearly all upstreams on its own evidence; an upstream that hangs its requests looked as fast as before, and answers acknowledged by a flow's last packet were not measured; instances that need not read the store asked a store that refused them each second. Change: a lost opening packet to another domain makes the path doubtful for 0.5 to 8 s, an answer from there ends the doubt. At most half of a service's slots are avoided on an instance's own evidence. A request that its caller gives up counts with its age. An instance with a configuration that is no reader asks again after a quarter to a half of the bound.

--- a/src/entry/derived_settings.cpp
+++ b/src/entry/derived_settings.cpp
@@ -39,6 +39,7 @@
     made.watchWait = std::chrono::duration_cast<std::chrono::milliseconds>(bound * 2 / 5);
     made.maxStateAge = bound * 2 / 3;
     made.batchTime = bound / 10;
+    made.maxIdleRetry = bound / 2;
     return made;
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -187,8 +187,10 @@
     const upstream_id upstream = decision.upstream->id;
     observed_flow *flow = m_observer.find(packet.flow);
     if (packet.isReset || packet.isClosing) {
-        if (flow != nullptr)
+        if (flow != nullptr) {
+            observeClosing(packet, *flow, now, decision);
             m_observer.remove(packet.flow);
+        }
         return;
     }
     if (flow == nullptr) {
@@ -228,6 +230,18 @@
     flow.requestAt = monotonic_time {0};
 }
 
+void forwarder::observeClosing(const caller_packet &packet, observed_flow &flow, monotonic_time now,
+                               packet_decision &decision)
+{
+    if (!flow.isOpen || flow.upstream != decision.upstream->id)
+        return;
+    const auto age = now - flow.requestAt;
+    const bool isWaiting = flow.requestAt.count() > 0;
+    observeAcknowledgement(packet, flow, now, decision);
+    if (isWaiting && flow.requestAt.count() > 0 && age >= m_settings.givenUpTime)
+        m_placement.noteGivenUp(flow.upstream, age, now);
+}
+
 void forwarder::observeRequest(const caller_packet &packet, observed_flow &flow, monotonic_time now,
                                packet_decision &decision)
 {
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -80,6 +80,10 @@
     std::size_t maxObservedFlows = 16384; ///< 2 MB
     /// Flows that are idle longer are not observed any more.
     monotonic_time observationTime = std::chrono::seconds(15);
+    /// A request that its caller gives up after this time or later counts against the upstream, or
+    /// upstreams that never answer would seem as fast as before. Requests that are still open say
+    /// nothing: their answers may be acknowledged at another instance.
+    monotonic_time givenUpTime = std::chrono::milliseconds(500);
     /// A request that takes longer says more about a lost packet than about the upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
@@ -126,6 +130,8 @@
     void observeOpen(const caller_packet &packet, monotonic_time now, packet_decision &decision);
     void observeAcknowledgement(const caller_packet &packet, observed_flow &flow,
                                 monotonic_time now, packet_decision &decision);
+    void observeClosing(const caller_packet &packet, observed_flow &flow, monotonic_time now,
+                        packet_decision &decision);
     void observeRequest(const caller_packet &packet, observed_flow &flow, monotonic_time now,
                         packet_decision &decision);
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -45,9 +45,35 @@
         if (group != choice_group::None)
             groups.at(static_cast<std::size_t>(group)).push_back(id);
     }
+    trustSuspected(groups);
     return groups;
 }
 
+/// Moves upstreams that only this instance suspects back to the others when they are too many.
+void domain_first_placement::trustSuspected(grouped_upstreams &groups) const
+{
+    const auto slotsOf = [this](const std::vector<upstream_id> &upstreams) {
+        unsigned slots = 0;
+        for (const upstream_id id : upstreams)
+            slots += m_directory.find(id)->announced.slots;
+        return slots;
+    };
+    auto &suspected = groups.at(static_cast<std::size_t>(choice_group::Suspected));
+    unsigned total = 0;
+    for (const auto &upstreams : groups)
+        total += slotsOf(upstreams);
+    if (slotsOf(suspected) <= m_limits.maxSuspectedPart * total)
+        return;
+    std::erase_if(suspected, [&](upstream_id id) {
+        if (m_experience.find(id)->second.isDead)
+            return false;
+        const bool isOwn = m_directory.find(id)->announced.domain == m_position.domain;
+        const auto group = isOwn ? choice_group::OwnDomain : choice_group::OtherDomain;
+        groups.at(static_cast<std::size_t>(group)).push_back(id);
+        return true;
+    });
+}
+
 bool domain_first_placement::leavesDomain(const std::string &service,
                                           const grouped_upstreams &groups, double median,
                                           monotonic_time now)
@@ -109,19 +135,39 @@
 {
     experience &known = experienceOf(upstream);
     const bool wasSuspected = known.suspectedUntil > now;
-    const unsigned doublings = std::min(known.unanswered, 8U);
-    known.suspectedUntil =
-        now + std::min(m_limits.suspicion * (1U << doublings), m_limits.maxSuspicion);
+    known.suspectedUntil = now + suspicionAfter(known.unanswered);
     ++known.unanswered;
+    const auto *record = m_directory.find(upstream);
+    if (record != nullptr && record->announced.domain != m_position.domain) {
+        domain_path &path = m_paths[record->announced.domain];
+        path.doubtedUntil = now + suspicionAfter(path.unanswered);
+        ++path.unanswered;
+    }
     return !wasSuspected;
 }
 
+monotonic_time domain_first_placement::suspicionAfter(unsigned unanswered) const
+{
+    const unsigned doublings = std::min(unanswered, 8U);
+    return std::min(m_limits.suspicion * (1U << doublings), m_limits.maxSuspicion);
+}
+
+bool domain_first_placement::isDoubtfulPath(const std::string &domain, monotonic_time now) const
+{
+    const auto found = m_paths.find(domain);
+    return found != m_paths.end() && found->second.doubtedUntil > now;
+}
+
 bool domain_first_placement::noteAnswered(upstream_id upstream)
 {
+    const auto *record = m_directory.find(upstream);
+    if (record != nullptr)
+        m_paths.erase(record->announced.domain);
     const auto found = m_experience.find(upstream);
     if (found == m_experience.end())
         return false;
     found->second.suspectedUntil = monotonic_time {0};
+    found->second.isDead = false;
     return std::exchange(found->second.unanswered, 0) > 0;
 }
 
@@ -137,6 +183,7 @@
     }
     known.suspectedUntil = std::max(known.suspectedUntil, now + duration);
     known.unanswered = std::max(known.unanswered, 1U);
+    known.isDead = known.isDead || isDead;
 }
 
 /// Differs between instances, upstreams and times; from 0 to 1.
@@ -148,6 +195,16 @@
     return static_cast<double>(mixed % steps) / static_cast<double>(steps);
 }
 
+void domain_first_placement::noteGivenUp(upstream_id upstream, monotonic_time age,
+                                         monotonic_time now)
+{
+    const auto found = m_experience.find(upstream);
+    const bool isSlower =
+        found == m_experience.end() || static_cast<double>(age.count()) > found->second.latency;
+    if (isSlower)
+        noteLatency(upstream, age, now);
+}
+
 void domain_first_placement::noteLatency(upstream_id upstream, monotonic_time latency,
                                          monotonic_time now)
 {
@@ -205,7 +262,9 @@
         return choice_group::Suspected;
     if (record.standing == upstream_standing::Missing)
         return choice_group::Missing;
-    return record.announced.domain == m_position.domain ? choice_group::OwnDomain
+    if (record.announced.domain == m_position.domain)
+        return choice_group::OwnDomain;
+    return isDoubtfulPath(record.announced.domain, now) ? choice_group::DoubtfulPath
                                                         : choice_group::OtherDomain;
 }
 
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -44,6 +44,9 @@
     /** An upstream answered an opening packet; returns whether it had left others unanswered. */
     virtual bool noteAnswered(upstream_id upstream) = 0;
 
+    /** A caller gave up a request after some time without an answer. */
+    virtual void noteGivenUp(upstream_id upstream, monotonic_time age, monotonic_time now) = 0;
+
     /** An upstream answered a request after some time. */
     virtual void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) = 0;
 
@@ -61,6 +64,9 @@
     /// doubles with each further one. Single datagrams are lost on any network, so it starts short.
     monotonic_time suspicion = std::chrono::milliseconds(500);
     monotonic_time maxSuspicion = std::chrono::seconds(8);
+    /// Part of a service's slots that this instance avoids at most on its own evidence. With more
+    /// the fault is likely its own link, and the upstreams that are left would be overloaded.
+    double maxSuspectedPart = 0.5;
     /// Share of its weight that an upstream gets while it is slow after its start.
     double coldShare = 0.5;
     /// An upstream counts as slow when its latency is above this multiple of its service's median.
@@ -109,6 +115,7 @@
                                       monotonic_time now) override;
     bool noteUnanswered(upstream_id upstream, monotonic_time now) override;
     bool noteAnswered(upstream_id upstream) override;
+    void noteGivenUp(upstream_id upstream, monotonic_time age, monotonic_time now) override;
     void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
     void forget(upstream_id upstream) override;
     void avoid(upstream_id upstream, bool isDead, monotonic_time now) override;
@@ -127,6 +134,7 @@
         double credit = 0;       ///< of the smooth round robin; the highest one is chosen next
         unsigned unanswered = 0; ///< opening packets without answer since the last answer
         monotonic_time suspectedUntil {0};
+        bool isDead = false;    ///< other instances saw the same
         double latency = 0;     ///< moving average, in microseconds
         unsigned latencies = 0; ///< in the average
         monotonic_time latencyAt {0};
@@ -143,12 +151,13 @@
     enum class choice_group : std::uint8_t {
         OwnDomain,
         OtherDomain,
-        Missing, ///< announcement lapsed
+        DoubtfulPath, ///< in a domain to which an opening packet was lost lately
+        Missing,      ///< announcement lapsed
         Suspected,
         Tried,
         None,
     };
-    static constexpr std::size_t groupCount = 5; ///< without None
+    static constexpr std::size_t groupCount = 6; ///< without None
 
     /** Upstreams of one service by group. */
     using grouped_upstreams = std::array<std::vector<upstream_id>, groupCount>;
@@ -163,6 +172,17 @@
                       monotonic_time now) const;
     void noteBestLatency(const std::string &service, double latency, monotonic_time now);
 
+    /** How the path to another domain did lately. */
+    struct domain_path
+    {
+        unsigned unanswered = 0; ///< opening packets without answer since the last answer
+        monotonic_time doubtedUntil {0};
+    };
+
+    void trustSuspected(grouped_upstreams &groups) const;
+    monotonic_time suspicionAfter(unsigned unanswered) const;
+    bool isDoubtfulPath(const std::string &domain, monotonic_time now) const;
+
     choice_group groupOf(const upstream_record &record, std::span<const upstream_id> tried,
                          monotonic_time now) const;
     double weightOf(const upstream_record &record, double medianLatency, monotonic_time now) const;
@@ -178,6 +198,7 @@
     /// By service: part of a flow that is owed to other domains; at 1 the next flow goes there.
     std::map<std::string, double> m_owedToOthers;
     std::map<std::string, best_latency> m_best; ///< by service
+    std::map<std::string, domain_path> m_paths; ///< by failure domain, without the own one
 };
 
 } // namespace chicoryhead
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -166,8 +166,7 @@
         m_log.write("store_lost",
                     {{"reason", code.message()}, {"revision", std::to_string(m_state.revision())}});
     m_pause = monotonic_time {0};
-    const unsigned doublings = std::min(m_failures, 8U);
-    const auto pause = std::min(m_settings.firstRetry * (1U << doublings), m_settings.maxRetry);
+    const auto pause = retryPause();
     // Instances that lost the store together must not all come back in the same moment.
     const auto jitter = monotonic_time {
         static_cast<std::int64_t>(m_random.next() % static_cast<std::uint64_t>(pause.count()))};
@@ -175,6 +174,14 @@
     ++m_failures;
 }
 
+monotonic_time store_follower::retryPause() const
+{
+    if (m_state.isSynchronised() && duty() == reader_duty::None)
+        return m_settings.maxIdleRetry;
+    const unsigned doublings = std::min(m_failures, 8U);
+    return std::min(m_settings.firstRetry * (1U << doublings), m_settings.maxRetry);
+}
+
 bool store_follower::mayLapse(monotonic_time now) const
 {
     return m_hasReturned && now - m_returnedAt < m_settings.returnTime;
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -39,6 +39,9 @@
     monotonic_time firstRetry = std::chrono::milliseconds(100);
     /// Longest pause between two calls to a store that does not answer.
     monotonic_time maxRetry = std::chrono::milliseconds(1000);
+    /// Longest pause of an instance that has a configuration and is no reader. The readers notice
+    /// the store's return and tell it, so that hundreds need not all ask each second.
+    monotonic_time maxIdleRetry = std::chrono::milliseconds(1500);
     /// Time after the store's return within which lapsed announcements may come back.
     monotonic_time returnTime = std::chrono::milliseconds(2200);
 };
@@ -85,6 +88,7 @@
     void finish(const result<fleet_changes> &answer, bool isLoad);
     void noteSuccess(monotonic_time now);
     void noteFailure(std::error_code code, monotonic_time now);
+    monotonic_time retryPause() const;
     bool mayLapse(monotonic_time now) const;
 
     fleet_store &m_store;
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -253,3 +253,41 @@
     CHECK_FALSE(fixture.path.isSteerable(makeData(1, 0x12345678, 1, 1, 10)));
     CHECK_FALSE(fixture.path.isSteerable(makeData(1, opened.tag, 1, 1, 10, proofsAddress)));
 }
+
+TEST_CASE("A flow that is closed with its answer counts the answer, one that is given up does not",
+          "[forwarder]")
+{
+    // Pattern: callers with a flow for each request, and upstreams that hang some of them.
+    forwarder_fixture fixture;
+    const auto answered = fixture.decide(makeOpening(1), 1s);
+    fixture.decide(makeData(1, answered.tag, 1001, 500, 300), 1010ms);
+    auto closing = makeData(1, answered.tag, 1301, 900, 0);
+    closing.isClosing = true;
+    CHECK(fixture.decide(closing, 1060ms).latency == 50ms);
+    CHECK(fixture.placement.latencyOf(answered.upstream->id, 2s) == 50ms);
+
+    const auto hung = fixture.decide(makeOpening(2), 1s);
+    REQUIRE(hung.upstream != answered.upstream);
+    fixture.decide(makeData(2, hung.tag, 1002, 500, 300), 1010ms);
+    closing = makeData(2, hung.tag, 1302, 500, 0);
+    closing.isClosing = true;
+    CHECK(fixture.decide(closing, 4010ms).latency == 0s);
+    CHECK(fixture.placement.latencyOf(hung.upstream->id, 5s) == 3s);
+}
+
+TEST_CASE("A request whose answer may have been acknowledged elsewhere counts against nobody",
+          "[forwarder]")
+{
+    // Pattern: a rolling stop, at which the fabric hands nearly all flows to other instances.
+    forwarder_fixture fixture;
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        const auto opened = fixture.decide(makeOpening(port), 1s);
+        fixture.decide(makeData(port, opened.tag, 1000U + port, 500, 300), 1010ms);
+    }
+    for (int second = 2; second < 10; ++second)
+        fixture.path.expire(std::chrono::seconds(second));
+    for (int i = 0; i < 4; ++i) {
+        const auto id = fixture.directory.find("i-d" + std::to_string(i))->id;
+        CHECK(fixture.placement.latencyOf(id, 5s) == 0s);
+    }
+}
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -281,3 +281,87 @@
     fixture.placement.forget(id);
     CHECK_FALSE(fixture.placement.isSuspected(id, 1s));
 }
+
+TEST_CASE("Cut: the first loss on the path to a domain moves new flows off that path",
+          "[placement]")
+{
+    // Pattern: the own domain has no upstream left, and one of the other domains is cut off.
+    placement_fixture fixture;
+    for (const char *name : {"i-a0", "i-a1", "i-a2", "i-a3"})
+        fixture.drain(name);
+    fixture.placement.noteUnanswered(fixture.idOf("i-b0"), 10s);
+    for (const auto &[name, count] : fixture.placeMany(60, 10100ms))
+        CHECK(name.substr(0, 3) == "i-c");
+    SECTION("return: an answer from the domain ends the doubt")
+    {
+        fixture.placement.noteAnswered(fixture.idOf("i-b1"));
+        CHECK(fixture.placeMany(70, 10200ms).size() == 7);
+    }
+    SECTION("return: after a while the path is tried again")
+    {
+        CHECK(fixture.placeMany(80, 10600ms).size() == 8);
+    }
+    SECTION("all other domains are cut off: they are used all the same")
+    {
+        fixture.placement.noteUnanswered(fixture.idOf("i-c0"), 10100ms);
+        CHECK(fixture.placeMany(60, 10200ms).size() == 6);
+    }
+}
+
+TEST_CASE("A loss within the own domain casts no doubt on other upstreams", "[placement]")
+{
+    placement_fixture fixture;
+    fixture.placement.noteUnanswered(fixture.idOf("i-a0"), 10s);
+    CHECK(fixture.placeMany(30, 10100ms).size() == 3);
+}
+
+TEST_CASE("Bad link of the instance: at most half of a service is avoided on its own evidence",
+          "[placement]")
+{
+    // Guards against an instance that loses packets and sends all its flows to the last upstream.
+    placement_fixture fixture;
+    for (const char *domain : {"a", "b", "c"}) {
+        for (int i = 0; i < 3; ++i)
+            fixture.placement.noteUnanswered(
+                fixture.idOf(std::string("i-") + domain + std::to_string(i)), 10s);
+    }
+    CHECK(fixture.placeMany(400, 10100ms).size() == 4);
+    SECTION("what others confirm is avoided, however much it is")
+    {
+        for (const char *domain : {"a", "b", "c"}) {
+            for (int i = 0; i < 3; ++i)
+                fixture.placement.avoid(
+                    fixture.idOf(std::string("i-") + domain + std::to_string(i)), true, 10200ms);
+        }
+        const auto counts = fixture.placeMany(40, 10300ms);
+        REQUIRE_FALSE(counts.empty());
+        for (const auto &[name, count] : counts)
+            CHECK(name.back() == '3');
+    }
+}
+
+TEST_CASE("Death: an upstream that others found dead is avoided, and tried again later",
+          "[placement]")
+{
+    placement_fixture fixture;
+    fixture.placement.avoid(fixture.idOf("i-a0"), true, 10s);
+    CHECK(fixture.placeMany(300, 13900ms).count("i-a0") == 0);
+    CHECK(fixture.placeMany(300, 18100ms).count("i-a0") == 1);
+}
+
+TEST_CASE("Hanging upstream: requests without answer lower its share", "[placement]")
+{
+    // Pattern: an upstream that accepts requests and never answers them looks as fast as before.
+    placement_fixture fixture;
+    for (const char *name : {"i-a0", "i-a1", "i-a2", "i-a3"}) {
+        for (int i = 0; i < 8; ++i)
+            fixture.placement.noteLatency(fixture.idOf(name), 40ms, 10s);
+    }
+    for (int i = 0; i < 4; ++i)
+        fixture.placement.noteGivenUp(fixture.idOf("i-a0"), 600ms, 10500ms);
+    auto counts = fixture.placeMany(300, 10600ms);
+    CHECK(counts["i-a0"] < 20);
+    // An age below the average says nothing: the request may be answered at any moment.
+    fixture.placement.noteGivenUp(fixture.idOf("i-a1"), 10ms, 10600ms);
+    CHECK(fixture.placement.latencyOf(fixture.idOf("i-a1"), 10600ms) == 40ms);
+}
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -233,6 +233,46 @@
     }
 }
 
+TEST_CASE("Outage of the store: an instance that is no reader asks rarely", "[sync]")
+{
+    // Pattern: the store refuses hundreds of instances whose state grew old, and counts each call.
+    follower_fixture fixture;
+    auto duty = reader_duty::First;
+    fixture.follower.setReaderPolicy([&] { return duty; });
+    const auto callsWithin = [&](monotonic_time duration) {
+        int calls = 0;
+        for (monotonic_time passed {0}; passed < duration; passed += 10ms) {
+            fixture.step(10ms);
+            while (fixture.store.isCalled()) {
+                fixture.store.answer(error::StoreUnavailable);
+                ++calls;
+            }
+        }
+        return calls;
+    };
+    SECTION("it starts and has no configuration")
+    {
+        duty = reader_duty::None;
+        fixture.store.answer(error::StoreUnavailable);
+        CHECK(callsWithin(9s) >= 9);
+    }
+    SECTION("it has one")
+    {
+        fixture.synchronise();
+        duty = reader_duty::None;
+        fixture.store.answer(error::StoreUnavailable);
+        const int calls = callsWithin(15s);
+        CHECK(calls >= 8);
+        CHECK(calls <= 20);
+    }
+    SECTION("it reads for its domain")
+    {
+        fixture.synchronise();
+        fixture.store.answer(error::StoreUnavailable);
+        CHECK(callsWithin(9s) >= 9);
+    }
+}
+
 TEST_CASE("The answer of a watch that others overtook changes nothing", "[sync]")
 {
     // Guards against an upstream's state that goes back and stays back until its next change.
