--- a/src/entry/derived_settings.cpp
+++ b/src/entry/derived_settings.cpp
@@ -47,6 +47,25 @@
 {
     gossip_settings made;
     made.storeInterval = deriveFollowerSettings(settings).watchWait;
+    made.maxPatience = changeBound(settings) / 6;
+    return made;
+}
+
+/// The store must still have what changed since the older of two snapshots, even when the newer
+/// one is late by as much again.
+publisher_settings derivePublisherSettings(const entry_settings &settings)
+{
+    publisher_settings made;
+    made.interval = settings.storeHistory * 2 / 5;
+    made.maxBytes = settings.maxValueBytes;
+    return made;
+}
+
+/// Three quarters of the link stay for packets of callers.
+transfer_limits deriveTransferLimits(const entry_settings &settings)
+{
+    transfer_limits made;
+    made.bytesPerSecond = settings.linkBytesPerSecond / 4;
     return made;
 }
 
--- a/src/entry/derived_settings.h
+++ b/src/entry/derived_settings.h
@@ -9,6 +9,7 @@
 #include "gossip/gossip_base.h"
 #include "settings/entry_settings_type.h"
 #include "stop_sequence_base.h"
+#include "sync/snapshot_publisher_base.h"
 #include "sync/store_follower_base.h"
 
 namespace chicoryhead {
@@ -20,5 +21,7 @@
 directory_settings deriveDirectorySettings(const entry_settings &settings);
 follower_settings deriveFollowerSettings(const entry_settings &settings);
 gossip_settings deriveGossipSettings(const entry_settings &settings);
+publisher_settings derivePublisherSettings(const entry_settings &settings);
+transfer_limits deriveTransferLimits(const entry_settings &settings);
 
 } // namespace chicoryhead
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -49,6 +49,8 @@
                m_health, *this, m_clock, m_random, m_log, deriveGossipSettings(settings))
     , m_registrar({settings.name, settings.domain, settings.peerAddress}, m_store, m_state, m_clock,
                   m_random, m_log)
+    , m_publisher(settings.domain, m_store, m_state, m_clock, m_log,
+                  derivePublisherSettings(settings))
     , m_startedAt(m_clock.now())
     , m_suspension(m_startedAt)
     , m_packetLog(m_log, m_routes, m_state)
@@ -95,12 +97,17 @@
     m_data.start();
     m_peers.start();
     m_state.addListener(m_health);
+    m_gossip.setTransferLimits(deriveTransferLimits(m_settings));
     m_follower.setUpdateHandler([this] {
         m_gossip.noteStoreAnswer();
         onUpdate();
     });
     m_follower.setEarlyHandler([this] { onUpstreamsKnown(); });
     m_follower.setReaderPolicy([this] { return m_gossip.duty(); });
+    m_follower.setPatiencePolicy([this] { return m_gossip.patience(); });
+    m_follower.setPeerCount([this] { return m_gossip.countPeers(); });
+    m_follower.setSnapshotHandler(
+        [this](store_revision revision) { m_publisher.noteSnapshot(revision); });
     awaitSignal();
     m_follower.tick();
     scheduleTick();
@@ -159,6 +166,8 @@
                 {{"upstreams", std::to_string(m_directory.size())},
                  {"held_packets", std::to_string(released)}});
     m_data.flush();
+    m_gossip.tick();
+    m_peers.flush();
 }
 
 void entry_process::scheduleTick()
@@ -180,6 +189,7 @@
     if (m_suspension.takeResumed())
         m_follower.refresh();
     m_follower.tick();
+    m_publisher.tick(m_gossip.isFirstWorkingReader() && !m_stop.isStopping());
     judgeUpstreams();
     m_gossip.tick();
     m_peers.flush();
@@ -281,9 +291,14 @@
     m_settings.drainBound = changed.drainBound;
     m_settings.stopGrace = changed.stopGrace;
     m_settings.flowLifetime = changed.flowLifetime;
+    m_settings.storeHistory = changed.storeHistory;
+    m_settings.maxValueBytes = changed.maxValueBytes;
+    m_settings.linkBytesPerSecond = changed.linkBytesPerSecond;
     m_store.setServer(m_settings.storeAddress);
     m_follower.setSettings(deriveFollowerSettings(m_settings));
     m_gossip.setSettings(deriveGossipSettings(m_settings));
+    m_gossip.setTransferLimits(deriveTransferLimits(m_settings));
+    m_publisher.setSettings(derivePublisherSettings(m_settings));
     m_directory.setSettings(deriveDirectorySettings(m_settings));
     m_stop.setSettings(deriveStopSettings(m_settings));
     m_packets.setFreshness(changeBound(m_settings));
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -24,6 +24,7 @@
 #include "stop_sequence_base.h"
 #include "suspension_watch_base.h"
 #include "sync/fleet_state_base.h"
+#include "sync/snapshot_publisher_base.h"
 #include "sync/store_follower_base.h"
 #include "system/system_base.h"
 #include "system/udp_socket_base.h"
@@ -101,6 +102,7 @@
     store_follower m_follower;
     gossip m_gossip;
     instance_registrar m_registrar;
+    snapshot_publisher m_publisher;
     entry_metrics m_metrics;
     monotonic_time m_startedAt;
     suspension_watch m_suspension;
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -7,8 +7,6 @@
 
 #include "sync/state_codec_func.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -22,11 +20,6 @@
 /// Instances that are told of a change at once; each tells as many again.
 constexpr std::size_t changeFanout = 3;
 
-std::uint64_t rankOf(const std::string &name)
-{
-    return XXH3_64bits(name.data(), name.size());
-}
-
 } // namespace
 
 gossip::gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
@@ -36,12 +29,15 @@
     , m_rank(rankOf(m_own.name))
     , m_seeds(std::move(seeds))
     , m_state(state)
+    , m_view(state, m_own)
     , m_health(health)
     , m_sink(sink)
     , m_clock(clock)
     , m_random(random)
     , m_log(log)
     , m_settings(settings)
+    , m_transfers(*this, clock)
+    , m_startedAt(clock.now())
 {
     std::erase(m_seeds, m_own.peerAddress);
 }
@@ -69,11 +65,17 @@
 void gossip::tick()
 {
     const auto now = m_clock.now();
+    m_transfers.flush();
     if (!m_state.isSynchronised()) {
-        if (now >= m_nextFetch)
+        if (now >= m_nextFetch && m_state.isPreloaded())
+            fetchChanges();
+        else if (now >= m_nextFetch && now - m_startedAt >= m_settings.firstFetch)
             fetchFromAnyone();
         return;
     }
+    if (m_knownSince.count() == 0)
+        m_knownSince = now;
+    noteVacancies();
     sendReports();
     if (now < m_nextDigest)
         return;
@@ -84,6 +86,21 @@
         sendToOtherDomain();
 }
 
+void gossip::sendToPeer(const endpoint &peer, std::span<const std::byte> datagram)
+{
+    m_bytesSent += datagram.size();
+    m_sink.sendToPeer(peer, datagram);
+}
+
+/// Who of the own domain knows them already is not known, so two are asked each time.
+void gossip::fetchChanges()
+{
+    const auto &own = m_view.ownDomain();
+    for (int i = 0; i < 2 && !own.empty(); ++i)
+        fetch(pick(own));
+    m_nextFetch = m_clock.now() + m_settings.changesRetry;
+}
+
 void gossip::announceChanges()
 {
     if (m_state.contentRevision() <= m_announced)
@@ -101,14 +118,13 @@
 void gossip::noteStoreAnswer()
 {
     m_storeAnswerAt = m_clock.now();
-    if (m_firstStoreAnswerAt.count() == 0)
-        m_firstStoreAnswerAt = m_storeAnswerAt;
+    if (m_knownSince.count() == 0)
+        m_knownSince = m_storeAnswerAt;
 }
 
 bool gossip::isCandidate() const
 {
-    return m_firstStoreAnswerAt.count() > 0
-        && m_clock.now() - m_firstStoreAnswerAt < m_settings.candidacy;
+    return m_knownSince.count() > 0 && m_clock.now() - m_knownSince < m_settings.candidacy;
 }
 
 reader_duty gossip::duty() const
@@ -116,9 +132,61 @@
     if (isCandidate())
         return reader_duty::None;
     const std::size_t before = countReadersBefore();
-    if (before == 0)
-        return reader_duty::First;
-    return before < m_settings.readersPerDomain ? reader_duty::Backup : reader_duty::None;
+    if (before >= m_settings.readersPerDomain)
+        return reader_duty::None;
+    if (!isWorkingReader() && !isOwnTurn(m_settings.readersPerDomain - before))
+        return reader_duty::None;
+    return before == 0 ? reader_duty::First : reader_duty::Backup;
+}
+
+bool gossip::isWorkingReader() const
+{
+    return m_storeAnswerAt.count() > 0 && isRecent(m_storeAnswerAt);
+}
+
+/// Lower ranks come first; those that don't become readers in time are passed over.
+bool gossip::isOwnTurn(std::size_t vacancies) const
+{
+    if (m_vacantSince.count() == 0)
+        return false;
+    const auto steps =
+        static_cast<std::size_t>((m_clock.now() - m_vacantSince) / m_settings.rankStep);
+    return countLowerRanks() < vacancies * (1 + steps);
+}
+
+/// Instances of the own domain with a lower rank that don't read as far as is known.
+std::size_t gossip::countLowerRanks() const
+{
+    const auto &ranks = m_view.lowerRanks();
+    return static_cast<std::size_t>(
+        std::count_if(ranks.begin(), ranks.end(), [this](std::uint64_t rank) {
+            const auto reader = m_readers.find(rank);
+            return reader == m_readers.end() || !isRecent(reader->second);
+        }));
+}
+
+std::size_t gossip::countReaders() const
+{
+    const auto others =
+        std::count_if(m_readers.begin(), m_readers.end(),
+                      [this](const auto &reader) { return isRecent(reader.second); });
+    return static_cast<std::size_t>(others) + (isWorkingReader() ? 1 : 0);
+}
+
+void gossip::noteVacancies()
+{
+    if (countReaders() >= m_settings.readersPerDomain)
+        m_vacantSince = monotonic_time {0};
+    else if (m_vacantSince.count() == 0)
+        m_vacantSince = m_clock.now();
+}
+
+monotonic_time gossip::patience() const
+{
+    const auto instances = std::max<std::size_t>(m_view.ownDomain().size(), 1);
+    const auto rank = std::min(countLowerRanks(), instances);
+    return m_settings.maxPatience * static_cast<std::int64_t>(rank)
+        / static_cast<std::int64_t>(instances);
 }
 
 std::size_t gossip::countReadersBefore() const
@@ -129,20 +197,15 @@
             ranks.insert(rank);
     }
     // Until reports had the time to arrive, registered instances are assumed to be alive.
-    if (isRecent(m_firstStoreAnswerAt)) {
-        for (const auto &[name, registration] : m_state.instances()) {
-            const std::uint64_t rank = rankOf(name);
-            if (registration.domain == m_own.domain && rank < m_rank)
-                ranks.insert(rank);
-        }
-    }
+    if (isRecent(m_knownSince))
+        ranks.insert(m_view.lowerRanks().begin(), m_view.lowerRanks().end());
     return ranks.size();
 }
 
 std::vector<std::string> gossip::silentInstances()
 {
     const auto now = m_clock.now();
-    const auto known = peers(true).size();
+    const auto known = m_view.ownDomain().size();
     const auto turn = m_settings.period
         * static_cast<std::int64_t>(known / std::max<std::size_t>(m_settings.ownFanout, 1) + 1);
     const auto limit =
@@ -170,7 +233,7 @@
     const bool isBehind =
         digest.contentRevision > m_state.revision() || digest.version > m_state.configVersion();
     if (isBehind) {
-        if (m_clock.now() >= m_nextFetch)
+        if (m_clock.now() >= m_nextFetch && shouldFetch(digest))
             fetch(from);
         return false;
     }
@@ -179,6 +242,15 @@
     return false;
 }
 
+/// What the own domain's readers bring need not come from another domain, at the price of its
+/// bytes.
+bool gossip::shouldFetch(const gossip_digest &digest) const
+{
+    const auto usualAge = m_settings.storeInterval + 2 * m_settings.period;
+    return digest.sender.domain == m_own.domain || digest.version > m_state.configVersion()
+        || m_clock.now() - m_state.confirmedAt() > usualAge;
+}
+
 void gossip::mergeReaders(const gossip_digest &digest)
 {
     const auto now = m_clock.now();
@@ -197,22 +269,13 @@
         return;
     auto state = m_state.snapshot(fetch.version, fetch.revision, m_clock.now());
     state.ageMs = ageMs(m_state.confirmedAt());
-    const auto bytes = encodeState(state);
-    ++m_transfers;
-    const std::size_t count = (bytes.size() + maxPartBytes - 1) / maxPartBytes;
-    for (std::size_t index = 0; index < count; ++index) {
-        const std::size_t begin = index * maxPartBytes;
-        const std::size_t size = std::min(maxPartBytes, bytes.size() - begin);
-        gossip_part part {
-            m_transfers, static_cast<std::uint16_t>(index), static_cast<std::uint16_t>(count), {}};
-        const auto *first = reinterpret_cast<const std::uint8_t *>(bytes.data()) + begin;
-        part.bytes.assign(first, first + size);
-        m_sink.sendToPeer(from, encodeGossip(part));
-    }
+    m_transfers.add(from, encodeState(state));
 }
 
 bool gossip::onPart(const endpoint &from, const gossip_part &part)
 {
+    // While parts arrive nobody else need be asked.
+    m_nextFetch = std::max(m_nextFetch, m_clock.now() + m_settings.fetchRetry / 2);
     const auto whole = m_assembler.add(from, part);
     if (!whole)
         return false;
@@ -258,10 +321,10 @@
     const auto reports = m_health.takeNews(now);
     if (reports.empty())
         return;
-    const auto own = peers(true);
+    const auto &own = m_view.ownDomain();
     for (std::size_t i = 0; i < changeFanout && !own.empty(); ++i)
         sendReportsTo(pick(own), reports, false);
-    const auto others = peers(false);
+    const auto &others = m_view.otherDomains();
     const auto shared = m_health.forOtherDomains(reports);
     if (!others.empty() && !shared.empty())
         sendReportsTo(pick(others), shared, false);
@@ -270,8 +333,7 @@
 void gossip::sendReportsTo(const endpoint &target, std::vector<silence_report> reports,
                            bool isReply)
 {
-    m_sink.sendToPeer(target,
-                      encodeGossip(gossip_reports {m_own.domain, isReply, std::move(reports)}));
+    sendToPeer(target, encodeGossip(gossip_reports {m_own.domain, isReply, std::move(reports)}));
 }
 
 void gossip::sendDigest(const endpoint &target)
@@ -289,7 +351,7 @@
         if (digest.readers.size() < maxReports && isRecent(seenAt))
             digest.readers.push_back({rank, ageMs(seenAt)});
     }
-    m_sink.sendToPeer(target, encodeGossip(digest));
+    sendToPeer(target, encodeGossip(digest));
 }
 
 void gossip::sendToOwnDomain(std::size_t count)
@@ -300,7 +362,7 @@
 
 std::vector<endpoint> gossip::nextInOwnDomain(std::size_t count)
 {
-    const auto known = peers(true);
+    const auto &known = m_view.ownDomain();
     std::vector<endpoint> next;
     while (next.size() < std::min(count, known.size())) {
         if (m_turns.empty()) {
@@ -320,7 +382,7 @@
 
 void gossip::sendToOtherDomain()
 {
-    const auto targets = peers(false);
+    const auto &targets = m_view.otherDomains();
     if (!targets.empty())
         sendDigest(pick(targets));
 }
@@ -328,31 +390,17 @@
 void gossip::fetch(const endpoint &target)
 {
     m_nextFetch = m_clock.now() + m_settings.fetchRetry;
-    m_sink.sendToPeer(target,
-                      encodeGossip(gossip_fetch {m_state.configVersion(), m_state.revision()}));
+    sendToPeer(target, encodeGossip(gossip_fetch {m_state.configVersion(), m_state.revision()}));
 }
 
 void gossip::fetchFromAnyone()
 {
-    auto targets = peers(true);
+    auto targets = m_view.ownDomain();
     targets.insert(targets.end(), m_seeds.begin(), m_seeds.end());
     if (!targets.empty())
         fetch(pick(targets));
 }
 
-std::vector<endpoint> gossip::peers(bool isOwnDomain) const
-{
-    std::vector<endpoint> found;
-    for (const auto &[name, registration] : m_state.instances()) {
-        if (name != m_own.name && (registration.domain == m_own.domain) == isOwnDomain)
-            found.push_back(registration.peerAddress);
-    }
-    // The registration of an instance that is gone may have the address of another one.
-    std::sort(found.begin(), found.end());
-    found.erase(std::unique(found.begin(), found.end()), found.end());
-    return found;
-}
-
 endpoint gossip::pick(const std::vector<endpoint> &peers)
 {
     return peers[m_random.next() % peers.size()];
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -14,8 +14,10 @@
 #include "gossip_codec_func.h"
 #include "health/upstream_health_base.h"
 #include "part_assembler_base.h"
+#include "peer_view_base.h"
 #include "sync/fleet_state_base.h"
 #include "sync/reader_duty_type.h"
+#include "transfer_queue_base.h"
 
 #include <chrono>
 #include <cstdint>
@@ -43,10 +45,19 @@
     /// for lost digests. A reader whose store did not answer for longer than both times together
     /// does not count.
     monotonic_time propagationTime = std::chrono::milliseconds(2500);
-    /// After its first answer of the store an instance only reports that it could read; in three
-    /// periods it learns whether others with a lower rank do.
+    /// When its state is there an instance only reports that it could read; in three periods it
+    /// learns whether others with a lower rank do.
     monotonic_time candidacy = period * 3;
     monotonic_time fetchRetry = std::chrono::milliseconds(250);
+    /// At the start others are asked for their state only if the store did not give it by then.
+    monotonic_time firstFetch = std::chrono::milliseconds(150);
+    /// Pause between two questions for what changed since a snapshot.
+    monotonic_time changesRetry = std::chrono::milliseconds(40);
+    /// While too few readers are known, as many further ranks may read after each of these times.
+    /// In an outage of the store nobody is known, and hundreds must not all begin to ask.
+    monotonic_time rankStep = std::chrono::milliseconds(500);
+    /// Longest time for which an instance leaves the store to lower ranks when its state is old.
+    monotonic_time maxPatience {0};
     /// An instance that sent nothing for this long was probably replaced under another name.
     monotonic_time silence = std::chrono::seconds(60);
     /// In large domains instances get digests in turn; this many turns without one are silence.
@@ -54,7 +65,7 @@
 };
 
 /** Gossip of one instance, without sockets. */
-class gossip
+class gossip : private peer_sink
 {
 public:
     gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
@@ -82,6 +93,24 @@
     /** How much this instance should read the store. */
     reader_duty duty() const;
 
+    /** Whether this instance is the first reader of its domain and the store answers it. */
+    bool isFirstWorkingReader() const { return isWorkingReader() && duty() == reader_duty::First; }
+
+    /** How much longer than others this instance should wait when its state is old. */
+    monotonic_time patience() const;
+
+    /** Other registered instances of the own domain. */
+    std::size_t countPeers() const { return m_view.ownDomain().size(); }
+
+    /** Bytes sent to other instances. */
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+
+    /** States that were asked for while too many were under way. */
+    std::uint64_t transfersRefused() const { return m_transfers.refused(); }
+
+    /** Sets the bounds of transfers. */
+    void setTransferLimits(const transfer_limits &limits) { m_transfers.setLimits(limits); }
+
     /** Registered instances of the own domain that are silent; their registrations can go. */
     std::vector<std::string> silentInstances();
 
@@ -89,6 +118,8 @@
     std::uint64_t malformedMessages() const { return m_malformed; }
 
 private:
+    void sendToPeer(const endpoint &peer, std::span<const std::byte> datagram) override;
+
     /** A reader with the time of the store's last answer to it. */
     using reader_times = std::map<std::uint64_t, monotonic_time>;
 
@@ -104,12 +135,18 @@
     void sendToOtherDomain();
     void fetch(const endpoint &target);
     void fetchFromAnyone();
-    std::vector<endpoint> peers(bool isOwnDomain) const;
+    void fetchChanges();
     endpoint pick(const std::vector<endpoint> &peers);
     std::vector<endpoint> nextInOwnDomain(std::size_t count);
     std::uint32_t ageMs(monotonic_time at) const;
     bool isRecent(monotonic_time report) const;
     bool isCandidate() const;
+    bool isWorkingReader() const;
+    bool isOwnTurn(std::size_t vacancies) const;
+    std::size_t countLowerRanks() const;
+    std::size_t countReaders() const;
+    void noteVacancies();
+    bool shouldFetch(const gossip_digest &digest) const;
     /** Instances with a lower rank that read the store as far as is known. */
     std::size_t countReadersBefore() const;
 
@@ -117,6 +154,7 @@
     std::uint64_t m_rank; ///< of this instance
     std::vector<endpoint> m_seeds;
     fleet_state &m_state;
+    peer_view m_view;
     upstream_health &m_health;
     peer_sink &m_sink;
     const clock_source &m_clock;
@@ -124,19 +162,22 @@
     event_log &m_log;
     gossip_settings m_settings;
     part_assembler m_assembler;
+    transfer_queue m_transfers;
     std::map<std::string, monotonic_time> m_heardAt; ///< instances of the own domain
     reader_times m_readers;                          ///< of the own domain, without this instance
     /// Instances of the own domain in a random order. They are told in turn, because with targets
     /// drawn anew each time some would hear nothing for seconds.
     std::vector<endpoint> m_turns;
-    store_revision m_announced = 0;          ///< content that others were told of at once
-    monotonic_time m_storeAnswerAt {0};      ///< last answer of the store; 0 for none
-    monotonic_time m_firstStoreAnswerAt {0}; ///< 0 for none
+    store_revision m_announced = 0;     ///< content that others were told of at once
+    monotonic_time m_storeAnswerAt {0}; ///< last answer of the store; 0 for none
+    monotonic_time m_startedAt;
+    monotonic_time m_knownSince {0};  ///< when the state was there; 0 for not yet
+    monotonic_time m_vacantSince {0}; ///< when readers became too few; 0 for enough of them
     monotonic_time m_nextDigest {0};
     monotonic_time m_nextFetch {0};
     monotonic_time m_nextReports {0};
     std::uint64_t m_periods = 0;
-    std::uint32_t m_transfers = 0;
+    std::uint64_t m_bytesSent = 0;
     std::uint64_t m_malformed = 0;
 };
 
--- a/src/gossip/part_assembler.cpp
+++ b/src/gossip/part_assembler.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// 1.2 MB: the state at the design's size in one failure domain's view.
-constexpr std::size_t maxParts = 1024;
+/// 4.9 MB; the compressed state at the size of two years has 1.6 MB.
+constexpr std::size_t maxParts = 4096;
 
 } // namespace
 
--- /dev/null
+++ b/src/gossip/transfer_queue_base.h
@@ -0,0 +1,71 @@
+/**
+ * @file transfer_queue_base.h
+ * States on their way to other instances, sent at a bounded rate.
+ */
+
+#pragma once
+
+#include "core/core_base.h"
+#include "gossip_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace chicoryhead {
+
+/** Bounds of the transfers of one instance. */
+struct transfer_limits
+{
+    /// Rate of all transfers together; a quarter of a link of 10 Mbit/s, whose rest is for packets.
+    std::uint64_t bytesPerSecond = 312500;
+    /// Bytes that may leave at once, so that small differences don't wait for a tick.
+    std::size_t burstBytes = 32768;
+    /// Transfers under way; whoever asks then gets nothing and asks another instance.
+    std::size_t maxTransfers = 8;
+};
+
+/** Splits states into datagrams and sends them in turn as the rate allows. */
+class transfer_queue
+{
+public:
+    transfer_queue(peer_sink &sink, const clock_source &clock, transfer_limits limits = {});
+
+    /** Queues a state; returns false when too many are under way or the target gets one already. */
+    bool add(const endpoint &target, std::vector<std::byte> state);
+
+    /** Sends what the rate allows. */
+    void flush();
+
+    /** Uses other limits from now on. */
+    void setLimits(const transfer_limits &limits) { m_limits = limits; }
+
+    bool isEmpty() const { return m_transfers.empty(); }
+
+    /** Transfers that were refused. */
+    std::uint64_t refused() const { return m_refused; }
+
+private:
+    /** One state under way. */
+    struct transfer
+    {
+        endpoint target;
+        std::uint32_t number = 0;
+        std::vector<std::byte> bytes;
+        std::size_t nextPart = 0;
+    };
+
+    bool sendNextPart(transfer &next);
+
+    peer_sink &m_sink;
+    const clock_source &m_clock;
+    transfer_limits m_limits;
+    std::deque<transfer> m_transfers; ///< the first one gets the next part
+    double m_allowance;               ///< bytes that may leave now
+    monotonic_time m_allowanceAt;
+    std::uint32_t m_lastNumber = 0;
+    std::uint64_t m_refused = 0;
+};
+
+} // namespace chicoryhead
--- a/src/settings/entry_settings_type.h
+++ b/src/settings/entry_settings_type.h
@@ -31,6 +31,9 @@
     monotonic_time drainBound {0};   ///< after which a leaving upstream may get no new flows
     monotonic_time stopGrace {0};    ///< from the request to stop until the process is killed
     monotonic_time flowLifetime {0}; ///< longest age of a flow
+    monotonic_time storeHistory {0}; ///< for which the store keeps changes; 0 if unknown
+    std::size_t maxValueBytes = 0;   ///< that an item of the store may have; 0 if unknown
+    std::uint64_t linkBytesPerSecond = 0; ///< of this instance's link
 
     bool operator==(const entry_settings &) const = default;
 };
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -72,6 +72,7 @@
             withdraw(name, "not_listed", mayLapse, now);
     }
     std::erase_if(m_instances, [&](const auto &entry) { return !instances.contains(entry.first); });
+    ++m_instancesVersion;
     apply(everything, mayLapse, now);
     // What changed between the old state and the new one, and when, is not known.
     m_history.clear();
@@ -86,6 +87,21 @@
     }
 }
 
+void fleet_state::preload(const state_image &image, monotonic_time now)
+{
+    if (m_confirmedAt.count() > 0 || image.revision <= m_revision)
+        return;
+    if (image.hasConfig)
+        applyOne(image.config, false, now);
+    for (const upstream_announcement &announced : image.upstreams)
+        applyOne(announced, false, now);
+    for (const instance_registration &registration : image.instances)
+        applyOne(registration, false, now);
+    m_revision = image.revision;
+    m_historyFloor = image.revision;
+    m_contentRevision = image.contentRevision;
+}
+
 void fleet_state::confirm(store_revision revision, monotonic_time at)
 {
     m_revision = std::max(m_revision, revision);
@@ -96,8 +112,11 @@
 {
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, other.mayLapse, now);
+    const bool isPreloadConfirmed = isPreloaded() && other.revision == m_revision;
+    if (isPreloadConfirmed)
+        confirm(other.revision, confirmedAt);
     if (other.revision <= m_revision || other.since > m_revision)
-        return false;
+        return isPreloadConfirmed;
     fleet_changes changes;
     changes.revision = other.contentRevision;
     changes.changes.assign(other.upstreams.begin(), other.upstreams.end());
@@ -234,12 +253,14 @@
                            monotonic_time /*now*/)
 {
     m_instances[registration.name] = registration;
+    ++m_instancesVersion;
 }
 
 void fleet_state::applyOne(const instance_withdrawal &withdrawal, bool /*mayLapse*/,
                            monotonic_time /*now*/)
 {
     m_instances.erase(withdrawal.name);
+    ++m_instancesVersion;
 }
 
 void fleet_state::forget(upstream_id upstream)
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -43,6 +43,12 @@
     /** Takes over upstreams before everything is known; the state stays without a revision. */
     void announceEarly(const fleet_changes &upstreams, monotonic_time now);
 
+    /**
+     * Takes over a state that may be out of date. Open flows can go on with it; it is in force when
+     * what changed since is applied or adopted.
+     */
+    void preload(const state_image &image, monotonic_time now);
+
     /** The store or an instance that follows it confirmed that nothing is newer. */
     void confirm(store_revision revision, monotonic_time at);
 
@@ -66,8 +72,11 @@
     /** Lets time pass for announcements that lapsed. */
     void expire(monotonic_time now);
 
-    /** Whether a configuration is in force. */
-    bool isSynchronised() const { return m_routes.version() > 0; }
+    /** Whether a configuration is in force that was confirmed at some time. */
+    bool isSynchronised() const { return m_routes.version() > 0 && m_confirmedAt.count() > 0; }
+
+    /** Whether a state was preloaded that nobody confirmed yet. */
+    bool isPreloaded() const { return m_revision > 0 && m_confirmedAt.count() == 0; }
 
     config_version configVersion() const { return m_routes.version(); }
 
@@ -79,6 +88,15 @@
     /** When the revision was last confirmed; 0 for never. */
     monotonic_time confirmedAt() const { return m_confirmedAt; }
 
+    /** Routes, upstreams and instances that are known. */
+    std::size_t entries() const
+    {
+        return m_routes.config().routes.size() + m_directory.size() + m_instances.size();
+    }
+
+    /** Changes whenever instances() does. */
+    std::uint64_t instancesVersion() const { return m_instancesVersion; }
+
     /** Registered instances by name; this one included. */
     const std::map<std::string, instance_registration> &instances() const { return m_instances; }
 
@@ -112,6 +130,7 @@
     std::vector<upstream_listener *> m_listeners;
     event_log &m_log;
     std::map<std::string, instance_registration> m_instances;
+    std::uint64_t m_instancesVersion = 1;
     std::deque<past_change> m_history;    ///< all changes after m_historyFloor, by revision
     store_revision m_historyFloor = 0;    ///< at most m_revision
     store_revision m_revision = 0;        ///< never goes down
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -10,8 +10,10 @@
 #include "directory/directory_base.h"
 #include "routing/routing_base.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,6 +55,15 @@
 {
     store_revision revision = 0;
     std::vector<fleet_change> changes; ///< in the order in which they were made
+    /// Revision at which the published snapshot was replaced; 0 if it was not.
+    store_revision snapshotRevision = 0;
+};
+
+/** A state of the fleet that an instance published for those that start. */
+struct published_snapshot
+{
+    store_revision revision = 0; ///< at which it was published; its content is older
+    std::vector<std::byte> bytes;
 };
 
 /**
@@ -68,6 +79,9 @@
      */
     using handler = std::function<void(result<fleet_changes>)>;
 
+    /** Gets the published snapshot; error::NotFound, or the errors of a handler. */
+    using snapshot_handler = std::function<void(result<published_snapshot>)>;
+
     /** Gets success, or the error; error::OutcomeUnknown if the write may have been done. */
     using write_handler = std::function<void(std::error_code)>;
 
@@ -82,6 +96,20 @@
      */
     virtual void loadUpstreams(handler done) = 0;
 
+    /**
+     * Reads the newest snapshot that an instance published; it may be seconds old. Only one such
+     * call may be under way; it may be beside a load.
+     */
+    virtual void readSnapshot(snapshot_handler done) = 0;
+
+    /**
+     * Publishes a snapshot in place of that of a revision; error::VersionConflict if another one
+     * was published since. Only one may be under way; it may be beside another write.
+     * @param replaced revision of the snapshot that is replaced; 0 for none.
+     */
+    virtual void publishSnapshot(std::span<const std::byte> snapshot, store_revision replaced,
+                                 write_handler done) = 0;
+
     /** Waits for changes after a revision; an empty answer comes when there are none in time. */
     virtual void watch(store_revision after, std::chrono::milliseconds wait, handler done) = 0;
 
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -6,6 +6,7 @@
 #include "state_codec_func.h"
 
 #include "core/codec_func.h"
+#include "core/compress_func.h"
 #include "registration_codec_func.h"
 
 #include <cstdint>
@@ -16,7 +17,9 @@
 namespace {
 
 /// Raised when the encoding changes; instances of other formats then read the store themselves.
-constexpr std::uint8_t stateFormat = 2;
+constexpr std::uint8_t stateFormat = 3;
+/// Bound of a decoded state; at the size of two years it has 8.5 MB.
+constexpr std::size_t maxStateBytes = std::size_t {32} * 1024 * 1024;
 
 constexpr std::size_t maxTargets = 256;
 constexpr std::size_t maxListed = 65535; ///< routes, upstreams and instances: the count has 16 bits
@@ -190,12 +193,15 @@
 
 std::vector<std::byte> encodeState(const state_image &state)
 {
-    return encodeBinary(stateFormat, state);
+    return compressBytes(encodeBinary(stateFormat, state));
 }
 
 result<state_image> decodeState(std::span<const std::byte> bytes)
 {
-    return decodeBinary<state_image>(stateFormat, bytes);
+    const auto restored = decompressBytes(bytes, maxStateBytes);
+    if (!restored)
+        return restored.error();
+    return decodeBinary<state_image>(stateFormat, restored.value());
 }
 
 } // namespace chicoryhead
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -5,6 +5,8 @@
 
 #include "store_follower_base.h"
 
+#include "state_codec_func.h"
+
 #include <algorithm>
 #include <string>
 
@@ -30,12 +32,86 @@
 
 void store_follower::tick()
 {
-    if (!m_isWaiting && m_clock.now() >= m_nextCall && needsStore())
+    if (needsSnapshot())
+        readSnapshot();
+    if (!m_isWaiting && !awaitsSnapshot() && m_clock.now() >= m_nextCall && needsStore())
         startCall();
     if (needsEarlyRead())
         readEarly();
 }
 
+bool store_follower::needsSnapshot() const
+{
+    const bool isStart = m_needsLoad && !m_state.isSynchronised() && !m_state.isPreloaded();
+    return isStart && !m_isReadingSnapshot && !m_hasNoSnapshot && !m_isWaiting
+        && m_clock.now() >= m_nextCall;
+}
+
+bool store_follower::awaitsSnapshot() const
+{
+    return m_isReadingSnapshot && m_clock.now() - m_snapshotAskedAt < m_settings.snapshotWait;
+}
+
+void store_follower::readSnapshot()
+{
+    m_isReadingSnapshot = true;
+    m_snapshotAskedAt = m_clock.now();
+    ++m_calls;
+    m_store.readSnapshot([this](const result<published_snapshot> &answer) {
+        m_isReadingSnapshot = false;
+        takeSnapshot(answer);
+        tick();
+    });
+}
+
+void store_follower::takeSnapshot(const result<published_snapshot> &answer)
+{
+    if (m_state.isSynchronised())
+        return;
+    if (answer) {
+        preload(answer.value());
+        return;
+    }
+    const bool isUnusable = answer.error() == error::NotFound || answer.error() == error::Malformed;
+    if (isUnusable)
+        m_hasNoSnapshot = true;
+    else if (!m_isWaiting)
+        noteFailure(answer.error(), m_clock.now());
+}
+
+void store_follower::preload(const published_snapshot &snapshot)
+{
+    const auto now = m_clock.now();
+    const auto image = decodeState(snapshot.bytes);
+    if (!image) {
+        // Of another release, or damaged.
+        m_hasNoSnapshot = true;
+        m_log.write("snapshot_unusable", {{"reason", image.error().message()}});
+        return;
+    }
+    m_state.preload(image.value(), now);
+    m_needsLoad = m_isWaiting;
+    m_nextCall = now + drawStartDelay();
+    m_log.write("snapshot_loaded",
+                {{"revision", std::to_string(image.value().revision)},
+                 {"bytes", std::to_string(snapshot.bytes.size())}});
+    if (m_snapshotHandler)
+        m_snapshotHandler(snapshot.revision);
+    if (m_earlyHandler)
+        m_earlyHandler();
+}
+
+/// Draws one of the instances of the own domain; those drawn first ask the store first.
+monotonic_time store_follower::drawStartDelay()
+{
+    const std::size_t peers = m_peerCount ? m_peerCount() : 0;
+    const std::size_t place = m_random.next() % (peers + 1);
+    monotonic_time delay {0};
+    for (std::size_t askers = m_settings.firstAskers; place >= askers; askers *= 2)
+        delay += m_settings.startStep;
+    return delay;
+}
+
 bool store_follower::needsEarlyRead() const
 {
     return m_isWaiting && m_needsLoad && !m_hasReadEarly && !m_state.isSynchronised()
@@ -61,8 +137,9 @@
 
 bool store_follower::needsStore() const
 {
-    const bool isFresh =
-        m_state.isSynchronised() && m_clock.now() - m_state.confirmedAt() <= m_settings.maxStateAge;
+    const auto patience = m_patiencePolicy ? m_patiencePolicy() : monotonic_time {0};
+    const bool isFresh = m_state.isSynchronised()
+        && m_clock.now() - m_state.confirmedAt() <= m_settings.maxStateAge + patience;
     return !isFresh || duty() != reader_duty::None;
 }
 
@@ -106,6 +183,9 @@
 /// The pause counts as waiting, so that the time between two answers stays within the same bound.
 std::chrono::milliseconds store_follower::watchWait() const
 {
+    // What changed since a snapshot is needed at once.
+    if (!m_state.isSynchronised())
+        return shortestWatch;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         monotonic_time(m_settings.watchWait) - m_pause);
     return std::max(left, shortestWatch);
@@ -122,6 +202,8 @@
     noteSuccess(now);
     const fleet_changes &changes = answer.value();
     applyAnswer(changes, isLoad, now);
+    if (changes.snapshotRevision > 0 && m_snapshotHandler)
+        m_snapshotHandler(changes.snapshotRevision);
     m_needsLoad = false;
     m_pause = pauseAfter(changes, isLoad);
     m_nextCall = now + m_pause;
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -36,6 +36,16 @@
     /// 2,000 routes takes 0.45 s on a link of 10 Mbit/s, and open flows need upstreams only. Ten
     /// times what the store takes for an answer when nothing delays it.
     monotonic_time earlyReadAfter = std::chrono::milliseconds(40);
+    /// At the start everything is loaded when a snapshot does not come within this time; thirty
+    /// times what the store takes for an answer.
+    monotonic_time snapshotWait = std::chrono::milliseconds(120);
+    /// After a snapshot, instances of the own domain ask each other what changed since, and some
+    /// ask the store: the first ones at once, twice as many after each of these times. It lets one
+    /// instance ask another one and get an answer.
+    monotonic_time startStep = std::chrono::milliseconds(40);
+    /// Instances of a domain that ask the store at once. With hundreds a new configuration would
+    /// fill its link.
+    std::size_t firstAskers = 4;
     monotonic_time firstRetry = std::chrono::milliseconds(100);
     /// Longest pause between two calls to a store that does not answer.
     monotonic_time maxRetry = std::chrono::milliseconds(1000);
@@ -68,6 +78,24 @@
     /** Sets what is called after an answer was applied. */
     void setUpdateHandler(std::function<void()> handler) { m_updateHandler = std::move(handler); }
 
+    /** Sets what is called with the revisions of published snapshots. */
+    void setSnapshotHandler(std::function<void(store_revision)> handler)
+    {
+        m_snapshotHandler = std::move(handler);
+    }
+
+    /**
+     * Sets who decides how much longer than others this instance waits when its state is old, so
+     * that those of a domain do not all ask the store in one moment.
+     */
+    void setPatiencePolicy(std::function<monotonic_time()> patience)
+    {
+        m_patiencePolicy = std::move(patience);
+    }
+
+    /** Sets who knows how many other instances the own domain has. */
+    void setPeerCount(std::function<std::size_t()> count) { m_peerCount = std::move(count); }
+
     /** Sets what is called when upstreams are known before everything is. */
     void setEarlyHandler(std::function<void()> handler) { m_earlyHandler = std::move(handler); }
 
@@ -78,6 +106,12 @@
 
 private:
     bool needsStore() const;
+    bool needsSnapshot() const;
+    bool awaitsSnapshot() const;
+    void readSnapshot();
+    void takeSnapshot(const result<published_snapshot> &answer);
+    void preload(const published_snapshot &snapshot);
+    monotonic_time drawStartDelay();
     bool needsEarlyRead() const;
     void readEarly();
     reader_duty duty() const;
@@ -104,12 +138,18 @@
     std::uint64_t m_calls = 0;
     monotonic_time m_callStartedAt {0};
     bool m_hasReadEarly = false;
+    bool m_isReadingSnapshot = false;
+    bool m_hasNoSnapshot = false; ///< there is none, or none that can be read
+    monotonic_time m_snapshotAskedAt {0};
     monotonic_time m_nextCall {0};
     monotonic_time m_pause {0}; ///< before the next call, after the last answer
     monotonic_time m_returnedAt {0};
-    std::function<void()> m_earlyHandler;      ///< may be empty
-    std::function<void()> m_updateHandler;     ///< may be empty
-    std::function<reader_duty()> m_dutyPolicy; ///< empty if this instance always reads
+    std::function<void()> m_earlyHandler;                  ///< may be empty
+    std::function<void(store_revision)> m_snapshotHandler; ///< may be empty
+    std::function<monotonic_time()> m_patiencePolicy;      ///< may be empty
+    std::function<std::size_t()> m_peerCount;              ///< may be empty
+    std::function<void()> m_updateHandler;                 ///< may be empty
+    std::function<reader_duty()> m_dutyPolicy;             ///< empty if this instance always reads
 };
 
 } // namespace chicoryhead
--- a/tests/entry_support.h
+++ b/tests/entry_support.h
@@ -43,6 +43,17 @@
         lastWait = wait;
         m_pending = {call_kind::Watch, after, std::move(done)};
     }
+    void readSnapshot(snapshot_handler done) override
+    {
+        ++snapshotReads;
+        snapshotDone = std::move(done);
+    }
+    void publishSnapshot(std::span<const std::byte> bytes, store_revision replaced,
+                         write_handler done) override
+    {
+        published.emplace_back(replaced, std::vector<std::byte>(bytes.begin(), bytes.end()));
+        publishDone = std::move(done);
+    }
     void loadUpstreams(handler done) override { early = std::move(done); }
     void abandon() override
     {
@@ -70,7 +81,22 @@
         done(std::move(outcome));
     }
 
+    /// Answers the read of the snapshot with the one that is there, if there is one.
+    void answerSnapshot()
+    {
+        const auto done = std::exchange(snapshotDone, nullptr);
+        if (snapshot)
+            done(*snapshot);
+        else
+            done(error::NotFound);
+    }
+
     handler early; ///< of a read of upstreams alone; empty for none
+    std::optional<published_snapshot> snapshot;
+    snapshot_handler snapshotDone; ///< of a read under way; empty for none
+    int snapshotReads = 0;
+    std::vector<std::pair<store_revision, std::vector<std::byte>>> published;
+    write_handler publishDone; ///< of the last snapshot
     int abandoned = 0;
     std::chrono::milliseconds lastWait {0}; ///< that the last watch may be held open
     std::vector<instance_registration> registered;
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -4,6 +4,7 @@
  */
 
 #include "entry_support.h"
+#include "sync/state_codec_func.h"
 #include "sync/store_follower_base.h"
 
 #include <catch2/catch.hpp>
@@ -16,10 +17,26 @@
 
 namespace {
 
+/// What another instance published: "i-1" and "i-2" of the service "desk".
+state_image snapshotOf(store_revision revision)
+{
+    state_image image;
+    image.revision = revision;
+    image.contentRevision = revision;
+    image.hasConfig = true;
+    image.config = makeConfig(1);
+    image.upstreams = {makeUpstream("i-1", "desk", "a"), makeUpstream("i-2", "desk", "a")};
+    return image;
+}
+
 /** A follower whose store answers as a test says. */
 struct follower_fixture
 {
-    follower_fixture() { follower.tick(); }
+    follower_fixture()
+    {
+        follower.tick();
+        store.answerSnapshot();
+    }
 
     void step(monotonic_time duration)
     {
@@ -233,6 +250,128 @@
     }
 }
 
+TEST_CASE("A start with a snapshot: open flows go on, new ones wait for what changed since",
+          "[sync]")
+{
+    // Guards against an upstream that left and is used again by a process that starts.
+    follower_fixture fixture;
+    store_follower follower(fixture.store, fixture.state, fixture.clock, fixture.random,
+                            fixture.log);
+    fixture.store.abandon();
+    fixture.store.snapshot = published_snapshot {95, encodeState(snapshotOf(90))};
+    follower.tick();
+    REQUIRE(fixture.store.snapshotDone);
+    fixture.store.answerSnapshot();
+    CHECK(fixture.state.isPreloaded());
+    CHECK_FALSE(fixture.state.isSynchronised());
+    CHECK(fixture.directory.find("i-1") != nullptr);
+    REQUIRE(fixture.store.isCalled());
+    CHECK(fixture.store.call().kind == scripted_store::call_kind::Watch);
+    CHECK(fixture.store.call().after == 90);
+    SECTION("what changed is applied")
+    {
+        fixture.store.answer(fleet_changes {100, {upstream_withdrawal {"i-1", false}}});
+        CHECK(fixture.state.isSynchronised());
+        CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+        CHECK(fixture.state.revision() == 100);
+    }
+    SECTION("the store dropped the history since: everything is loaded")
+    {
+        fixture.store.answer(error::HistoryLost);
+        fixture.clock.advance(10ms);
+        follower.tick();
+        REQUIRE(fixture.store.isCalled());
+        CHECK(fixture.store.call().kind == scripted_store::call_kind::Load);
+        fixture.store.answer(
+            fleet_changes {100, {makeConfig(2), makeUpstream("i-2", "desk", "a")}});
+        CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+        CHECK(fixture.state.isSynchronised());
+    }
+    SECTION("another instance tells it first")
+    {
+        state_image newer;
+        newer.since = 90;
+        newer.revision = 101;
+        newer.contentRevision = 101;
+        newer.lostUpstreams = {"i-1"};
+        CHECK(fixture.state.adopt(newer, fixture.clock.now(), fixture.clock.now()));
+        CHECK(fixture.state.isSynchronised());
+        CHECK(fixture.standingOf("i-1") == upstream_standing::Gone);
+    }
+    SECTION("another instance confirms that nothing changed")
+    {
+        state_image same;
+        same.since = 90;
+        same.revision = 90;
+        CHECK(fixture.state.adopt(same, fixture.clock.now(), fixture.clock.now()));
+        CHECK(fixture.state.isSynchronised());
+    }
+}
+
+TEST_CASE("A start does not depend on the snapshot", "[sync]")
+{
+    follower_fixture fixture;
+    store_follower follower(fixture.store, fixture.state, fixture.clock, fixture.random,
+                            fixture.log);
+    fixture.store.abandon();
+    fixture.store.snapshot = published_snapshot {95, encodeState(snapshotOf(90))};
+    follower.tick();
+    SECTION("it can't be read")
+    {
+        fixture.store.snapshot->bytes.resize(20);
+        fixture.store.answerSnapshot();
+    }
+    SECTION("it is of another release")
+    {
+        fixture.store.snapshot->bytes[4] ^= std::byte {0x40};
+        fixture.store.answerSnapshot();
+    }
+    SECTION("it comes late")
+    {
+        fixture.clock.advance(130ms);
+        follower.tick();
+    }
+    REQUIRE(fixture.store.isCalled());
+    CHECK(fixture.store.call().kind == scripted_store::call_kind::Load);
+    fixture.store.answer(fleet_changes {100, {makeConfig(1), makeUpstream("i-3", "desk", "a")}});
+    CHECK(fixture.state.isSynchronised());
+    if (fixture.store.snapshotDone) {
+        // Older than what was loaded.
+        fixture.store.answerSnapshot();
+        CHECK(fixture.state.revision() == 100);
+        CHECK(fixture.directory.find("i-1") == nullptr);
+    }
+}
+
+TEST_CASE("Power loss of all: a few instances ask the store at once, the others each other",
+          "[sync]")
+{
+    // Pattern: 200 instances of a domain start within a moment after a new configuration.
+    std::map<int, int> askers; // by step of 40 ms
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        follower_fixture fixture;
+        seeded_random random(seed + 77);
+        store_follower follower(fixture.store, fixture.state, fixture.clock, random, fixture.log);
+        follower.setPeerCount([] { return std::size_t {199}; });
+        fixture.store.abandon();
+        fixture.store.snapshot = published_snapshot {95, encodeState(snapshotOf(90))};
+        follower.tick();
+        fixture.store.answerSnapshot();
+        int steps = 0;
+        while (!fixture.store.isCalled()) {
+            fixture.clock.advance(40ms);
+            follower.tick();
+            ++steps;
+            REQUIRE(steps < 10);
+        }
+        ++askers[steps];
+    }
+    CHECK(askers[0] <= 10);
+    CHECK(askers[1] <= 14);
+    CHECK(askers[2] <= 24);
+    CHECK(askers.rbegin()->first <= 6);
+}
+
 TEST_CASE("Outage of the store: an instance that is no reader asks rarely", "[sync]")
 {
     // Pattern: the store refuses hundreds of instances whose state grew old, and counts each call.
