--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -184,7 +184,7 @@
 std::chrono::milliseconds store_follower::watchWait() const
 {
     // What changed since a snapshot is needed at once.
-    if (!m_state.isSynchronised())
+    if (m_state.isPreloaded())
         return shortestWatch;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         monotonic_time(m_settings.watchWait) - m_pause);
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -308,6 +308,18 @@
     }
 }
 
+TEST_CASE("A start before the first configuration waits for it in one call", "[sync]")
+{
+    // Guards against hundreds of instances that poll while the operators prepare the first day.
+    follower_fixture fixture;
+    fixture.store.answer(fleet_changes {100, {makeUpstream("i-1", "desk", "a")}});
+    REQUIRE(fixture.store.isCalled());
+    CHECK(fixture.store.call().kind == scripted_store::call_kind::Watch);
+    CHECK(fixture.store.lastWait == follower_settings {}.watchWait);
+    fixture.store.answer(fleet_changes {110, {makeConfig(1)}});
+    CHECK(fixture.state.isSynchronised());
+}
+
 TEST_CASE("A start does not depend on the snapshot", "[sync]")
 {
     follower_fixture fixture;
