Feature: instances of a domain begin their rounds at equal distances

Change: all instances count the upstreams in the order of their tags, and the place of an instance among the registered ones of its domain says where it begins. In the test (39 instances, 47 upstreams) the busiest upstream gets at most 1.5 times the mean and one more; without it the test fails.

--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -102,6 +102,9 @@
     /** Other registered instances of the own domain. */
     std::size_t countPeers() const { return m_view.ownDomain().size(); }
 
+    /** Those of them with a lower rank; no two instances of a domain have as many. */
+    std::size_t countPeersBefore() const { return m_view.lowerRanks().size(); }
+
     /** Bytes sent to other instances. */
     std::uint64_t bytesSent() const { return m_bytesSent; }
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -12,10 +12,30 @@
 
 namespace chicoryhead {
 
+namespace {
+
+/// Spreads hashes evenly between 0 and 1.
+double toFraction(std::uint64_t hash)
+{
+    constexpr std::uint64_t steps = 1U << 20U;
+    return static_cast<double>(hash % steps) / static_cast<double>(steps);
+}
+
+} // namespace
+
 domain_first_placement::domain_first_placement(const upstream_directory &directory,
                                                placement_position position, placement_limits limits)
-    : m_directory(directory), m_position(std::move(position)), m_limits(limits)
+    : m_directory(directory)
+    , m_position(std::move(position))
+    , m_limits(limits)
+    , m_turn(toFraction(mixHash(m_position.seed, 0)))
+{
+}
+
+void domain_first_placement::setTurn(std::size_t place, std::size_t count)
 {
+    assert(place < count);
+    m_turn = static_cast<double>(place) / static_cast<double>(count);
 }
 
 std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
@@ -189,10 +209,8 @@
 /// Differs between instances, upstreams and times; from 0 to 1.
 double domain_first_placement::jitterOf(upstream_id upstream, monotonic_time now) const
 {
-    constexpr std::uint64_t steps = 1024;
-    const auto mixed =
-        mixHash(m_position.seed ^ static_cast<std::uint64_t>(now.count()), idValue(upstream));
-    return static_cast<double>(mixed % steps) / static_cast<double>(steps);
+    return toFraction(
+        mixHash(m_position.seed ^ static_cast<std::uint64_t>(now.count()), idValue(upstream)));
 }
 
 void domain_first_placement::noteGivenUp(upstream_id upstream, monotonic_time age,
@@ -307,6 +325,7 @@
                                              monotonic_time now)
 {
     assert(!options.empty());
+    enrol(options);
     double total = 0;
     experience *chosen = nullptr;
     upstream_id chosenId = noUpstream;
@@ -325,17 +344,35 @@
     return chosenId;
 }
 
-domain_first_placement::experience &domain_first_placement::experienceOf(upstream_id upstream)
+/// Gives upstreams that are new here their first credits: the highest to the one at which this
+/// instance begins, lower ones to those that follow in the common order.
+void domain_first_placement::enrol(std::span<const upstream_id> options)
 {
-    const auto [entry, isNew] = m_experience.try_emplace(upstream);
-    if (isNew) {
-        // Credits between 0 and 1 give each instance an order of its own.
-        constexpr std::uint64_t steps = 1024;
-        entry->second.credit =
-            static_cast<double>(mixHash(m_position.seed, idValue(upstream)) % steps)
-            / static_cast<double>(steps);
+    const bool isComplete = std::all_of(options.begin(), options.end(), [this](upstream_id id) {
+        const auto found = m_experience.find(id);
+        return found != m_experience.end() && found->second.hasCredit;
+    });
+    if (isComplete)
+        return;
+    std::vector<const upstream_record *> ordered;
+    for (const upstream_id id : options)
+        ordered.push_back(m_directory.find(id));
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto *one, const auto *other) { return one->tag < other->tag; });
+    for (std::size_t i = 0; i < ordered.size(); ++i) {
+        experience &known = experienceOf(ordered[i]->id);
+        if (known.hasCredit)
+            continue;
+        const double place = static_cast<double>(i) / static_cast<double>(ordered.size());
+        const double distance = place < m_turn ? place - m_turn + 1 : place - m_turn;
+        known.credit = 1 - distance;
+        known.hasCredit = true;
     }
-    return entry->second;
+}
+
+domain_first_placement::experience &domain_first_placement::experienceOf(upstream_id upstream)
+{
+    return m_experience[upstream];
 }
 
 } // namespace chicoryhead
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -95,7 +95,8 @@
 {
     std::string domain;          ///< own failure domain
     std::size_t domainCount = 1; ///< failure domains of the deployment
-    /// Differs between instances, so that they do not all begin with the same upstream.
+    /// Differs between instances, so that they do not all begin with the same upstream while
+    /// setTurn() was not called.
     std::uint64_t seed = 0;
 };
 
@@ -121,6 +122,14 @@
     void avoid(upstream_id upstream, bool isDead, monotonic_time now) override;
     std::size_t countSuspected(monotonic_time now) const override;
 
+    /**
+     * Sets the place of this instance among those of its domain. All count the upstreams in the
+     * same order and begin at equal distances, so that the first flows of a fleet that starts are
+     * spread evenly though nobody knows of the others' flows.
+     * @param place from 0 to count - 1.
+     */
+    void setTurn(std::size_t place, std::size_t count);
+
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
@@ -132,6 +141,7 @@
     struct experience
     {
         double credit = 0;       ///< of the smooth round robin; the highest one is chosen next
+        bool hasCredit = false;  ///< it took part in a turn
         unsigned unanswered = 0; ///< opening packets without answer since the last answer
         monotonic_time suspectedUntil {0};
         bool isDead = false;    ///< other instances saw the same
@@ -187,6 +197,7 @@
                          monotonic_time now) const;
     double weightOf(const upstream_record &record, double medianLatency, monotonic_time now) const;
     double medianLatency(std::span<const upstream_id> upstreams, monotonic_time now) const;
+    void enrol(std::span<const upstream_id> options);
     upstream_id takeTurn(std::span<const upstream_id> options, double median, monotonic_time now);
     experience &experienceOf(upstream_id upstream);
     double jitterOf(upstream_id upstream, monotonic_time now) const;
@@ -194,6 +205,7 @@
     const upstream_directory &m_directory;
     placement_position m_position;
     placement_limits m_limits;
+    double m_turn; ///< where this instance begins in the order of upstreams; from 0 to 1
     std::unordered_map<upstream_id, experience> m_experience;
     /// By service: part of a flow that is owed to other domains; at 1 the next flow goes there.
     std::map<std::string, double> m_owedToOthers;
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -365,3 +365,28 @@
     fixture.placement.noteGivenUp(fixture.idOf("i-a1"), 10ms, 10600ms);
     CHECK(fixture.placement.latencyOf(fixture.idOf("i-a1"), 10600ms) == 40ms);
 }
+
+TEST_CASE("Power loss of all: the first flows of a fleet are spread evenly", "[placement]")
+{
+    // Pattern: 39 instances start at once and place the flows that waited, 2 to 10 each, on 47
+    // upstreams with two slots and room for eight more requests.
+    upstream_directory directory;
+    for (int i = 0; i < 47; ++i)
+        directory.announce(
+            makeUpstream("i-" + std::to_string(mixHash(1, static_cast<std::uint64_t>(i))), "desk",
+                         "a"),
+            0s);
+    std::map<upstream_id, int> counts;
+    int total = 0;
+    for (std::size_t place = 0; place < 39; ++place) {
+        domain_first_placement placement(directory, {"a", 5, mixHash(place, 3)});
+        placement.setTurn(place, 39);
+        const auto flows = 2 + mixHash(place, 4) % 9;
+        for (std::uint64_t flow = 0; flow < flows; ++flow, ++total)
+            ++counts[*placement.choose("desk", {}, 1s)];
+    }
+    const double mean = total / 47.0;
+    CHECK(counts.size() == 47);
+    for (const auto &[id, count] : counts)
+        CHECK(count <= 1.5 * mean + 1);
+}
