Fix: late packets of a port's former flow, packets that wait at a stop, SIGHUP at the start

Cause: a late packet of a port's former flow changed what was observed of the next one, so that the next flow could be ended for the former's upstream; datagrams that arrived before the end of a process were closed with its socket; SIGHUP ended a process while ten libraries were loaded.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -199,8 +199,12 @@
     if (m_suspension.activeAt() >= m_nextSecond)
         tickSecond();
     m_log.flush();
-    if (m_stop.mayEnd(m_packets.lastPacketAt(), m_suspension.activeAt()))
+    if (m_stop.mayEnd(m_packets.lastPacketAt(), m_suspension.activeAt())) {
+        // What arrived meanwhile would be lost with the socket.
+        m_data.receivePending();
+        m_log.flush();
         m_context.stop();
+    }
 }
 
 void entry_process::judgeUpstreams()
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -24,6 +24,17 @@
 
 namespace {
 
+/// The default action of SIGHUP would end a process that has not read its settings yet, and so
+/// needs no reload.
+void ignoreReload()
+{
+    std::signal(SIGHUP, SIG_IGN);
+}
+
+/// Runs before the initialisers of all libraries, so that hardly any time is left in which the
+/// signal ends the process.
+[[gnu::section(".preinit_array"), gnu::used]] void (*const ignoreReloadEarly)() = ignoreReload;
+
 constexpr int exitUsage = 2;
 constexpr int exitInvalidSettings = 3;
 
@@ -47,9 +58,6 @@
 
 int main(int argc, char **argv)
 {
-    // Its default action would end a process that has not read its settings yet, and so needs no
-    // reload.
-    std::signal(SIGHUP, SIG_IGN);
     gflags::SetUsageMessage(
         "entry instance of chicoryhead on the platform\n\nusage: chicoryhead-entry "
         "[--settings FILE] [--check] [--metrics_port PORT]\n\nexit codes: 0 stopped as asked, 1 "
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -199,6 +199,12 @@
             return;
         flow->acknowledged = packet.acknowledged;
     }
+    // The caller's port was used again, and this is a late packet of its former flow, or the first
+    // one seen of the next.
+    if (flow->isOpen && flow->upstream != upstream) {
+        *flow = {};
+        flow->acknowledged = packet.acknowledged;
+    }
     flow->seenAt = now;
     if (!flow->isOpen && flow->triedCount > 0) {
         decision.isTrustedAgain = m_placement.noteAnswered(upstream);
--- a/src/system/udp_socket.cpp
+++ b/src/system/udp_socket.cpp
@@ -92,24 +92,32 @@
 
 void udp_socket::receiveBatches()
 {
-    for (int batch = 0; batch < batchesPerWakeup; ++batch) {
-        for (auto &header : m_incoming.headers)
-            header.msg_hdr.msg_namelen = sizeof(sockaddr_in);
-        const int count = ::recvmmsg(m_socket.native_handle(), m_incoming.headers.data(),
-                                     static_cast<unsigned>(m_batchSize), MSG_DONTWAIT, nullptr);
-        if (count <= 0)
-            return;
-        for (std::size_t index = 0; index < static_cast<std::size_t>(count); ++index) {
-            const std::span<const std::byte> bytes(m_incoming.buffers[index].data(),
-                                                   m_incoming.headers[index].msg_len);
-            m_handler(bytes, fromNative(m_incoming.addresses[index]));
-        }
-        flush();
-        if (m_batchHandler)
-            m_batchHandler();
-        if (static_cast<std::size_t>(count) < m_batchSize)
-            return;
+    for (int batch = 0; batch < batchesPerWakeup && receiveBatch(); ++batch) { }
+}
+
+void udp_socket::receivePending()
+{
+    while (receiveBatch()) { }
+}
+
+/// Returns whether there may be more.
+bool udp_socket::receiveBatch()
+{
+    for (auto &header : m_incoming.headers)
+        header.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    const int count = ::recvmmsg(m_socket.native_handle(), m_incoming.headers.data(),
+                                 static_cast<unsigned>(m_batchSize), MSG_DONTWAIT, nullptr);
+    if (count <= 0)
+        return false;
+    for (std::size_t index = 0; index < static_cast<std::size_t>(count); ++index) {
+        const std::span<const std::byte> bytes(m_incoming.buffers[index].data(),
+                                               m_incoming.headers[index].msg_len);
+        m_handler(bytes, fromNative(m_incoming.addresses[index]));
     }
+    flush();
+    if (m_batchHandler)
+        m_batchHandler();
+    return static_cast<std::size_t>(count) == m_batchSize;
 }
 
 void udp_socket::send(const endpoint &target, std::span<const std::byte> datagram)
--- a/src/system/udp_socket_base.h
+++ b/src/system/udp_socket_base.h
@@ -47,6 +47,9 @@
     /** Starts receiving. */
     void start();
 
+    /** Handles all datagrams that arrived, before the socket is closed. */
+    void receivePending();
+
     /** Queues a datagram; it leaves at the end of the current batch or with flush(). */
     void send(const endpoint &target, std::span<const std::byte> datagram);
 
@@ -74,6 +77,7 @@
     };
 
     void waitReadable();
+    bool receiveBatch();
     void receiveBatches();
 
     std::size_t m_batchSize;
--- a/tests/model_fleet.h
+++ b/tests/model_fleet.h
@@ -223,15 +223,21 @@
 
     void write(const fleet_change &made, write_handler done)
     {
+        // The answer may be lost, and the write may be carried out long after it.
+        const bool isLost = m_random.next() % 10 == 0;
         start(
             m_others,
-            [this, made, done] {
-                m_store.change(made);
-                // The answer may be lost after the write.
-                done(m_random.next() % 20 == 0 ? make_error_code(error::OutcomeUnknown)
-                                               : std::error_code());
+            [this, made, done, isLost] {
+                if (!isLost)
+                    m_store.change(made);
+                done(isLost ? make_error_code(error::OutcomeUnknown) : std::error_code());
             },
             [done](error code) { done(code); });
+        if (isLost)
+            m_others.push_back({m_clock.now() + randomTime(m_random, 3s),
+                                [this, made] { m_store.change(made); },
+                                [](error /*code*/) {
+                                }});
     }
 
     void tickWatch()
--- a/tests/test_entry_parts.cpp
+++ b/tests/test_entry_parts.cpp
@@ -218,3 +218,22 @@
     const endpoint taken {0x7f000001, first.localPort()};
     CHECK_THROWS_WITH(udp_socket(context, taken, ignore, 1), Catch::Contains(toString(taken)));
 }
+
+TEST_CASE("Packets that arrived before the end of a process are handled", "[stop]")
+{
+    // Guards against a stop under load that cuts off packets that wait in the socket.
+    asio::io_context context;
+    std::size_t handled = 0;
+    const auto count = [&](std::span<const std::byte> /*bytes*/, const endpoint & /*from*/) {
+        ++handled;
+    };
+    udp_socket receiving(context, {0x7f000001, 0}, count, 8);
+    udp_socket sending(context, {0x7f000001, 0}, count, 8);
+    const std::vector<std::byte> packet(100);
+    for (int i = 0; i < 100; ++i)
+        sending.send({0x7f000001, receiving.localPort()}, packet);
+    sending.flush();
+    // Nothing runs the context any more.
+    receiving.receivePending();
+    CHECK(handled == 100);
+}
--- a/tests/test_entry_start.cpp
+++ b/tests/test_entry_start.cpp
@@ -3,10 +3,14 @@
  * The program of an instance before it serves.
  */
 
+#include "standin/entry_program.h"
+
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -31,6 +35,51 @@
     return -1;
 }
 
+/** A store that takes connections and never answers. */
+class silent_store
+{
+public:
+    silent_store()
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+        REQUIRE(::listen(m_socket, 16) == 0);
+        socklen_t size = sizeof(address);
+        REQUIRE(::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size) == 0);
+        m_port = ntohs(address.sin_port);
+    }
+    ~silent_store() { ::close(m_socket); }
+    silent_store(const silent_store &) = delete;
+    silent_store &operator=(const silent_store &) = delete;
+
+    chicoryhead::endpoint address() const { return {INADDR_LOOPBACK, m_port}; }
+
+private:
+    int m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    std::uint16_t m_port = 0;
+};
+
+/// Settings of an instance on a loopback address of this process alone.
+chicoryhead::entry_settings settingsFor(const silent_store &store)
+{
+    const std::uint32_t address =
+        0x7f000000 + (static_cast<std::uint32_t>(::getpid() & 0xffff) << 8U) + 7;
+    chicoryhead::entry_settings settings;
+    settings.name = "f-1";
+    settings.domain = "a";
+    settings.dataAddress = {address, 28921};
+    settings.statusAddress = {address, 28922};
+    settings.peerAddress = {address, 28923};
+    settings.storeAddress = store.address();
+    settings.configBound = std::chrono::seconds(3);
+    settings.drainBound = std::chrono::seconds(3);
+    settings.stopGrace = std::chrono::seconds(6);
+    settings.flowLifetime = std::chrono::seconds(60);
+    return settings;
+}
+
 } // namespace
 
 TEST_CASE("A reload while the process starts does not end it", "[entry]")
@@ -60,3 +109,32 @@
     constexpr int exitInvalidSettings = 3;
     CHECK(WEXITSTATUS(status) == exitInvalidSettings);
 }
+
+TEST_CASE("A stop during the start, while the store is away, or twice ends in time", "[entry]")
+{
+    // Guards against a process that waits for the store, or starts its stop anew with each signal.
+    const silent_store store;
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("chicoryhead-stop-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder);
+    chicoryhead::standin::entry_program program(CHICORYHEAD_ENTRY_PROGRAM, folder,
+                                                settingsFor(store));
+    program.start();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    program.signal(SIGTERM);
+    const auto begun = std::chrono::steady_clock::now();
+    std::optional<int> status;
+    while (!(status = program.takeEnd())
+           && std::chrono::steady_clock::now() - begun < std::chrono::seconds(8)) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        program.signal(SIGTERM);
+    }
+    std::filesystem::remove_all(folder);
+    REQUIRE(status);
+    REQUIRE(WIFEXITED(*status));
+    CHECK(WEXITSTATUS(*status) == 0);
+    // The fabric needs 1.5 s to notice, and no packet came.
+    const auto took = std::chrono::steady_clock::now() - begun;
+    CHECK(took >= std::chrono::milliseconds(1400));
+    CHECK(took < std::chrono::seconds(6));
+}
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -291,3 +291,56 @@
         CHECK(fixture.placement.latencyOf(id, 5s) == 0s);
     }
 }
+
+TEST_CASE("A port that is used again: each flow's packets go to its own upstream", "[forwarder]")
+{
+    // Guards against a caller that gets an answer to another one's request, and against a reset
+    // that is meant for the former flow of a port.
+    forwarder_fixture fixture;
+    const auto former = fixture.decide(makeOpening(1), 1s);
+    fixture.decide(makeData(1, former.tag, 1001, 500, 90), 1010ms);
+    auto opening = makeOpening(1);
+    opening.sequence = 90000;
+    auto next = fixture.decide(opening, 2s);
+    while (next.upstream == former.upstream) {
+        opening.sequence += 1000;
+        next = fixture.decide(opening, 2s);
+    }
+    fixture.decide(makeData(1, next.tag, opening.sequence, 70000, 90), 2010ms);
+    // A late packet of the former flow.
+    const auto late = fixture.decide(makeData(1, former.tag, 1091, 900, 0), 2020ms);
+    CHECK(late.upstream == former.upstream);
+    CHECK(late.latency == 0s);
+    const auto after =
+        fixture.decide(makeData(1, next.tag, opening.sequence + 90, 71000, 0), 2030ms);
+    CHECK(after.upstream == next.upstream);
+    const auto ended = fixture.path.takeFlowsOf(next.upstream->id);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].acknowledged == 71000);
+    CHECK(fixture.path.takeFlowsOf(former.upstream->id).empty());
+}
+
+TEST_CASE("A changed configuration and a stop of others leave a download where it is",
+          "[forwarder]")
+{
+    // Guards against an answer of 240 KB that breaks off halfway: 200 acknowledgements, any of
+    // which may reach another instance under another configuration.
+    forwarder_fixture first;
+    forwarder_fixture second;
+    const auto opened = first.decide(makeOpening(1, 0, proofsAddress), 1s);
+    auto config = makeConfig(2);
+    config.routes[1].targets = {{"desk", 1}};
+    for (std::uint32_t part = 0; part < 200; ++part) {
+        if (part == 100) {
+            second.routes.apply(config, 2s);
+            auto leaving = opened.upstream->announced;
+            leaving.isDraining = true;
+            second.directory.announce(leaving, 2s);
+        }
+        auto &instance = part % 3 == 0 ? first : second;
+        const auto packet = makeData(1, opened.tag, 1001, 500 + part * 1200, 0, proofsAddress);
+        const auto decision = instance.decide(packet, 1s + part * 10ms);
+        REQUIRE(decision.action == packet_action::Forward);
+        REQUIRE(decision.upstream->announced.name == opened.upstream->announced.name);
+    }
+}
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -97,6 +97,10 @@
     const auto reset = encodeReset(packet);
     const std::array<unsigned char, 4> sequence {0x0d, 0x0c, 0x0b, 0x0a};
     CHECK(std::vector<std::byte>(reset.begin() + 10, reset.begin() + 14) == bytesOf(sequence));
+    // A flow that breaks off must not look complete: no sign of an orderly end, and no data.
+    constexpr unsigned char resetFlag = 64;
+    CHECK(reset[0] == std::byte {resetFlag});
+    CHECK(reset.size() == headBytes);
 }
 
 TEST_CASE("A forwarded packet differs only in prefix and tag", "[platform]")
