Feature: states only as answers to questions, messages only of known senders

Cause: anybody who can reach the port for messages between instances could hand over a state, confirm an old one or report upstreams; two answers that arrived at once displaced each other's parts; an instance whose registration the store had dropped was told nothing by the others. Chosen: a nonce in each question that the answer repeats, and digests, answers and reports from registered instances and seeds only. What remains: whoever can spoof the address of an instance can still confirm an old state or report upstreams. Change: the above; up to four answers are put together at once; an instance that was told nothing for longer than usual asks; metrics for bytes, unknown senders and refused transfers.

--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -47,6 +47,10 @@
     std::uint64_t instances = 0;
     std::uint64_t storeItemsMalformed = 0;
     std::uint64_t logLinesDropped = 0;
+    std::uint64_t peerBytesSent = 0;
+    std::uint64_t peerMessagesMalformed = 0;
+    std::uint64_t peerMessagesUnexpected = 0;
+    std::uint64_t transfersRefused = 0;
     double stateAgeSeconds = 0; ///< since the store's newest revision was last confirmed
     bool isReady = false;
     std::vector<store_call_count> storeCalls;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -362,6 +362,10 @@
     gauges.flowsObserved = m_forwarder.observedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
+    gauges.peerBytesSent = m_gossip.bytesSent();
+    gauges.peerMessagesMalformed = m_gossip.malformedMessages();
+    gauges.peerMessagesUnexpected = m_gossip.unexpectedMessages();
+    gauges.transfersRefused = m_gossip.transfersRefused();
     gauges.logLinesDropped = m_log.linesDropped();
     gauges.stateAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
     gauges.isReady = isReady();
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,7 +31,7 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_row, 9> gaugeTable {{
+inline constexpr std::array<gauge_row, 13> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
@@ -43,6 +43,15 @@
     {"instances", "Instances known to this one.", &entry_gauges::instances},
     {"store_items_malformed", "Items of the store that could not be decoded, since the start.",
      &entry_gauges::storeItemsMalformed},
+    {"peer_bytes_sent", "Bytes sent to other instances, since the start.",
+     &entry_gauges::peerBytesSent},
+    {"peer_messages_malformed", "Messages that could not be decoded, since the start.",
+     &entry_gauges::peerMessagesMalformed},
+    {"peer_messages_unexpected",
+     "Messages of unknown senders and answers to no question, since the start.",
+     &entry_gauges::peerMessagesUnexpected},
+    {"transfers_refused", "States not sent because too many were under way, since the start.",
+     &entry_gauges::transfersRefused},
     {"log_lines_dropped", "Log lines that were left out, since the start.",
      &entry_gauges::logLinesDropped},
 }};
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -51,6 +51,12 @@
                     {{"from", toString(from)}, {"reason", message.error().message()}});
         return false;
     }
+    const bool isFetch = std::holds_alternative<gossip_fetch>(message.value());
+    // Instances that start are not registered yet, and they ask and are answered.
+    if (!isFetch && !isKnownSender(from)) {
+        ++m_unexpected;
+        return false;
+    }
     if (const auto *digest = std::get_if<gossip_digest>(&message.value()))
         return onDigest(from, *digest);
     if (const auto *part = std::get_if<gossip_part>(&message.value()))
@@ -62,6 +68,13 @@
     return false;
 }
 
+/// Anybody can send datagrams to this port, so only registered instances and seeds are believed.
+bool gossip::isKnownSender(const endpoint &from) const
+{
+    return m_view.contains(from)
+        || std::find(m_seeds.begin(), m_seeds.end(), from) != m_seeds.end();
+}
+
 void gossip::tick()
 {
     const auto now = m_clock.now();
@@ -69,12 +82,19 @@
     if (!m_state.isSynchronised()) {
         if (now >= m_nextFetch && m_state.isPreloaded())
             fetchChanges();
-        else if (now >= m_nextFetch && now - m_startedAt >= m_settings.firstFetch)
-            fetchFromAnyone();
+        else if (now >= m_nextFetch && now - m_startedAt >= m_settings.firstFetch) {
+            m_nextFetch = now + m_settings.fetchRetry;
+            askAnyone();
+        }
         return;
     }
     if (m_knownSince.count() == 0)
         m_knownSince = now;
+    // Others tell registered instances only, and the registration may have been revoked.
+    if (now >= m_nextQuestion && now - m_state.confirmedAt() > usualAge()) {
+        m_nextQuestion = now + m_settings.questionPause;
+        askAnyone();
+    }
     noteVacancies();
     sendReports();
     if (now < m_nextDigest)
@@ -97,7 +117,7 @@
 {
     const auto &own = m_view.ownDomain();
     for (int i = 0; i < 2 && !own.empty(); ++i)
-        fetch(pick(own));
+        ask(pick(own));
     m_nextFetch = m_clock.now() + m_settings.changesRetry;
 }
 
@@ -246,9 +266,14 @@
 /// bytes.
 bool gossip::shouldFetch(const gossip_digest &digest) const
 {
-    const auto usualAge = m_settings.storeInterval + 2 * m_settings.period;
     return digest.sender.domain == m_own.domain || digest.version > m_state.configVersion()
-        || m_clock.now() - m_state.confirmedAt() > usualAge;
+        || m_clock.now() - m_state.confirmedAt() > usualAge();
+}
+
+/// Age that the state of an instance reaches when readers and digests come as they should.
+monotonic_time gossip::usualAge() const
+{
+    return m_settings.storeInterval + 3 * m_settings.period;
 }
 
 void gossip::mergeReaders(const gossip_digest &digest)
@@ -269,11 +294,15 @@
         return;
     auto state = m_state.snapshot(fetch.version, fetch.revision, m_clock.now());
     state.ageMs = ageMs(m_state.confirmedAt());
-    m_transfers.add(from, encodeState(state));
+    m_transfers.add(from, fetch.nonce, encodeState(state));
 }
 
 bool gossip::onPart(const endpoint &from, const gossip_part &part)
 {
+    if (!m_assembler.isExpected(from, part)) {
+        ++m_unexpected;
+        return false;
+    }
     // While parts arrive nobody else need be asked.
     m_nextFetch = std::max(m_nextFetch, m_clock.now() + m_settings.fetchRetry / 2);
     const auto whole = m_assembler.add(from, part);
@@ -390,15 +419,23 @@
 void gossip::fetch(const endpoint &target)
 {
     m_nextFetch = m_clock.now() + m_settings.fetchRetry;
-    sendToPeer(target, encodeGossip(gossip_fetch {m_state.configVersion(), m_state.revision()}));
+    ask(target);
+}
+
+void gossip::ask(const endpoint &target)
+{
+    const std::uint64_t nonce = m_random.next();
+    m_assembler.expect(target, nonce);
+    sendToPeer(target,
+               encodeGossip(gossip_fetch {m_state.configVersion(), m_state.revision(), nonce}));
 }
 
-void gossip::fetchFromAnyone()
+void gossip::askAnyone()
 {
     auto targets = m_view.ownDomain();
     targets.insert(targets.end(), m_seeds.begin(), m_seeds.end());
     if (!targets.empty())
-        fetch(pick(targets));
+        ask(pick(targets));
 }
 
 endpoint gossip::pick(const std::vector<endpoint> &peers)
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -49,6 +49,8 @@
     /// learns whether others with a lower rank do.
     monotonic_time candidacy = period * 3;
     monotonic_time fetchRetry = std::chrono::milliseconds(250);
+    /// Pause between two questions of an instance that nobody told anything lately.
+    monotonic_time questionPause = std::chrono::milliseconds(500);
     /// At the start others are asked for their state only if the store did not give it by then.
     monotonic_time firstFetch = std::chrono::milliseconds(150);
     /// Pause between two questions for what changed since a snapshot.
@@ -117,6 +119,9 @@
     /** Registered instances of the own domain that are silent; their registrations can go. */
     std::vector<std::string> silentInstances();
 
+    /** Messages of unknown senders, and answers to questions that were not asked. */
+    std::uint64_t unexpectedMessages() const { return m_unexpected; }
+
     /** Messages that could not be decoded. */
     std::uint64_t malformedMessages() const { return m_malformed; }
 
@@ -137,7 +142,8 @@
     void sendToOwnDomain(std::size_t count);
     void sendToOtherDomain();
     void fetch(const endpoint &target);
-    void fetchFromAnyone();
+    void ask(const endpoint &target);
+    void askAnyone();
     void fetchChanges();
     endpoint pick(const std::vector<endpoint> &peers);
     std::vector<endpoint> nextInOwnDomain(std::size_t count);
@@ -150,6 +156,8 @@
     std::size_t countReaders() const;
     void noteVacancies();
     bool shouldFetch(const gossip_digest &digest) const;
+    bool isKnownSender(const endpoint &from) const;
+    monotonic_time usualAge() const;
     /** Instances with a lower rank that read the store as far as is known. */
     std::size_t countReadersBefore() const;
 
@@ -179,9 +187,11 @@
     monotonic_time m_nextDigest {0};
     monotonic_time m_nextFetch {0};
     monotonic_time m_nextReports {0};
+    monotonic_time m_nextQuestion {0};
     std::uint64_t m_periods = 0;
     std::uint64_t m_bytesSent = 0;
     std::uint64_t m_malformed = 0;
+    std::uint64_t m_unexpected = 0;
 };
 
 } // namespace chicoryhead
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// Raised when a message changes; instances of other formats then read the store themselves.
-constexpr std::uint8_t gossipFormat = 2;
+constexpr std::uint8_t gossipFormat = 3;
 
 enum class message_kind : std::uint8_t { Digest = 1, Fetch = 2, Part = 3, Reports = 4 };
 
@@ -39,7 +39,7 @@
 template<typename Archive>
 void serialize(Archive &archive, gossip_fetch &value)
 {
-    archive(value.version, value.revision);
+    archive(value.version, value.revision, value.nonce);
 }
 
 template<typename Archive>
@@ -100,14 +100,14 @@
 template<typename Archive>
 void save(Archive &archive, const gossip_part &value)
 {
-    archive(value.transfer, value.index, value.count);
+    archive(value.nonce, value.index, value.count);
     saveBytes(archive, value.bytes);
 }
 
 template<typename Archive>
 void load(Archive &archive, gossip_part &value)
 {
-    archive(value.transfer, value.index, value.count);
+    archive(value.nonce, value.index, value.count);
     loadBytes(archive, value.bytes, maxPartBytes);
 }
 
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -46,12 +46,13 @@
 {
     config_version version = 0;  ///< of the asker's configuration; 0 for none
     store_revision revision = 0; ///< that the asker's state includes; 0 for none
+    std::uint64_t nonce = 0;     ///< drawn by the asker; the answer repeats it
 };
 
 /** Part of the state of an instance. */
 struct gossip_part
 {
-    std::uint32_t transfer = 0; ///< number of the answer, chosen by the sender
+    std::uint64_t nonce = 0; ///< of the question that it answers
     std::uint16_t index = 0;
     std::uint16_t count = 1;
     std::vector<std::uint8_t> bytes;
--- a/src/gossip/part_assembler_base.h
+++ b/src/gossip/part_assembler_base.h
@@ -1,6 +1,6 @@
 /**
  * @file part_assembler_base.h
- * Puts parts of a transfer together.
+ * Puts the answers to questions of this instance together.
  */
 
 #pragma once
@@ -9,23 +9,43 @@
 #include "gossip_type.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
 namespace chicoryhead {
 
-/** One transfer at a time; parts of another one replace it. */
+/**
+ * Takes parts that answer a question of this instance and no others: whoever does not see the
+ * question can't know its nonce, so nobody can hand over a state that was not asked for.
+ */
 class part_assembler
 {
 public:
+    /** Questions whose answers are taken; a further one takes the place of the oldest. */
+    static constexpr std::size_t maxQuestions = 4;
+
+    /** Notes a question. */
+    void expect(const endpoint &target, std::uint64_t nonce);
+
     /** Adds a part; returns the whole when it was the last that was missing. */
     std::optional<std::vector<std::byte>> add(const endpoint &sender, const gossip_part &part);
 
+    /** Whether a part belongs to a question whose answer is not complete. */
+    bool isExpected(const endpoint &sender, const gossip_part &part) const;
+
 private:
-    endpoint m_sender;
-    std::uint32_t m_transfer = 0;
-    std::vector<std::vector<std::uint8_t>> m_parts; ///< empty while missing; no part is empty
-    std::size_t m_missing = 0;
+    /** A question and what came of its answer. */
+    struct question
+    {
+        endpoint target;
+        std::uint64_t nonce = 0;
+        std::vector<std::vector<std::uint8_t>> parts; ///< empty while missing; no part is empty
+        std::size_t missing = 0;
+    };
+
+    std::deque<question> m_questions; ///< oldest first
 };
 
 } // namespace chicoryhead
--- a/src/gossip/peer_view.cpp
+++ b/src/gossip/peer_view.cpp
@@ -26,6 +26,12 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
+bool peer_view::contains(const endpoint &address) const
+{
+    return std::binary_search(ownDomain().begin(), ownDomain().end(), address)
+        || std::binary_search(otherDomains().begin(), otherDomains().end(), address);
+}
+
 const peer_view &peer_view::refreshed() const
 {
     if (m_version == m_state.instancesVersion())
--- a/src/gossip/peer_view_base.h
+++ b/src/gossip/peer_view_base.h
@@ -32,6 +32,9 @@
     /** Addresses of the other domains, each once. */
     const std::vector<endpoint> &otherDomains() const { return refreshed().m_otherDomains; }
 
+    /** Whether a registered instance has an address. */
+    bool contains(const endpoint &address) const;
+
     /** Ranks of the own domain that are lower than that of this instance. */
     const std::vector<std::uint64_t> &lowerRanks() const { return refreshed().m_lowerRanks; }
 
--- a/src/gossip/transfer_queue.cpp
+++ b/src/gossip/transfer_queue.cpp
@@ -21,15 +21,14 @@
 {
 }
 
-bool transfer_queue::add(const endpoint &target, std::vector<std::byte> state)
+bool transfer_queue::add(const endpoint &target, std::uint64_t nonce, std::vector<std::byte> state)
 {
-    const bool isKnown = std::any_of(m_transfers.begin(), m_transfers.end(),
-                                     [&](const transfer &other) { return other.target == target; });
-    if (isKnown || m_transfers.size() >= m_limits.maxTransfers) {
+    std::erase_if(m_transfers, [&](const transfer &other) { return other.target == target; });
+    if (m_transfers.size() >= m_limits.maxTransfers) {
         ++m_refused;
         return false;
     }
-    m_transfers.push_back({target, ++m_lastNumber, std::move(state), 0});
+    m_transfers.push_back({target, nonce, std::move(state), 0});
     flush();
     return true;
 }
@@ -55,7 +54,7 @@
     const std::size_t count = (next.bytes.size() + maxPartBytes - 1) / maxPartBytes;
     const std::size_t begin = next.nextPart * maxPartBytes;
     const std::size_t size = std::min(maxPartBytes, next.bytes.size() - begin);
-    gossip_part part {next.number,
+    gossip_part part {next.nonce,
                       static_cast<std::uint16_t>(next.nextPart),
                       static_cast<std::uint16_t>(count),
                       {}};
--- a/src/gossip/transfer_queue_base.h
+++ b/src/gossip/transfer_queue_base.h
@@ -32,8 +32,11 @@
 public:
     transfer_queue(peer_sink &sink, const clock_source &clock, transfer_limits limits = {});
 
-    /** Queues a state; returns false when too many are under way or the target gets one already. */
-    bool add(const endpoint &target, std::vector<std::byte> state);
+    /**
+     * Queues a state; returns false when too many are under way. A later question of the same
+     * target takes the place of its former one.
+     */
+    bool add(const endpoint &target, std::uint64_t nonce, std::vector<std::byte> state);
 
     /** Sends what the rate allows. */
     void flush();
@@ -51,7 +54,7 @@
     struct transfer
     {
         endpoint target;
-        std::uint32_t number = 0;
+        std::uint64_t nonce = 0; ///< of the target's question
         std::vector<std::byte> bytes;
         std::size_t nextPart = 0;
     };
@@ -64,7 +67,6 @@
     std::deque<transfer> m_transfers; ///< the first one gets the next part
     double m_allowance;               ///< bytes that may leave now
     monotonic_time m_allowanceAt;
-    std::uint32_t m_lastNumber = 0;
     std::uint64_t m_refused = 0;
 };
 
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -112,11 +112,11 @@
 {
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, other.mayLapse, now);
-    const bool isPreloadConfirmed = isPreloaded() && other.revision == m_revision;
-    if (isPreloadConfirmed)
+    const bool isFirstConfirmation = isPreloaded() && other.revision == m_revision;
+    if (other.revision == m_revision)
         confirm(other.revision, confirmedAt);
     if (other.revision <= m_revision || other.since > m_revision)
-        return isPreloadConfirmed;
+        return isFirstConfirmation;
     fleet_changes changes;
     changes.revision = other.contentRevision;
     changes.changes.assign(other.upstreams.begin(), other.upstreams.end());
--- a/tests/test_fleet_model.cpp
+++ b/tests/test_fleet_model.cpp
@@ -70,8 +70,15 @@
             step();
     }
 
-    /** Checks what must hold after a calm. */
-    void checkAgreement()
+    /** Every other pair of instances stops hearing the rest, as with another message format. */
+    void splitReleases()
+    {
+        for (std::size_t i = 0; i < instanceCount; ++i)
+            m_network.setSide(m_own[i].peerAddress, static_cast<int>(i / 2 % 2));
+    }
+
+    /** Checks that all have the store's configuration and upstreams. */
+    void checkVersions()
     {
         for (std::size_t i = 0; i < instanceCount; ++i) {
             const auto &process = *m_processes[i];
@@ -86,6 +93,15 @@
                 if (known == nullptr || known->standing != wanted)
                     violate("agreement", m_own[i].name + " differs about " + name);
             }
+        }
+    }
+
+    /** Checks what must hold after a calm. */
+    void checkAgreement()
+    {
+        checkVersions();
+        for (std::size_t i = 0; i < instanceCount; ++i) {
+            const auto &process = *m_processes[i];
             if (process.state.instances().size() != instanceCount)
                 violate("agreement", m_own[i].name + " does not know all instances");
         }
@@ -346,6 +362,22 @@
     CHECK(steps > 300'000);
 }
 
+TEST_CASE("Half a fleet of another release: both halves agree through the store", "[model]")
+{
+    // Pattern: messages of another format are refused, so the halves don't hear each other.
+    fleet_model model(5);
+    model.calm(3s);
+    model.splitReleases();
+    for (int change = 0; change < 5; ++change) {
+        model.store.change(makeConfig(model.store.config.version + 1));
+        model.withdraw("i-" + std::to_string(change));
+        model.calm(calmTime);
+        model.checkVersions();
+    }
+    INFO(describe(model));
+    CHECK(model.violations().empty());
+}
+
 TEST_CASE("Each invariant of the model is found broken when it is", "[model]")
 {
     fleet_model model(77);
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -236,3 +236,65 @@
         CHECK(alone.countReaders("a") == 1);
     }
 }
+
+TEST_CASE("An instance whose registration was revoked learns by asking", "[gossip]")
+{
+    // Pattern: the store refuses a third of the instances and drops their registrations. The others
+    // tell registered instances only.
+    gossip_fixture fixture(9);
+    auto everything = fixture.content(100, 1);
+    for (auto &instance : fixture.instances)
+        fixture.giveTo(*instance, everything);
+    fixture.run(3s);
+    fleet_changes revoked;
+    revoked.revision = 110;
+    revoked.changes.emplace_back(makeConfig(2));
+    revoked.changes.emplace_back(instance_withdrawal {"f-4"});
+    for (std::size_t i = 0; i < fixture.instances.size(); ++i) {
+        if (i != 4)
+            fixture.instances[i]->state.apply(revoked, false, fixture.clock.now());
+    }
+    fixture.run(4s);
+    CHECK(fixture.instances[4]->state.configVersion() == 2);
+    CHECK(fixture.clock.now() - fixture.instances[4]->state.confirmedAt() < 3s);
+}
+
+TEST_CASE("Messages of an outsider change nothing", "[gossip]")
+{
+    // Guards against anybody who reaches the port of an instance and feeds it a state.
+    gossip_fixture fixture(6);
+    auto everything = fixture.content(100, 1);
+    for (auto &instance : fixture.instances)
+        fixture.giveTo(*instance, everything);
+    fixture.run(3s);
+    auto &target = *fixture.instances[2];
+    const endpoint outsider {0x0a0000ff, 7720};
+    const endpoint member = fixture.registrations[5].peerAddress;
+    state_image forged;
+    forged.revision = 900;
+    forged.contentRevision = 900;
+    forged.hasConfig = true;
+    forged.config = makeConfig(77);
+    const auto bytes = encodeState(forged);
+    gossip_part part {42, 0, 1, {}};
+    for (const std::byte byte : bytes)
+        part.bytes.push_back(static_cast<std::uint8_t>(byte));
+    gossip_digest digest;
+    digest.sender = {"f-99", "c", outsider};
+    digest.revision = 900;
+    gossip_reports reports {"c", false, {}};
+    for (const char *witness : {"x", "y", "z"})
+        reports.reports.push_back({tagOfName("i-1"), std::nullopt, {{witnessOf(witness), 8, 500}}});
+    const auto confirmedAt = target.state.confirmedAt();
+    for (const endpoint &from : {outsider, member}) {
+        // A state counts only as the answer to a question, whoever seems to send it.
+        CHECK_FALSE(target.talk.receive(from, encodeGossip(part)));
+        CHECK(target.state.configVersion() == 1);
+    }
+    CHECK_FALSE(target.talk.receive(outsider, encodeGossip(digest)));
+    CHECK_FALSE(target.talk.receive(outsider, encodeGossip(reports)));
+    target.health.judge(fixture.clock.now());
+    CHECK(target.health.verdictOf(target.directory.find("i-1")->id) == health_verdict::Answering);
+    CHECK(target.state.confirmedAt() == confirmedAt);
+    CHECK(target.talk.unexpectedMessages() == 4);
+}
