Feature: instances of a domain pool what they measure of upstreams

Change: a digest to an instance of the own domain carries the latencies measured in the last two seconds, at most 40 of six bytes; they count like own ones. Ruled out: ending flows on slow upstreams. A flow whose upstream lives is not ended; the requests that are still late are on flows that were open before.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -41,12 +41,14 @@
     , m_directory(deriveDirectorySettings(settings))
     , m_placement(m_directory, {settings.domain, settings.domainCount, seedOf(settings.name)})
     , m_health(m_directory, settings.name, settings.domain)
-    , m_forwarder(m_routes, m_directory, m_placement, m_health)
+    , m_latencies(m_directory, m_placement)
+    , m_forwarder(m_routes, m_directory, m_placement, m_health, m_latencies)
     , m_state(m_routes, m_directory, m_placement, m_log)
     , m_store(m_context, settings.storeAddress)
     , m_follower(m_store, m_state, m_clock, m_random, m_log, deriveFollowerSettings(settings))
     , m_gossip({settings.name, settings.domain, settings.peerAddress}, settings.seeds, m_state,
-               m_health, *this, m_clock, m_random, m_log, deriveGossipSettings(settings))
+               m_health, m_latencies, *this, m_clock, m_random, m_log,
+               deriveGossipSettings(settings))
     , m_registrar({settings.name, settings.domain, settings.peerAddress}, m_store, m_state, m_clock,
                   m_random, m_log)
     , m_publisher(settings.domain, m_store, m_state, m_clock, m_log,
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -57,12 +57,13 @@
 }
 
 forwarder::forwarder(const routing_table &routes, const upstream_directory &directory,
-                     flow_placement &placement, upstream_health &health,
+                     flow_placement &placement, upstream_health &health, latency_pool &latencies,
                      forwarder_settings settings)
     : m_routes(routes)
     , m_directory(directory)
     , m_placement(placement)
     , m_health(health)
+    , m_latencies(latencies)
     , m_settings(settings)
     , m_observer(settings.maxObservedFlows)
 {
@@ -230,7 +231,7 @@
         m_health.noteAnswered(upstream, now);
     const auto latency = now - flow.requestAt;
     if (flow.requestAt.count() > 0 && latency < m_settings.maxLatency) {
-        m_placement.noteLatency(upstream, latency, now);
+        m_latencies.noteAnswered(upstream, latency, now);
         decision.latency = latency;
     }
     flow.requestAt = monotonic_time {0};
@@ -245,7 +246,7 @@
     const bool isWaiting = flow.requestAt.count() > 0;
     observeAcknowledgement(packet, flow, now, decision);
     if (isWaiting && flow.requestAt.count() > 0 && age >= m_settings.givenUpTime)
-        m_placement.noteGivenUp(flow.upstream, age, now);
+        m_latencies.noteGivenUp(flow.upstream, age, now);
 }
 
 void forwarder::observeRequest(const caller_packet &packet, observed_flow &flow, monotonic_time now,
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -9,6 +9,7 @@
 #include "core/core_type.h"
 #include "directory/directory_base.h"
 #include "flow_observer_base.h"
+#include "health/latency_pool_base.h"
 #include "health/upstream_health_base.h"
 #include "placement/placement_base.h"
 #include "routing/routing_base.h"
@@ -94,7 +95,8 @@
 {
 public:
     forwarder(const routing_table &routes, const upstream_directory &directory,
-              flow_placement &placement, upstream_health &health, forwarder_settings settings = {});
+              flow_placement &placement, upstream_health &health, latency_pool &latencies,
+              forwarder_settings settings = {});
 
     /**
      * Decides about one packet.
@@ -140,6 +142,7 @@
     const upstream_directory &m_directory;
     flow_placement &m_placement;
     upstream_health &m_health;
+    latency_pool &m_latencies;
     forwarder_settings m_settings;
     flow_observer m_observer;
 };
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -23,14 +23,16 @@
 } // namespace
 
 gossip::gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
-               upstream_health &health, peer_sink &sink, const clock_source &clock,
-               random_source &random, event_log &log, gossip_settings settings)
+               upstream_health &health, latency_pool &latencies, peer_sink &sink,
+               const clock_source &clock, random_source &random, event_log &log,
+               gossip_settings settings)
     : m_own(std::move(own))
     , m_rank(rankOf(m_own.name))
     , m_seeds(std::move(seeds))
     , m_state(state)
     , m_view(state, m_own)
     , m_health(health)
+    , m_latencies(latencies)
     , m_sink(sink)
     , m_clock(clock)
     , m_random(random)
@@ -248,6 +250,7 @@
 {
     if (digest.sender.domain == m_own.domain) {
         m_heardAt[digest.sender.name] = m_clock.now();
+        m_latencies.merge(digest.latencies, m_clock.now());
         mergeReaders(digest);
     }
     const bool isBehind =
@@ -365,7 +368,7 @@
     sendToPeer(target, encodeGossip(gossip_reports {m_own.domain, isReply, std::move(reports)}));
 }
 
-void gossip::sendDigest(const endpoint &target)
+void gossip::sendDigest(const endpoint &target, bool isOwnDomain)
 {
     gossip_digest digest;
     digest.sender = m_own;
@@ -373,6 +376,8 @@
     digest.contentRevision = m_state.contentRevision();
     digest.version = m_state.configVersion();
     digest.ageMs = ageMs(m_state.confirmedAt());
+    if (isOwnDomain)
+        digest.latencies = m_latencies.recent(m_clock.now());
     reader_times readers = m_readers;
     if ((isReader() || isCandidate()) && m_storeAnswerAt.count() > 0)
         readers[m_rank] = m_storeAnswerAt;
@@ -386,7 +391,7 @@
 void gossip::sendToOwnDomain(std::size_t count)
 {
     for (const endpoint &target : nextInOwnDomain(count))
-        sendDigest(target);
+        sendDigest(target, true);
 }
 
 std::vector<endpoint> gossip::nextInOwnDomain(std::size_t count)
@@ -413,7 +418,7 @@
 {
     const auto &targets = m_view.otherDomains();
     if (!targets.empty())
-        sendDigest(pick(targets));
+        sendDigest(pick(targets), false);
 }
 
 void gossip::fetch(const endpoint &target)
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -12,6 +12,7 @@
 #include "core/core_base.h"
 #include "eventlog/event_log_base.h"
 #include "gossip_codec_func.h"
+#include "health/latency_pool_base.h"
 #include "health/upstream_health_base.h"
 #include "part_assembler_base.h"
 #include "peer_view_base.h"
@@ -71,8 +72,9 @@
 {
 public:
     gossip(instance_registration own, std::vector<endpoint> seeds, fleet_state &state,
-           upstream_health &health, peer_sink &sink, const clock_source &clock,
-           random_source &random, event_log &log, gossip_settings settings = {});
+           upstream_health &health, latency_pool &latencies, peer_sink &sink,
+           const clock_source &clock, random_source &random, event_log &log,
+           gossip_settings settings = {});
 
     /** Handles a datagram; returns whether the state changed. */
     bool receive(const endpoint &from, std::span<const std::byte> datagram);
@@ -138,7 +140,7 @@
     void sendReports();
     void sendReportsTo(const endpoint &target, std::vector<silence_report> reports, bool isReply);
     void mergeReaders(const gossip_digest &digest);
-    void sendDigest(const endpoint &target);
+    void sendDigest(const endpoint &target, bool isOwnDomain);
     void sendToOwnDomain(std::size_t count);
     void sendToOtherDomain();
     void fetch(const endpoint &target);
@@ -167,6 +169,7 @@
     fleet_state &m_state;
     peer_view m_view;
     upstream_health &m_health;
+    latency_pool &m_latencies;
     peer_sink &m_sink;
     const clock_source &m_clock;
     random_source &m_random;
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -18,11 +18,12 @@
 namespace {
 
 /// Raised when a message changes; instances of other formats then read the store themselves.
-constexpr std::uint8_t gossipFormat = 3;
+constexpr std::uint8_t gossipFormat = 4;
 
 enum class message_kind : std::uint8_t { Digest = 1, Fetch = 2, Part = 3, Reports = 4 };
 
 constexpr std::size_t maxReaders = 8;
+constexpr std::size_t maxLatencies = 64;
 constexpr std::size_t maxReports = 64;
 constexpr std::size_t maxWitnesses = 16;
 /// Stands for an upstream of which no answer is known.
@@ -42,11 +43,18 @@
     archive(value.version, value.revision, value.nonce);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, latency_report &value)
+{
+    archive(value.upstream, value.latencyMs);
+}
+
 template<typename Archive>
 void save(Archive &archive, const gossip_digest &value)
 {
     archive(value.sender, value.revision, value.contentRevision, value.version, value.ageMs);
     saveBounded(archive, value.readers);
+    saveBounded(archive, value.latencies);
 }
 
 template<typename Archive>
@@ -54,6 +62,7 @@
 {
     archive(value.sender, value.revision, value.contentRevision, value.version, value.ageMs);
     loadBounded(archive, value.readers, maxReaders);
+    loadBounded(archive, value.latencies, maxLatencies);
 }
 
 template<typename Archive>
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/core_type.h"
+#include "health/latency_report_type.h"
 #include "health/silence_report_type.h"
 #include "sync/fleet_store_base.h"
 
@@ -26,11 +27,12 @@
 struct gossip_digest
 {
     instance_registration sender;
-    store_revision revision = 0;        ///< that its state includes
-    store_revision contentRevision = 0; ///< of the last change that meant something
-    config_version version = 0;         ///< of the configuration in force
-    std::uint32_t ageMs = 0;            ///< since the revision was confirmed
-    std::vector<reader_report> readers; ///< in the sender's domain
+    store_revision revision = 0;           ///< that its state includes
+    store_revision contentRevision = 0;    ///< of the last change that meant something
+    config_version version = 0;            ///< of the configuration in force
+    std::uint32_t ageMs = 0;               ///< since the revision was confirmed
+    std::vector<reader_report> readers;    ///< in the sender's domain
+    std::vector<latency_report> latencies; ///< measured lately; empty to other domains
 };
 
 /** What an instance knows of upstreams that don't answer. */
--- /dev/null
+++ b/src/health/latency_pool.cpp
@@ -0,0 +1,57 @@
+/**
+ * @file latency_pool.cpp
+ * Measurements of this instance and others.
+ */
+
+#include "latency_pool_base.h"
+
+#include <algorithm>
+
+namespace chicoryhead {
+
+void latency_pool::noteAnswered(upstream_id upstream, monotonic_time latency, monotonic_time now)
+{
+    m_placement.noteLatency(upstream, latency, now);
+    remember({upstream, latency, now});
+}
+
+void latency_pool::noteGivenUp(upstream_id upstream, monotonic_time age, monotonic_time now)
+{
+    m_placement.noteGivenUp(upstream, age, now);
+    remember({upstream, age, now});
+}
+
+void latency_pool::remember(const sample &measured)
+{
+    m_samples.push_front(measured);
+    if (m_samples.size() > m_limits.maxReports)
+        m_samples.pop_back();
+}
+
+std::vector<latency_report> latency_pool::recent(monotonic_time now) const
+{
+    std::vector<latency_report> reports;
+    for (const sample &measured : m_samples) {
+        if (now - measured.at > m_limits.memory)
+            break;
+        const auto *record = m_directory.find(measured.upstream);
+        if (record == nullptr)
+            continue;
+        const auto latency = std::min(measured.latency, m_limits.maxLatency);
+        const auto milliseconds =
+            std::chrono::duration_cast<std::chrono::milliseconds>(latency).count();
+        reports.push_back({record->tag, static_cast<std::uint16_t>(milliseconds)});
+    }
+    return reports;
+}
+
+void latency_pool::merge(const std::vector<latency_report> &reports, monotonic_time now)
+{
+    for (const latency_report &report : reports) {
+        const auto *record = m_directory.findByTag(report.upstream);
+        if (record != nullptr)
+            m_placement.noteLatency(record->id, std::chrono::milliseconds(report.latencyMs), now);
+    }
+}
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/health/latency_report_type.h
@@ -0,0 +1,23 @@
+/**
+ * @file latency_report_type.h
+ * A latency that one instance tells others.
+ */
+
+#pragma once
+
+#include "core/caller_packet_type.h"
+
+#include <cstdint>
+
+namespace chicoryhead {
+
+/** Time of one request at an upstream. */
+struct latency_report
+{
+    steering_tag upstream = noTag;
+    std::uint16_t latencyMs = 0;
+
+    bool operator==(const latency_report &) const = default;
+};
+
+} // namespace chicoryhead
--- a/tests/gossip_support.h
+++ b/tests/gossip_support.h
@@ -27,11 +27,12 @@
         : m_network(network)
         , m_address(own.peerAddress)
         , m_log(::open("/dev/null", O_WRONLY), clock)
-        , m_placement(directory, {own.domain, 3, seed})
         , m_random(seed)
-        , state(routes, directory, m_placement, m_log)
+        , placement(directory, {own.domain, 3, seed})
+        , state(routes, directory, placement, m_log)
         , health(directory, own.name, own.domain)
-        , talk(own, std::move(seeds), state, health, *this, clock, m_random, m_log)
+        , latencies(directory, placement)
+        , talk(own, std::move(seeds), state, health, latencies, *this, clock, m_random, m_log)
     {
         network.attach(m_address, [this](std::span<const std::byte> bytes, const endpoint &from) {
             talk.receive(from, bytes);
@@ -54,12 +55,13 @@
     virtual_network &m_network;
     endpoint m_address;
     event_log m_log;
-    domain_first_placement m_placement;
     seeded_random m_random;
 
 public:
+    domain_first_placement placement;
     fleet_state state;
     upstream_health health;
+    latency_pool latencies;
     gossip talk;
 };
 
--- a/tests/model_fleet.h
+++ b/tests/model_fleet.h
@@ -279,10 +279,12 @@
         , m_log(::open("/dev/null", O_WRONLY), clock)
         , m_placement(directory, {own.domain, 3, seed})
         , m_health(directory, own.name, own.domain)
+        , m_latencies(directory, m_placement)
         , state(routes, directory, m_placement, m_log)
         , client(store, clock, m_random)
         , m_follower(client, state, clock, m_random, m_log)
-        , talk(own, seeds, state, m_health, *this, clock, m_random, m_log, gossipSettings())
+        , talk(own, seeds, state, m_health, m_latencies, *this, clock, m_random, m_log,
+               gossipSettings())
         , m_registrar(own, client, state, clock, m_random, m_log)
         , m_publisher(own.domain, client, state, clock, m_log, publisherSettings())
     {
@@ -365,6 +367,7 @@
     event_log m_log;
     domain_first_placement m_placement;
     upstream_health m_health;
+    latency_pool m_latencies;
 
 public:
     fleet_state state;
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -36,7 +36,8 @@
     upstream_directory directory;
     domain_first_placement placement {directory, {"a", 3, 7}};
     upstream_health health {directory, "f-1", "a"};
-    forwarder path {routes, directory, placement, health};
+    latency_pool latencies {directory, placement};
+    forwarder path {routes, directory, placement, health, latencies};
 };
 
 } // namespace
@@ -208,7 +209,8 @@
     forwarder_fixture fixture;
     forwarder_settings settings;
     settings.maxObservedFlows = 10;
-    forwarder path(fixture.routes, fixture.directory, fixture.placement, fixture.health, settings);
+    forwarder path(fixture.routes, fixture.directory, fixture.placement, fixture.health,
+                   fixture.latencies, settings);
     for (std::uint16_t port = 1; port <= 40; ++port) {
         const auto opened = path.decide(makeOpening(port), true, 1s);
         REQUIRE(opened.action == packet_action::Forward);
--- a/tests/test_upstream_health.cpp
+++ b/tests/test_upstream_health.cpp
@@ -413,7 +413,8 @@
     routing_table routes;
     routes.apply(makeConfig(1), 0s);
     domain_first_placement placement {fixture.directory, {"a", 3, 7}};
-    forwarder path {routes, fixture.directory, placement, fixture.health};
+    latency_pool latencies {fixture.directory, placement};
+    forwarder path {routes, fixture.directory, placement, fixture.health, latencies};
     std::map<std::string, packet_decision> opened;
     for (std::uint16_t port = 1; port <= 2; ++port) {
         const auto decision = path.decide(makeOpening(port), true, 9s);
@@ -442,7 +443,8 @@
     routing_table routes;
     routes.apply(makeConfig(1), 0s);
     domain_first_placement placement {fixture.directory, {"a", 3, 7}};
-    forwarder path {routes, fixture.directory, placement, fixture.health};
+    latency_pool latencies {fixture.directory, placement};
+    forwarder path {routes, fixture.directory, placement, fixture.health, latencies};
     std::map<std::string, std::uint16_t> ports;
     for (std::uint16_t port = 1; port <= 2; ++port) {
         const auto opened = path.decide(makeOpening(port), true, 9s);
@@ -468,7 +470,8 @@
     routing_table routes;
     routes.apply(makeConfig(1), 0s);
     domain_first_placement placement {fixture.directory, {"a", 3, 7}};
-    forwarder path {routes, fixture.directory, placement, fixture.health};
+    latency_pool latencies {fixture.directory, placement};
+    forwarder path {routes, fixture.directory, placement, fixture.health, latencies};
     for (std::uint16_t port = 1; port <= 40; ++port) {
         const auto opened = path.decide(makeOpening(port), true, 9s);
         path.decide(makeData(port, opened.tag, 1000U + port, 500, 0), true, 9010ms);
@@ -529,3 +532,52 @@
     CHECK(calm < 4 * 2048);
     CHECK(burst < 16384);
 }
+
+TEST_CASE("Slow upstream in a large fleet: what others measured lowers its share",
+          "[health][gossip]")
+{
+    // Pattern: 40 instances of a domain, 18 upstreams, a request to each of them every eight
+    // seconds at each instance. Nobody has enough measurements alone.
+    traffic_fixture traffic(120, 3);
+    const auto runSlow = [&](monotonic_time duration) {
+        for (monotonic_time passed {0}; passed < duration; passed += 10ms) {
+            traffic.fleet.run(10ms);
+            if (traffic.draw() > 0.9)
+                continue;
+            auto &instance = *traffic.fleet.instances[traffic.pickInstance()];
+            const auto name = "i-" + std::to_string(traffic.random() % 18);
+            const monotonic_time usual = 20ms + 1ms * static_cast<int>(traffic.random() % 60);
+            const auto latency = name == "i-5" ? usual * 8 : usual;
+            instance.latencies.noteAnswered(instance.directory.find(name)->id, latency,
+                                            traffic.fleet.clock.now());
+        }
+    };
+    runSlow(6s);
+    std::size_t chosen = 0;
+    std::size_t total = 0;
+    for (std::size_t i = 0; i < traffic.fleet.instances.size(); i += 3) {
+        auto &instance = *traffic.fleet.instances[i];
+        for (int flow = 0; flow < 18; ++flow, ++total) {
+            const auto id = instance.placement.choose("desk", {}, traffic.fleet.clock.now());
+            chosen += instance.directory.find(*id)->announced.name == "i-5" ? 1 : 0;
+        }
+    }
+    // An eighteenth of the flows without a difference.
+    CHECK(chosen * 18 < total / 3);
+}
+
+TEST_CASE("What an instance tells of latencies is bounded and new", "[health]")
+{
+    health_fixture fixture;
+    domain_first_placement placement {fixture.directory, {"a", 3, 7}};
+    latency_pool pool {fixture.directory, placement};
+    for (int i = 0; i < 500; ++i)
+        pool.noteAnswered(fixture.idOf("i-1"), 40ms, 10s + i * 1ms);
+    CHECK(pool.recent(10600ms).size() == latency_pool_limits {}.maxReports);
+    CHECK(pool.recent(13s).empty());
+    pool.noteAnswered(fixture.idOf("i-2"), 3600s, 13s);
+    REQUIRE(pool.recent(13s).size() == 1);
+    CHECK(pool.recent(13s)[0].latencyMs == 60000);
+    // Reports about upstreams that are not known here are left out.
+    pool.merge({{12345, 40}}, 13s);
+}
