Feature: the client sums up instances by domain and names unhealthy upstreams

Cause: with 195 instances a list of them is no answer to "what is wrong"; the pages said which upstreams an instance avoids, not what all saw. Change: commands domains and unhealthy; the page of upstreams has the verdict. A page of an older release has none, which is shown as healthy.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -58,6 +58,8 @@
 exit_code runInstances(const command_call &call);
 exit_code runUpstreams(const command_call &call);
 exit_code runFlows(const command_call &call);
+exit_code runDomains(const command_call &call);
+exit_code runUnhealthy(const command_call &call);
 exit_code runTrace(const command_call &call);
 
 } // namespace chicoryhead
--- a/src/cli/command_fleet.cpp
+++ b/src/cli/command_fleet.cpp
@@ -10,6 +10,9 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <map>
+#include <optional>
+#include <set>
 #include <sstream>
 #include <tuple>
 #include <utility>
@@ -45,8 +48,121 @@
     return exit_code::Done;
 }
 
+/** What the instances of one failure domain say together. */
+struct domain_summary
+{
+    std::size_t registered = 0;
+    std::size_t ready = 0;
+    std::size_t silent = 0; ///< don't answer
+    std::size_t readers = 0;
+    std::optional<config_version> oldest; ///< version of those that answer
+    config_version newest = 0;
+    std::uint64_t maxAgeMs = 0;
+    std::uint64_t flows = 0;
+};
+
+void addTo(domain_summary &domain, const instance_row &row)
+{
+    ++domain.registered;
+    if (!row.page) {
+        ++domain.silent;
+        return;
+    }
+    domain.ready += row.page->state == "ready" ? 1 : 0;
+    domain.readers += row.page->readsStore ? 1 : 0;
+    domain.oldest = std::min(domain.oldest.value_or(row.page->version), row.page->version);
+    domain.newest = std::max(domain.newest, row.page->version);
+    domain.maxAgeMs = std::max(domain.maxAgeMs, row.page->stateAgeMs);
+    domain.flows += row.page->flows;
+}
+
+/** What all instances say of one upstream. */
+struct upstream_summary
+{
+    std::string domain;
+    std::set<std::string> standings; ///< differ while a change spreads
+    std::size_t seenBy = 0;
+    std::size_t avoidedBy = 0;
+    std::size_t silentTo = 0;
+    std::size_t deadTo = 0;
+};
+
+void addTo(upstream_summary &upstream, const upstream_row &row)
+{
+    upstream.domain = row.domain;
+    upstream.standings.insert(row.standing);
+    ++upstream.seenBy;
+    upstream.avoidedBy += row.isSuspected ? 1 : 0;
+    upstream.silentTo += row.verdict == "silent" ? 1 : 0;
+    upstream.deadTo += row.verdict == "dead" ? 1 : 0;
+}
+
+std::string join(const std::set<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words)
+        text += (text.empty() ? "" : ",") + word;
+    return text;
+}
+
 } // namespace
 
+exit_code runDomains(const command_call &call)
+{
+    std::vector<instance_row> instances;
+    if (const auto code = listInstances(call, instances); code != exit_code::Done)
+        return code;
+    std::map<std::string, domain_summary> domains;
+    for (const instance_row &row : instances)
+        addTo(domains[row.registration.domain], row);
+    text_table table({"DOMAIN", "INSTANCES", "READY", "NO_ANSWER", "READERS", "VERSIONS",
+                      "MAX_AGE_MS", "FLOWS"});
+    for (const auto &[name, domain] : domains) {
+        std::string versions = "-";
+        if (domain.oldest)
+            versions = *domain.oldest == domain.newest
+                ? std::to_string(domain.newest)
+                : std::to_string(*domain.oldest) + ".." + std::to_string(domain.newest);
+        table.addRow({name, std::to_string(domain.registered), std::to_string(domain.ready),
+                      std::to_string(domain.silent), std::to_string(domain.readers), versions,
+                      domain.oldest ? std::to_string(domain.maxAgeMs) : "-",
+                      std::to_string(domain.flows)});
+    }
+    table.print(call.environment.out);
+    return exit_code::Done;
+}
+
+exit_code runUnhealthy(const command_call &call)
+{
+    std::vector<instance_row> instances;
+    if (const auto code = listInstances(call, instances); code != exit_code::Done)
+        return code;
+    std::map<std::pair<std::string, std::string>, upstream_summary> upstreams;
+    std::size_t answered = 0;
+    for (const instance_row &row : instances) {
+        const auto seen = readUpstreamPage(call, row.registration);
+        if (!seen)
+            continue;
+        ++answered;
+        for (const upstream_row &upstream : seen.value()) {
+            if (isSelected(call, upstream.service))
+                addTo(upstreams[{upstream.service, upstream.name}], upstream);
+        }
+    }
+    text_table table({"SERVICE", "UPSTREAM", "DOMAIN", "STANDING", "KNOWN_TO", "AVOIDED_BY",
+                      "SILENT_TO", "DEAD_TO"});
+    for (const auto &[key, upstream] : upstreams) {
+        if (upstream.avoidedBy + upstream.silentTo + upstream.deadTo > 0)
+            table.addRow({key.first, key.second, upstream.domain, join(upstream.standings),
+                          std::to_string(upstream.seenBy), std::to_string(upstream.avoidedBy),
+                          std::to_string(upstream.silentTo), std::to_string(upstream.deadTo)});
+    }
+    table.print(call.environment.out);
+    if (answered < instances.size())
+        warn(call, std::to_string(instances.size() - answered) + " instances did not answer");
+    return exit_code::Done;
+}
+
 exit_code runInstances(const command_call &call)
 {
     std::vector<instance_row> instances;
--- a/src/cli/instance_pages.cpp
+++ b/src/cli/instance_pages.cpp
@@ -71,7 +71,8 @@
         const json document = json::parse(body.value());
         for (const json &fields : document.at("upstreams"))
             rows.push_back({fields.at("service"), fields.at("name"), fields.at("standing"),
-                            fields.at("suspected"), fields.at("latency_us"), fields.at("flows")});
+                            fields.at("suspected"), fields.at("latency_us"), fields.at("flows"),
+                            fields.value("domain", ""), fields.value("verdict", "")});
     } catch (const json::exception &) {
         return error::Malformed;
     }
--- a/src/cli/instance_pages.h
+++ b/src/cli/instance_pages.h
@@ -40,6 +40,8 @@
     bool isSuspected = false;
     std::uint64_t latencyUs = 0; ///< 0 when unknown
     std::uint64_t flows = 0;
+    std::string domain;  ///< empty on the page of an older release
+    std::string verdict; ///< answering, silent or dead; empty as above
 };
 
 /** Registered instances by name; each is asked for its page. Errors: those of the store. */
--- a/src/cli/table/command_table.h
+++ b/src/cli/table/command_table.h
@@ -23,7 +23,7 @@
 /// Most log files that one call reads; each instance has one.
 inline constexpr std::size_t maxLogFiles = 8192;
 
-inline constexpr std::array<command, 9> commandTable {{
+inline constexpr std::array<command, 11> commandTable {{
     {"config show", "", 0, 0, jsonFlags, "the newest configuration of the store", runConfigShow},
     {"config version", "", 0, 0, {}, "its version", runConfigVersion},
     {"config wait", "VERSION", 1, 1, waitFlags,
@@ -33,6 +33,10 @@
      "replaces the configuration, unless somebody else did so meanwhile", runConfigPut},
     {"instances", "", 0, 0, pageFlags, "instances with state, version and age of what they know",
      runInstances},
+    {"domains", "", 0, 0, pageFlags, "instances by failure domain, for fleets of hundreds",
+     runDomains},
+    {"unhealthy", "[SERVICE]", 0, 1, pageFlags,
+     "upstreams that some instance avoids, and how many do", runUnhealthy},
     {"upstreams", "[SERVICE]", 0, 1, {}, "upstreams as they announce themselves", runUpstreams},
     {"flows", "[SERVICE]", 0, 1, pageFlags,
      "flows that instances saw lately, by upstream, with its latency", runFlows},
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -347,7 +347,8 @@
         const auto counted = flows.find(record->id);
         views.push_back({record, m_placement.isSuspected(record->id, now),
                          m_placement.latencyOf(record->id, now),
-                         counted == flows.end() ? 0 : counted->second});
+                         counted == flows.end() ? 0 : counted->second,
+                         toString(m_health.verdictOf(record->id))});
     }
     return views;
 }
--- a/src/entry/status_documents.cpp
+++ b/src/entry/status_documents.cpp
@@ -85,6 +85,7 @@
         writeText(writer, "address", toString(announced.address));
         writeText(writer, "standing", toString(view.record->standing));
         writeFlag(writer, "suspected", view.isSuspected);
+        writeText(writer, "verdict", view.verdict);
         writeCount(writer, "latency_us", static_cast<std::uint64_t>(view.latency.count()));
         writeCount(writer, "flows", view.flows);
         writer.EndObject();
--- a/src/entry/status_documents.h
+++ b/src/entry/status_documents.h
@@ -27,6 +27,7 @@
     bool isSuspected = false;                ///< gets no new flows because it did not answer
     monotonic_time latency {0};              ///< moving average of its answers; 0 when unknown
     std::uint64_t flows = 0;                 ///< of those seen lately by this instance
+    std::string_view verdict = "answering";  ///< from what all instances saw
 };
 
 /** What an instance says of itself. */
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -301,6 +301,45 @@
     CHECK(contains(fixture.err.str(), "f-2"));
 }
 
+TEST_CASE("Hundreds of instances are summed up by domain", "[cli]")
+{
+    cli_fixture fixture;
+    for (int i = 3; i <= 100; ++i) {
+        const std::string name = "f-" + std::to_string(i);
+        fixture.store.fleet.emplace_back(instance_registration {
+            name, i % 2 == 0 ? "a" : "b", {0x0a000000U + static_cast<std::uint32_t>(i), 7720}});
+        if (i != 50)
+            fixture.setPage(i, i == 7 ? 3 : 4);
+    }
+    CHECK(fixture.run({"domains"}) == exit_code::Done);
+    const std::string text = fixture.out.str();
+    CHECK(std::count(text.begin(), text.end(), '\n') == 3);
+    CHECK(
+        contains(text, "a       50         49     1          49       4         120         343"));
+    CHECK(
+        contains(text, "b       50         50     0          50       3..4      120         350"));
+}
+
+TEST_CASE("Upstreams that instances avoid are counted, healthy ones left out", "[cli]")
+{
+    cli_fixture fixture;
+    const auto page = [](const char *verdict, bool isSuspected) {
+        return std::string(R"({"upstreams":[{"service":"desk","name":"i-1","domain":"a",)")
+            + R"("standing":"ready","suspected":)" + (isSuspected ? "true" : "false")
+            + R"(,"verdict":")" + verdict + R"(","latency_us":0,"flows":0},)"
+            + R"({"service":"desk","name":"i-2","standing":"ready","suspected":false,)"
+            + R"("latency_us":0,"flows":0}]})";
+    };
+    fixture.pages.pages["10.0.0.1:9102/v1/upstreams"] = page("dead", true);
+    fixture.pages.pages["10.0.0.2:9102/v1/upstreams"] = page("silent", false);
+    CHECK(fixture.run({"unhealthy"}) == exit_code::Done);
+    CHECK(contains(fixture.out.str(), "i-1       a       ready     2         1           1"));
+    CHECK_FALSE(contains(fixture.out.str(), "i-2"));
+    fixture.pages.pages.erase("10.0.0.2:9102/v1/upstreams");
+    CHECK(fixture.run({"unhealthy", "desk"}) == exit_code::Done);
+    CHECK(contains(fixture.err.str(), "1 instances did not answer"));
+}
+
 TEST_CASE("The trace of a flow is read from standard input", "[cli]")
 {
     cli_fixture fixture;
