--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points for newcomers; all of them install what is missing and build first.
 BUILD ?= build
 
-.PHONY: deps build test demo bench soak lint format sanitize clean
+.PHONY: deps build test demo bench soak lint format sanitize fuzz clean
 
 deps:
 	@.ci/install_packages
@@ -28,6 +28,13 @@
 	@cmake --build build-sanitize --target chicoryhead_tests
 	@build-sanitize/tests/chicoryhead_tests
 
+# A fixed number of inputs from a fixed seed for each target; docs/fuzzing.md tells how to run more.
+FUZZ_RUNS ?= 20000
+fuzz: deps
+	@CXX=clang++ cmake -S . -B build-fuzz -G Ninja -DCHICORYHEAD_FUZZ=ON -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+	@cmake --build build-fuzz
+	@tests/fuzz/run build-fuzz $(FUZZ_RUNS)
+
 demo: build
 	@$(BUILD)/standin/chicoryhead-demo --program $(BUILD)/src/entry/chicoryhead-entry --folder $(BUILD)/demo
 
@@ -39,4 +46,4 @@
 	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
 
 clean:
-	@rm -rf $(BUILD) build-sanitize
+	@rm -rf $(BUILD) build-sanitize build-fuzz
--- /dev/null
+++ b/tests/fuzz/fuzz_target.cpp
@@ -0,0 +1,273 @@
+/**
+ * @file fuzz_target.cpp
+ * Decoders of everything that an instance or the client reads from elsewhere.
+ */
+
+#include "fuzz_target.h"
+
+#include "cli/flow_trace.h"
+#include "gossip/gossip_codec_func.h"
+#include "gossip/part_assembler_base.h"
+#include "platform/packet_codec.h"
+#include "platform/record_codec.h"
+#include "platform/settings_codec.h"
+#include "platform/standin_codec.h"
+#include "sync/state_codec_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <tuple>
+#include <variant>
+
+namespace chicoryhead::fuzz {
+
+namespace {
+
+std::string textOf(std::span<const std::byte> input)
+{
+    return {reinterpret_cast<const char *>(input.data()), input.size()};
+}
+
+std::string textOf(const std::vector<std::byte> &bytes)
+{
+    return textOf(std::span(bytes));
+}
+
+void require(bool property)
+{
+    if (!property)
+        std::abort();
+}
+
+upstream_announcement sampleUpstream(const std::string &name)
+{
+    upstream_announcement made;
+    made.name = name;
+    made.wireId = platform::wireIdOfName(name).value_or(1);
+    made.service = "desk";
+    made.address = {0x0a014005, 8080};
+    made.domain = "a";
+    made.slots = 3;
+    made.warmupLeft = std::chrono::milliseconds(700);
+    made.announcements = 12;
+    made.startedAtMs = 1764800000000;
+    return made;
+}
+
+routing_config sampleConfig()
+{
+    routing_config config;
+    config.version = 7;
+    config.idleTimeout = std::chrono::seconds(12);
+    for (std::uint32_t i = 0; i < 3; ++i)
+        config.routes.push_back({"r-" + std::to_string(i),
+                                 {0xc6120001 + i, 443},
+                                 {{"desk", 3}, {"proofs", 1}},
+                                 std::chrono::milliseconds(200),
+                                 std::chrono::milliseconds(1200),
+                                 1,
+                                 true});
+    return config;
+}
+
+state_image sampleState()
+{
+    state_image image;
+    image.revision = 900;
+    image.contentRevision = 880;
+    image.ageMs = 40;
+    image.hasConfig = true;
+    image.config = sampleConfig();
+    for (int i = 0; i < 8; ++i)
+        image.upstreams.push_back(sampleUpstream("i-00ab1" + std::to_string(i)));
+    image.instances = {{"f-1", "a", {0x0a010001, 7720}}, {"f-2", "b", {0x0a020001, 7720}}};
+    image.lostUpstreams = {"i-99"};
+    return image;
+}
+
+void readPacket(std::span<const std::byte> input)
+{
+    const auto packet = platform::decodePacket(input);
+    platform::requestIdOf(input);
+    if (!packet)
+        return;
+    require(packet.value().dataBytes + platform::headBytes == input.size());
+    std::vector<std::byte> forwarded(input.size() + platform::prefixBytes);
+    require(platform::encodeForUpstream(input, 7, packet.value().tag, forwarded)
+            == forwarded.size());
+    // With its own tag a packet is forwarded as it came.
+    require(std::equal(input.begin(), input.end(), forwarded.begin() + platform::prefixBytes));
+    platform::encodeReset(packet.value());
+}
+
+std::vector<std::string> packetSeeds()
+{
+    std::vector<std::byte> opening(platform::headBytes);
+    opening[0] = std::byte {32};
+    auto data = opening;
+    data[0] = std::byte {16};
+    const std::string request = "GET / HTTP/1.1\r\nX-Attempt-Id: 00ff\r\n\r\n";
+    data[34] = static_cast<std::byte>(request.size());
+    return {textOf(opening), textOf(data) + request};
+}
+
+void readReply(std::span<const std::byte> input)
+{
+    std::ignore = platform::decodeReply(textOf(input), "items");
+    std::ignore = platform::decodeReply(textOf(input), "events");
+    std::ignore = platform::decodeStoredItem(textOf(input));
+}
+
+std::vector<std::string> replySeeds()
+{
+    const auto item = [](const std::string &key, const std::string &value) {
+        return R"({"key":")" + key + R"(","value":")" + platform::encodeBase64(value)
+            + R"(","revision":12,"created_rev":9,"lease_id":0})";
+    };
+    const std::string config = item("op/config", platform::encodeConfig(sampleConfig()));
+    const std::string upstream =
+        item("servers/i-00ab12", platform::encodeAnnouncement(sampleUpstream("i-00ab12")));
+    const std::string instance =
+        item("chicoryhead/instances/f-1",
+             platform::encodeRegistration({"f-1", "a", {0x0a010001, 7720}}));
+    const std::string deleted = R"({"key":"servers/i-00ab13","revision":13,"deleted":true})";
+    const std::string snapshot = item("chicoryhead/snapshot", textOf(encodeState(sampleState())));
+    return {R"({"items":[)" + config + "," + upstream + "," + instance + "," + snapshot
+                + R"(],"has_more":false,"at_rev":14})",
+            R"({"events":[)" + upstream + "," + deleted + R"(],"at_rev":15})", snapshot};
+}
+
+void readRecord(std::span<const std::byte> input)
+{
+    const auto announced = platform::decodeAnnouncement("i-00ab12", textOf(input));
+    if (announced) {
+        const auto again = platform::decodeAnnouncement(
+            "i-00ab12", platform::encodeAnnouncement(announced.value()));
+        require(again && again.value().address == announced.value().address);
+    }
+    std::ignore = platform::decodeConfig(textOf(input));
+    std::ignore = platform::decodeRegistration("f-1", textOf(input));
+    std::ignore = platform::decodeBase64(textOf(input));
+}
+
+std::vector<std::string> recordSeeds()
+{
+    return {platform::encodeConfig(sampleConfig()),
+            platform::encodeAnnouncement(sampleUpstream("i-00ab12")),
+            platform::encodeRegistration({"f-1", "a", {0x0a010001, 7720}})};
+}
+
+void readSettings(std::span<const std::byte> input)
+{
+    std::vector<platform::settings_problem> problems;
+    const auto settings = platform::decodeSettings(textOf(input), problems);
+    require(!problems.empty() || !settings.name.empty());
+}
+
+std::vector<std::string> settingsSeeds()
+{
+    entry_settings settings;
+    settings.name = "f-1";
+    settings.domain = "a";
+    settings.dataAddress = {0x0a010001, 8172};
+    settings.statusAddress = {0x0a010001, 8167};
+    settings.storeAddress = {0x0ac80107, 8169};
+    settings.peerAddress = {0x0a010001, 7720};
+    settings.seeds = {{0x0a020001, 7720}};
+    settings.configBound = std::chrono::seconds(3);
+    settings.drainBound = std::chrono::seconds(3);
+    settings.stopGrace = std::chrono::seconds(6);
+    settings.flowLifetime = std::chrono::seconds(60);
+    return {platform::encodeSettings(settings)};
+}
+
+void readMessage(std::span<const std::byte> input)
+{
+    const auto message = decodeGossip(input);
+    if (!message)
+        return;
+    const auto encoded =
+        std::visit([](const auto &decoded) { return encodeGossip(decoded); }, message.value());
+    const auto again = decodeGossip(encoded);
+    require(again && again.value().index() == message.value().index());
+    if (const auto *part = std::get_if<gossip_part>(&message.value())) {
+        part_assembler assembler;
+        assembler.expect({1, 1}, part->nonce);
+        assembler.add({1, 1}, *part);
+        assembler.add({1, 1}, *part);
+    }
+}
+
+std::vector<std::string> messageSeeds()
+{
+    gossip_digest digest;
+    digest.sender = {"f-1", "a", {0x0a010001, 7720}};
+    digest.revision = 900;
+    digest.readers = {{7, 100}, {9, 200}};
+    digest.latencies = {{0x01020304, 40}};
+    const gossip_reports reports {
+        "a", false, {{0x01020304, 50U, {{1, 2, 210}, {3, 1, 220}}}, {5, std::nullopt, {}}}};
+    return {textOf(encodeGossip(digest)), textOf(encodeGossip(reports)),
+            textOf(encodeGossip(gossip_fetch {7, 900, 42})),
+            textOf(encodeGossip(gossip_part {42, 0, 2, {1, 2, 3}}))};
+}
+
+void readState(std::span<const std::byte> input)
+{
+    const auto state = decodeState(input);
+    if (!state)
+        return;
+    const auto again = decodeState(encodeState(state.value()));
+    require(again && again.value().upstreams == state.value().upstreams
+            && again.value().lostUpstreams == state.value().lostUpstreams);
+}
+
+std::vector<std::string> stateSeeds()
+{
+    auto small = sampleState();
+    small.upstreams.resize(1);
+    small.hasConfig = false;
+    return {textOf(encodeState(sampleState())), textOf(encodeState(small)),
+            textOf(encodeState(state_image {}))};
+}
+
+void readLog(std::span<const std::byte> input)
+{
+    const std::string text = textOf(input);
+    std::vector<log_line> lines;
+    for (std::size_t begin = 0; begin < text.size();) {
+        const auto end = std::min(text.find('\n', begin), text.size());
+        if (auto line = parseLogLine(std::string_view(text).substr(begin, end - begin), "log"))
+            lines.push_back(std::move(*line));
+        begin = end + 1;
+    }
+    traceFlow(lines, "1.2.3.4:5>6.7.8.9:10");
+    traceFlow(lines, "00ff");
+}
+
+std::vector<std::string> logSeeds()
+{
+    return {"1.5 f-1 t_ms=9 event=flow_refused flow=1.2.3.4:5>6.7.8.9:10 reason=no_route "
+            "version=4 state_age_ms=12\n",
+            "24.05 f-1 t_ms=88 event=instance_registered outcome=\"a \\\"b\\\" c\" x=1\n"};
+}
+
+constexpr std::array<fuzz_target, 7> targetTable {{
+    {"packet", readPacket, packetSeeds},
+    {"reply", readReply, replySeeds},
+    {"record", readRecord, recordSeeds},
+    {"settings", readSettings, settingsSeeds},
+    {"message", readMessage, messageSeeds},
+    {"state", readState, stateSeeds},
+    {"log", readLog, logSeeds},
+}};
+
+} // namespace
+
+std::span<const fuzz_target> targets()
+{
+    return targetTable;
+}
+
+} // namespace chicoryhead::fuzz
