Fix: the best latency of a service is that of a whole domain

Change: the median of a domain counts, if a quarter of its upstreams were measured lately; it is looked at ten times a second at most instead of with each latency.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -120,8 +120,9 @@
     const double byCapacity = std::min(1.0, own / (m_limits.keptCapacity * mean));
 
     const auto best = m_best.find(service);
-    const double ownLatency = medianLatency(ownUpstreams, now);
-    if (best == m_best.end() || ownLatency <= m_limits.crowdedRatio * best->second.latency)
+    const double ownLatency = usualLatency(ownUpstreams, now);
+    if (best == m_best.end() || best->second.latency <= 0
+        || ownLatency <= m_limits.crowdedRatio * best->second.latency)
         return byCapacity;
     // The share falls with the square, so that it settles where latency is a little above the
     // ratio.
@@ -138,10 +139,23 @@
     return capacity;
 }
 
-void domain_first_placement::noteBestLatency(const std::string &service, double latency,
-                                             monotonic_time now)
+/// The best latency is that of a whole domain: a single upstream of hundreds always had some short
+/// requests lately, and beside it each domain would seem crowded.
+void domain_first_placement::noteBestLatency(const upstream_record &measured, monotonic_time now)
 {
-    best_latency &best = m_best[service];
+    best_latency &best = m_best[measured.announced.service];
+    if (now < best.nextCheck)
+        return;
+    best.nextCheck = now + m_limits.bestLatencyPause;
+    std::vector<upstream_id> sameDomain;
+    for (const upstream_id id : m_directory.ofService(measured.announced.service)) {
+        const auto *record = m_directory.find(id);
+        if (record->announced.domain == measured.announced.domain && takesNewFlows(*record))
+            sameDomain.push_back(id);
+    }
+    const double latency = usualLatency(sameDomain, now);
+    if (latency <= 0)
+        return;
     if (best.latency > 0) {
         const double seconds = std::chrono::duration<double>(now - best.at).count();
         best.latency *= 1 + m_limits.bestLatencyGrowth * seconds;
@@ -151,6 +165,25 @@
         best.latency = latency;
 }
 
+/// Median latency of some upstreams; 0 if too few of them were measured lately to speak for all.
+double domain_first_placement::usualLatency(std::span<const upstream_id> upstreams,
+                                            monotonic_time now) const
+{
+    const auto measured = std::count_if(upstreams.begin(), upstreams.end(), [&](upstream_id id) {
+        const auto found = m_experience.find(id);
+        return found != m_experience.end() && isMeasured(found->second, now);
+    });
+    const bool isEnough = static_cast<double>(measured)
+        >= m_limits.measuredPart * static_cast<double>(upstreams.size());
+    return isEnough ? medianLatency(upstreams, now) : 0;
+}
+
+bool domain_first_placement::isMeasured(const experience &known, monotonic_time now) const
+{
+    return known.latencies >= m_limits.minLatencies
+        && now - known.latencyAt <= m_limits.latencyMemory;
+}
+
 bool domain_first_placement::noteUnanswered(upstream_id upstream, monotonic_time now)
 {
     experience &known = experienceOf(upstream);
@@ -239,7 +272,7 @@
     known.latencyAt = now;
     const auto *record = m_directory.find(upstream);
     if (record != nullptr && known.latencies >= m_limits.minLatencies)
-        noteBestLatency(record->announced.service, known.latency, now);
+        noteBestLatency(*record, now);
 }
 
 void domain_first_placement::forget(upstream_id upstream)
@@ -296,10 +329,8 @@
     if (found == m_experience.end() || medianLatency <= 0)
         return weight;
     const experience &known = found->second;
-    const bool isMeasured =
-        known.latencies >= m_limits.minLatencies && now - known.latencyAt <= m_limits.latencyMemory;
     const double ratio = known.latency / medianLatency;
-    if (isMeasured && ratio > m_limits.slowRatio)
+    if (isMeasured(known, now) && ratio > m_limits.slowRatio)
         weight *= std::max(m_limits.slowShare, 1 / (ratio * ratio));
     return weight;
 }
@@ -310,8 +341,7 @@
     std::vector<double> latencies;
     for (const upstream_id id : upstreams) {
         const auto found = m_experience.find(id);
-        if (found != m_experience.end() && found->second.latencies >= m_limits.minLatencies
-            && now - found->second.latencyAt <= m_limits.latencyMemory)
+        if (found != m_experience.end() && isMeasured(found->second, now))
             latencies.push_back(found->second.latency);
     }
     if (latencies.empty())
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -88,6 +88,10 @@
     /// The own domain counts as crowded when the median latency of its upstreams is above this
     /// multiple of the service's best. Averages of a few requests differ by up to 1.5 without load.
     double crowdedRatio = 2.2;
+    /// Part of a domain's upstreams that must be measured for their median to count.
+    double measuredPart = 0.25;
+    /// Pause between two looks at the best latency, which walk all upstreams of the service.
+    monotonic_time bestLatencyPause = std::chrono::milliseconds(100);
     /// Growth of the best latency per second, so that it follows a service that became slower.
     double bestLatencyGrowth = 0.05;
 };
@@ -152,11 +156,12 @@
         monotonic_time latencyAt {0};
     };
 
-    /** Lowest average latency of a service's upstreams. */
+    /** Lowest median latency that a domain's upstreams of a service had. */
     struct best_latency
     {
-        double latency = 0; ///< in microseconds
+        double latency = 0; ///< in microseconds; 0 for none
         monotonic_time at {0};
+        monotonic_time nextCheck {0};
     };
 
     /** How good a choice an upstream is; a lower group is chosen only when the others are empty. */
@@ -182,7 +187,9 @@
                      monotonic_time now) const;
     double capacityOf(std::span<const upstream_id> upstreams, double median,
                       monotonic_time now) const;
-    void noteBestLatency(const std::string &service, double latency, monotonic_time now);
+    void noteBestLatency(const upstream_record &measured, monotonic_time now);
+    double usualLatency(std::span<const upstream_id> upstreams, monotonic_time now) const;
+    bool isMeasured(const experience &known, monotonic_time now) const;
 
     /** How the path to another domain did lately. */
     struct domain_path
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -390,3 +390,47 @@
     for (const auto &[id, count] : counts)
         CHECK(count <= 1.5 * mean + 1);
 }
+
+TEST_CASE("Hundreds of upstreams: a few short requests make no domain crowded", "[placement]")
+{
+    // Guards against flows that cross domains because one of 40 upstreams had the shortest requests
+    // (found when instances began to tell each other what they measure).
+    upstream_directory directory;
+    domain_first_placement placement {directory, {"a", 3, 42}};
+    std::vector<upstream_id> own;
+    for (int i = 0; i < 40; ++i) {
+        for (const char *domain : {"a", "b", "c"}) {
+            const auto made =
+                makeUpstream(std::string("i-") + domain + std::to_string(i), "desk", domain);
+            const auto id = directory.announce(made, 0s).id;
+            if (made.domain == "a")
+                own.push_back(id);
+        }
+    }
+    const auto countOwn = [&](monotonic_time now) {
+        int count = 0;
+        for (int i = 0; i < 200; ++i)
+            count +=
+                directory.find(*placement.choose("desk", {}, now))->announced.domain == "a" ? 1 : 0;
+        return count;
+    };
+    for (std::size_t i = 0; i < own.size(); ++i) {
+        for (int sample = 0; sample < 4; ++sample)
+            placement.noteLatency(own[i], i == 7 ? 12ms : 50ms, 10s + sample * 200ms);
+    }
+    CHECK(countOwn(10800ms) == 200);
+    SECTION("a few long requests don't either")
+    {
+        for (int sample = 0; sample < 4; ++sample)
+            placement.noteLatency(own[3], 400ms, 20s + sample * 200ms);
+        CHECK(countOwn(20700ms) == 200);
+    }
+    SECTION("a domain whose upstreams are slow is")
+    {
+        for (const upstream_id id : own) {
+            for (int sample = 0; sample < 12; ++sample)
+                placement.noteLatency(id, 220ms, 11s + sample * 100ms);
+        }
+        CHECK(countOwn(12200ms) < 100);
+    }
+}
