Fix: control signals are held while nobody handles them

Cause: "A stop during the start, while the store is away, or twice ends in time" failed once beside load, the process was ended by SIGTERM. The signal handlers go with the event loop, so a SIGTERM during the end of the process, and one before the loop exists, had its default action. Change: SIGTERM, SIGINT and SIGHUP are blocked from the first instruction until the handlers stand, and again when the loop has ended. SIGHUP was ignored in the start; now it is handled after it, so that a change of the settings file in between is read at once.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "core/log_func.h"
 #include "derived_settings.h"
 #include "platform/platform_names.h"
+#include "system/signal_mask_func.h"
 
 #include <xxhash.h>
 
@@ -114,7 +115,10 @@
     awaitSignal();
     m_follower.tick();
     scheduleTick();
+    deliverControlSignals();
     m_context.run();
+    // Its handlers go with the event loop.
+    holdControlSignals();
     m_log.write("stopped",
                 {{"instance", m_settings.name},
                  {"uptime_ms", formatMilliseconds(m_clock.now() - m_startedAt)}});
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -6,6 +6,7 @@
 #include "entry_process_base.h"
 #include "platform/settings_codec.h"
 #include "settings_file_base.h"
+#include "system/signal_mask_func.h"
 
 #include <gflags/gflags.h>
 
@@ -24,16 +25,10 @@
 
 namespace {
 
-/// The default action of SIGHUP would end a process that has not read its settings yet, and so
-/// needs no reload.
-void ignoreReload()
-{
-    std::signal(SIGHUP, SIG_IGN);
-}
-
-/// Runs before the initialisers of all libraries, so that hardly any time is left in which the
-/// signal ends the process.
-[[gnu::section(".preinit_array"), gnu::used]] void (*const ignoreReloadEarly)() = ignoreReload;
+/// Runs before the initialisers of all libraries, so that hardly any time is left in which a signal
+/// ends the process.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const holdSignalsEarly)() = chicoryhead::holdControlSignals;
 
 constexpr int exitUsage = 2;
 constexpr int exitInvalidSettings = 3;
@@ -63,6 +58,8 @@
         "[--settings FILE] [--check] [--metrics_port PORT]\n\nexit codes: 0 stopped as asked, 1 "
         "could not start, 2 usage, 3 settings are not valid");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_check)
+        chicoryhead::deliverControlSignals();
     const std::string path =
         FLAGS_settings.empty() ? chicoryhead::platform::settingsPath() : FLAGS_settings;
     if (path.empty() || FLAGS_metrics_port < 0 || FLAGS_metrics_port > UINT16_MAX) {
--- a/tests/test_entry_start.cpp
+++ b/tests/test_entry_start.cpp
@@ -3,6 +3,7 @@
  * The program of an instance before it serves.
  */
 
+#include "platform/standin_codec.h"
 #include "standin/entry_program.h"
 
 #include <catch2/catch.hpp>
@@ -18,6 +19,8 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -80,36 +83,108 @@
     return settings;
 }
 
+/** The program with a pipe as its settings file, so that its start waits for as long as needed. */
+class waiting_program
+{
+public:
+    waiting_program()
+    {
+        // A process that ended must fail the test, not end it.
+        std::signal(SIGPIPE, SIG_IGN);
+        REQUIRE(::mkfifo(m_path.c_str(), 0600) == 0);
+        std::string program = CHICORYHEAD_ENTRY_PROGRAM;
+        std::string settings = "--settings=" + m_path.string();
+        char *const arguments[] = {program.data(), settings.data(), nullptr};
+        REQUIRE(::posix_spawn(&m_process, program.c_str(), nullptr, nullptr, arguments, environ)
+                == 0);
+        m_writer = openWhenRead(m_path);
+        REQUIRE(m_writer >= 0);
+    }
+    ~waiting_program() { std::filesystem::remove(m_path); }
+    waiting_program(const waiting_program &) = delete;
+    waiting_program &operator=(const waiting_program &) = delete;
+
+    void signal(int number) const { ::kill(m_process, number); }
+
+    /// Lets the process read its settings, now and whenever it reads them again.
+    void giveSettings(const std::string &text) const
+    {
+        const auto file = m_path.string() + ".file";
+        std::ofstream(file) << text;
+        std::filesystem::rename(file, m_path);
+        REQUIRE(::write(m_writer, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        ::close(m_writer);
+    }
+
+    int awaitEnd() const
+    {
+        int status = 0;
+        ::waitpid(m_process, &status, 0);
+        return status;
+    }
+
+private:
+    std::filesystem::path m_path =
+        std::filesystem::temp_directory_path() / ("chicoryhead-" + std::to_string(::getpid()));
+    pid_t m_process = 0;
+    int m_writer = -1;
+};
+
 } // namespace
 
 TEST_CASE("A reload while the process starts does not end it", "[entry]")
 {
-    // Guards against the default action of SIGHUP, found by the soak (seed 340). The settings are a
-    // pipe, so the process waits for them in its start for as long as the test needs.
-    const std::string path =
-        std::filesystem::temp_directory_path() / ("chicoryhead-" + std::to_string(::getpid()));
-    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
-    std::string program = CHICORYHEAD_ENTRY_PROGRAM;
-    std::string settings = "--settings=" + path;
-    char *const arguments[] = {program.data(), settings.data(), nullptr};
-    pid_t process = 0;
-    REQUIRE(::posix_spawn(&process, program.c_str(), nullptr, nullptr, arguments, environ) == 0);
-    const int writer = openWhenRead(path);
-    REQUIRE(writer >= 0);
-
-    ::kill(process, SIGHUP);
-    ::kill(process, SIGHUP);
-    REQUIRE(::write(writer, "{}", 2) == 2);
-    ::close(writer);
-    int status = 0;
-    ::waitpid(process, &status, 0);
-    std::filesystem::remove(path);
+    // Guards against the default action of SIGHUP, found by the soak (seed 340).
+    const waiting_program program;
+    program.signal(SIGHUP);
+    program.signal(SIGHUP);
+    program.giveSettings("{}");
+    const int status = program.awaitEnd();
     // The settings are not valid, and the process has come so far as to say so.
     REQUIRE(WIFEXITED(status));
     constexpr int exitInvalidSettings = 3;
     CHECK(WEXITSTATUS(status) == exitInvalidSettings);
 }
 
+TEST_CASE("A stop that is asked for while the process starts is an orderly one", "[entry]")
+{
+    // Guards against the default action of SIGTERM before the event loop handles signals.
+    const silent_store store;
+    const waiting_program program;
+    program.signal(SIGTERM);
+    program.giveSettings(chicoryhead::platform::encodeSettings(settingsFor(store)));
+    const int status = program.awaitEnd();
+    REQUIRE(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == 0);
+}
+
+TEST_CASE("Signals that come until the process is gone do not end it", "[entry]")
+{
+    // Guards against the default action of signals between the end of the event loop and the exit
+    // of the process (seen once as an end by SIGTERM, on a busy machine).
+    const silent_store store;
+    const auto folder = std::filesystem::temp_directory_path()
+        / ("chicoryhead-series-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder);
+    chicoryhead::standin::entry_program program(CHICORYHEAD_ENTRY_PROGRAM, folder,
+                                                settingsFor(store));
+    program.start();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    program.signal(SIGTERM);
+    const auto begun = std::chrono::steady_clock::now();
+    std::optional<int> status;
+    while (!(status = program.takeEnd())
+           && std::chrono::steady_clock::now() - begun < std::chrono::seconds(8)) {
+        program.signal(SIGTERM);
+        program.signal(SIGHUP);
+        std::this_thread::sleep_for(std::chrono::microseconds(20));
+    }
+    std::filesystem::remove_all(folder);
+    REQUIRE(status);
+    REQUIRE(WIFEXITED(*status));
+    CHECK(WEXITSTATUS(*status) == 0);
+}
+
 TEST_CASE("A stop during the start, while the store is away, or twice ends in time", "[entry]")
 {
     // Guards against a process that waits for the store, or starts its stop anew with each signal.
