Change: the choice of upstreams is divided into rules

Change: a part of its own for each, behind group_rule, weight_rule and kept_share_rule; domain_first_placement lists those that are in force, and a mechanism is switched off by leaving out its line. No decision changes.

--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -6,7 +6,7 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "forward/forwarder_base.h"
-#include "placement/placement_base.h"
+#include "placement/domain_first_placement_base.h"
 #include "platform/record_codec.h"
 #include "platform/standin_codec.h"
 #include "routing/routing_base.h"
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -15,7 +15,7 @@
 #include "instance_registrar_base.h"
 #include "packet_log_base.h"
 #include "packet_path_base.h"
-#include "placement/placement_base.h"
+#include "placement/domain_first_placement_base.h"
 #include "platform/platform_store.h"
 #include "routing/routing_base.h"
 #include "settings/entry_settings_type.h"
--- /dev/null
+++ b/src/placement/domain_first_placement_base.h
@@ -0,0 +1,88 @@
+/**
+ * @file placement/domain_first_placement_base.h
+ * Choice of upstreams that prefers the own failure domain.
+ */
+
+#pragma once
+
+#include "latency_record_base.h"
+#include "placement_base.h"
+#include "placement_rule_base.h"
+#include "placement_type.h"
+#include "rotation_base.h"
+#include "suspicion_base.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chicoryhead {
+
+/**
+ * Smooth weighted round robin over the upstreams of the own failure domain, and over those of the
+ * other domains when the own one has none that answers or too few. A flow that stays in its domain
+ * survives when the domain is cut off, and no packet of it crosses domains.
+ */
+class domain_first_placement : public flow_placement
+{
+public:
+    domain_first_placement(const upstream_directory &directory, placement_position position,
+                           placement_limits limits = {});
+    domain_first_placement(const domain_first_placement &) = delete;
+    domain_first_placement &operator=(const domain_first_placement &) = delete;
+
+    std::optional<upstream_id> choose(const std::string &service,
+                                      std::span<const upstream_id> tried,
+                                      monotonic_time now) override;
+    bool noteUnanswered(upstream_id upstream, monotonic_time now) override;
+    bool noteAnswered(upstream_id upstream) override;
+    void noteGivenUp(upstream_id upstream, monotonic_time age, monotonic_time now) override;
+    void noteLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
+    void forget(upstream_id upstream) override;
+    void avoid(upstream_id upstream, bool isDead, monotonic_time now) override;
+    std::size_t countSuspected(monotonic_time now) const override;
+
+    /**
+     * Sets the place of this instance among those of its domain. All count the upstreams in the
+     * same order and begin at equal distances, so that the first flows of a fleet that starts are
+     * spread evenly though nobody knows of the others' flows.
+     * @param place from 0 to count - 1.
+     */
+    void setTurn(std::size_t place, std::size_t count);
+
+    /** Whether an upstream is avoided because it did not answer. */
+    bool isSuspected(upstream_id upstream, monotonic_time now) const;
+
+    /** Moving average of an upstream's latencies; 0 when it did not answer lately. */
+    monotonic_time latencyOf(upstream_id upstream, monotonic_time now) const;
+
+private:
+    grouped_upstreams group(std::span<const upstream_id> upstreams,
+                            std::span<const upstream_id> tried, monotonic_time now) const;
+    choice_group groupOf(const upstream_record &record, std::span<const upstream_id> tried,
+                         monotonic_time now) const;
+    bool leavesDomain(const std::string &service, const grouped_upstreams &groups, double median,
+                      monotonic_time now);
+    double weightOf(upstream_id upstream, double median, monotonic_time now) const;
+    double capacityOf(std::span<const upstream_id> upstreams, double median,
+                      monotonic_time now) const;
+
+    const upstream_directory &m_directory;
+    placement_position m_position;
+    placement_limits m_limits;
+    upstream_suspicion m_suspicion;
+    path_doubt m_paths;
+    latency_record m_latencies;
+    upstream_rotation m_rotation;
+    std::vector<const group_rule *> m_groupRules; ///< the worst group of all counts
+    std::vector<std::unique_ptr<weight_rule>> m_weightRules;
+    std::vector<std::unique_ptr<kept_share_rule>> m_shareRules;
+    /// By service: part of a flow that is owed to other domains; at 1 the next flow goes there.
+    std::map<std::string, double> m_owedToOthers;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/placement/latency_record_base.h
@@ -0,0 +1,94 @@
+/**
+ * @file placement/latency_record_base.h
+ * How long upstreams took lately, and the best that their services did.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "directory/directory_base.h"
+#include "placement_rule_base.h"
+#include "placement_type.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+namespace chicoryhead {
+
+/** Moving averages of latencies by upstream. Latencies are in microseconds. */
+class latency_record
+{
+public:
+    latency_record(const upstream_directory &directory, const placement_limits &limits)
+        : m_directory(directory), m_limits(limits)
+    {
+    }
+
+    void note(upstream_id upstream, monotonic_time latency, monotonic_time now);
+
+    /** A request was open for a time without an answer, so its latency is at least that. */
+    void noteAtLeast(upstream_id upstream, monotonic_time age, monotonic_time now);
+
+    void forget(upstream_id upstream) { m_averages.erase(upstream); }
+
+    /** Moving average of an upstream; 0 when it was not measured lately. */
+    monotonic_time latencyOf(upstream_id upstream, monotonic_time now) const;
+
+    /** Average of an upstream in relation to a median; 0 when too little is known. */
+    double ratioTo(double median, upstream_id upstream, monotonic_time now) const;
+
+    /** Median of the upstreams that were measured lately; 0 for none. */
+    double median(std::span<const upstream_id> upstreams, monotonic_time now) const;
+
+    /** Median of some upstreams; 0 if too few of them were measured lately to speak for all. */
+    double usual(std::span<const upstream_id> upstreams, monotonic_time now) const;
+
+    /** Lowest median that a domain's upstreams of a service had; 0 if unknown. */
+    double bestOf(const std::string &service) const;
+
+private:
+    /** What was measured of one upstream. */
+    struct average
+    {
+        double latency = 0;
+        unsigned count = 0; ///< latencies in the average
+        monotonic_time at {0};
+    };
+
+    /** Best latency of one service. */
+    struct best_latency
+    {
+        double latency = 0; ///< 0 for none
+        monotonic_time at {0};
+        monotonic_time nextCheck {0};
+    };
+
+    bool isMeasured(const average &known, monotonic_time now) const;
+    void updateBest(const upstream_record &measured, monotonic_time now);
+
+    const upstream_directory &m_directory;
+    const placement_limits &m_limits;
+    std::unordered_map<upstream_id, average> m_averages;
+    std::map<std::string, best_latency> m_best; ///< by service
+};
+
+/** Gives upstreams that are slower than the others of their service less. */
+class slow_upstream_weight : public weight_rule
+{
+public:
+    slow_upstream_weight(const latency_record &latencies, const placement_limits &limits)
+        : m_latencies(latencies), m_limits(limits)
+    {
+    }
+
+    double factorOf(const upstream_record &record, double median,
+                    monotonic_time now) const override;
+
+private:
+    const latency_record &m_latencies;
+    const placement_limits &m_limits;
+};
+
+} // namespace chicoryhead
--- /dev/null
+++ b/src/placement/placement_rule_base.h
@@ -0,0 +1,63 @@
+/**
+ * @file placement/placement_rule_base.h
+ * Rules that a choice of upstreams is made of. A placement without one of them is valid, so that
+ * each can be measured alone.
+ */
+
+#pragma once
+
+#include "core/core_type.h"
+#include "directory/directory_base.h"
+#include "placement_type.h"
+
+#include <span>
+#include <string>
+
+namespace chicoryhead {
+
+/** Tells whether an upstream that takes new flows is a worse choice than its domain makes it. */
+class group_rule
+{
+public:
+    virtual ~group_rule() = default;
+
+    /** Group of an upstream; a value below `usual` changes nothing. */
+    virtual choice_group groupOf(const upstream_record &record, choice_group usual,
+                                 monotonic_time now) const = 0;
+};
+
+/** Changes the share of new flows that an upstream gets. */
+class weight_rule
+{
+public:
+    virtual ~weight_rule() = default;
+
+    /**
+     * Factor for the weight of an upstream.
+     * @param median latency of the service's upstreams in microseconds; 0 if unknown.
+     */
+    virtual double factorOf(const upstream_record &record, double median,
+                            monotonic_time now) const = 0;
+};
+
+/** Upstreams of the own domain and of the others that a service has, without worse groups. */
+struct domain_options
+{
+    const std::string &service;
+    std::span<const upstream_id> own;
+    std::span<const upstream_id> others;
+    double ownCapacity = 0;    ///< sum of weights
+    double othersCapacity = 0; ///< sum of weights
+};
+
+/** Tells which part of new flows stays in the own domain. */
+class kept_share_rule
+{
+public:
+    virtual ~kept_share_rule() = default;
+
+    /** Share from 0 to 1; those of all rules are multiplied. */
+    virtual double keptShare(const domain_options &options, monotonic_time now) const = 0;
+};
+
+} // namespace chicoryhead
--- a/tests/entry_support.h
+++ b/tests/entry_support.h
@@ -8,7 +8,7 @@
 #include "core/caller_packet_type.h"
 #include "core/core_base.h"
 #include "directory/directory_base.h"
-#include "placement/placement_base.h"
+#include "placement/domain_first_placement_base.h"
 #include "routing/routing_base.h"
 #include "sync/fleet_store_base.h"
 #include "virtual_time.h"
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -4,7 +4,7 @@
  */
 
 #include "entry_support.h"
-#include "placement/placement_base.h"
+#include "placement/domain_first_placement_base.h"
 
 #include <catch2/catch.hpp>
 
