Fix: a domain with more than its part of a burst sends new flows out early

Cause: a domain counted as crowded at 2.2 times the service's best latency. A reference of the other domains alone: the service's best is needed while they were not measured. Change: crowded is a domain whose median is above 1.8 times the service's best (requests wait) and above 1.2 times that of the other domains; the share that stays falls with the third power of the quotient.

--- a/src/placement/domain_share.cpp
+++ b/src/placement/domain_share.cpp
@@ -20,12 +20,16 @@
 {
     const double best = m_latencies.bestOf(options.service);
     const double own = m_latencies.usual(options.own, now);
-    if (best <= 0 || own <= m_limits.crowdedRatio * best)
+    if (best <= 0 || own <= m_limits.loadedRatio * best)
         return 1;
-    // The share falls with the square, so that it settles where latency is a little above the
-    // ratio.
-    const double crowding = own / (m_limits.crowdedRatio * best);
-    return 1 / (crowding * crowding);
+    // Others that were not measured lately may be as fast as the best was.
+    const double reference = std::max(best, m_latencies.usual(options.others, now));
+    if (own <= m_limits.crowdedRatio * reference)
+        return 1;
+    // Latency grows faster than load, so it takes a steep share to even it out; flows that are open
+    // stay where they are.
+    const double crowding = own / reference;
+    return 1 / (crowding * crowding * crowding);
 }
 
 } // namespace chicoryhead
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -46,9 +46,13 @@
     /// domain. Below it some go to other domains, so that its upstreams are at most 1/0.75 times as
     /// busy as the mean; at the usual load of 40 to 50% that leaves them room.
     double keptCapacity = 0.75;
-    /// The own domain counts as crowded when the median latency of its upstreams is above this
-    /// multiple of the service's best. Averages of a few requests differ by up to 1.5 without load.
-    double crowdedRatio = 2.2;
+    /// The own domain may be crowded when the median latency of its upstreams is above this
+    /// multiple of the service's best: requests wait there for about as long as they are worked on.
+    /// Averages of a few requests differ by up to 1.5 without load, and a flow that leaves its
+    /// domain for nothing is lost when the domain is cut off.
+    double loadedRatio = 1.8;
+    /// It is crowded when its median is also above this multiple of that of the other domains.
+    double crowdedRatio = 1.2;
     /// Part of a domain's upstreams that must be measured for their median to count.
     double measuredPart = 0.25;
     /// Pause between two looks at the best latency, which walk all upstreams of the service.
