--- a/bench/what_binds.py
+++ b/bench/what_binds.py
@@ -27,8 +27,8 @@
 LINE = re.compile(r"\s*(-?[\d.]+) (\S+) t_ms=(\d+) event=(\S+) ?(.*)")
 FIELD = re.compile(r'(\w+)=("[^"]*"|\S*)')
 
-POWER = "no instance had power"
-RETURN = "caller's pause after the return of power"
+POWER = "no instance ran"
+RETURN = "caller's pause after all instances returned"
 ROUTER = "router sent to an instance that was down or cut off"
 DIED = "upstream died under work"
 REJECTED = "rejected by an upstream"
@@ -113,8 +113,10 @@
 
 def explain(report, lines):
     windows = gather(lines)
-    outages = [(start, outage_end(lines, start, stop))
-               for start, stop, _ in spans_of(report, ("closing", "herd_kill", "zone_loss"), 0)]
+    total = max(1, report["machines"])
+    outages = [(start, outage_end(lines, start, stop), min(1.0, count_named(event["what"]) / total))
+               for start, stop, event in
+               spans_of(report, ("closing", "herd_kill", "zone_loss"), 0)]
     rows = []
     for window in report["windows"]:
         begin = float(window["name"])
@@ -127,9 +129,10 @@
             return any(overlap(start, stop, begin) for start, stop, _ in
                        spans_of(report, kinds, extra_s))
 
-        without_power = sum(overlap(start, stop, begin) for start, stop in outages) / WINDOW_S
+        without_power = sum(share * overlap(start, stop, begin)
+                            for start, stop, share in outages) / WINDOW_S
         after_power = any(overlap(start, stop + LONGEST_CALLER_PAUSE_S, begin)
-                          for start, stop in outages)
+                          for start, stop, _ in outages)
         limits = (
             (POWER, window["n"] * without_power),
             (RETURN, lost if after_power else 0),
