Evacuation: upstreams of an evacuated failure domain get no new flows

Cause: operators can ask that nothing more be sent to a domain's upstreams. Change: the set of evacuated domains is part of an instance's state, with the revision up to which it is right; the set with the higher revision applies. It goes with digests and states as an extension that releases without it ignore. A state without the extension is used but confirms nothing, so that an instance whose readers run the former release reads the store itself, from the last revision up to which it has all changes. The bound for evacuations counts for the age of the state; log line domain_evacuation, gauge domains_evacuated, field evacuated of upstreams. Ruled out: a new format version of states and digests; instances of both releases would then refuse each other's, and half of the fleet would read the store. A part of the delta history; a delta that passed through the former release would lose it.

--- a/src/core/codec_func.h
+++ b/src/core/codec_func.h
@@ -15,10 +15,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <istream>
+#include <optional>
 #include <span>
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <system_error>
 #include <vector>
 
 namespace chicoryhead {
@@ -89,17 +92,28 @@
 }
 
 /**
- * Decodes a value written by encodeBinary().
- * @return the value; error::Unsupported for another format version, error::Malformed for any other
- * error.
+ * Encodes a value followed by an extension that later releases added. Releases without it read the
+ * value and ignore the rest, so both can run side by side.
  */
+template<typename Value, typename Extension>
+std::vector<std::byte> encodeExtended(std::uint8_t format, const Value &value,
+                                      const std::optional<Extension> &extension)
+{
+    auto encoded = encodeBinary(format, value);
+    if (!extension)
+        return encoded;
+    const auto added = encodeBinary(format, *extension);
+    encoded.insert(encoded.end(), added.begin(), added.end());
+    return encoded;
+}
+
+namespace detail {
+
+/// Reads a value from a stream; returns an empty code, or error::Unsupported or error::Malformed.
 template<typename Value>
-result<Value> decodeBinary(std::uint8_t format, std::span<const std::byte> bytes)
+std::error_code readBinary(std::istream &stream, std::uint8_t format, Value &value)
 {
-    Value value {};
     try {
-        std::istringstream stream(
-            std::string(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
         cereal::PortableBinaryInputArchive archive(stream);
         std::uint8_t actualFormat = 0;
         archive(actualFormat);
@@ -109,6 +123,48 @@
     } catch (const std::exception &) {
         return error::Malformed;
     }
+    return {};
+}
+
+inline std::istringstream openStream(std::span<const std::byte> bytes)
+{
+    return std::istringstream(
+        std::string(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
+}
+
+} // namespace detail
+
+/**
+ * Decodes a value written by encodeBinary().
+ * @return the value; error::Unsupported for another format version, error::Malformed for any other
+ * error.
+ */
+template<typename Value>
+result<Value> decodeBinary(std::uint8_t format, std::span<const std::byte> bytes)
+{
+    Value value {};
+    auto stream = detail::openStream(bytes);
+    if (const auto failure = detail::readBinary(stream, format, value))
+        return failure;
+    return value;
+}
+
+/**
+ * Decodes the output of encodeExtended(); fails as decodeBinary() does.
+ * @param extension stays empty if the sender's release did not add one.
+ */
+template<typename Value, typename Extension>
+result<Value> decodeExtended(std::uint8_t format, std::span<const std::byte> bytes,
+                             std::optional<Extension> &extension)
+{
+    Value value {};
+    auto stream = detail::openStream(bytes);
+    if (const auto failure = detail::readBinary(stream, format, value))
+        return failure;
+    if (stream.peek() == std::istringstream::traits_type::eof())
+        return value;
+    if (const auto failure = detail::readBinary(stream, format, extension.emplace()))
+        return failure;
     return value;
 }
 
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -45,7 +45,7 @@
 {
     const bool isAnnounced =
         record.lifecycle == lifecycle_state::Ready || record.lifecycle == lifecycle_state::Missing;
-    return isAnnounced && !record.hasTagCollision;
+    return isAnnounced && !record.hasTagCollision && !record.isEvacuated;
 }
 
 steering_tag tagOfName(std::string_view name)
@@ -76,6 +76,7 @@
     record.lifecycle = lifecycle;
     record.warmupEndsAt = now + announced.warmupLeft;
     record.announced = announced;
+    record.isEvacuated = m_evacuatedDomains.contains(announced.domain);
     return {record.id, isRestart};
 }
 
@@ -97,6 +98,13 @@
     return {record.id, false};
 }
 
+void upstream_directory::setEvacuatedDomains(std::set<std::string> domains)
+{
+    m_evacuatedDomains = std::move(domains);
+    for (auto &[id, record] : m_records)
+        record.isEvacuated = m_evacuatedDomains.contains(record.announced.domain);
+}
+
 std::vector<upstream_id> upstream_directory::expire(monotonic_time now)
 {
     std::vector<upstream_id> expired;
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -60,6 +61,7 @@
     monotonic_time changedAt {0};    ///< last change of lifecycle state, or restart
     monotonic_time warmupEndsAt {0}; ///< the upstream is slow until then
     bool hasTagCollision = false;    ///< an older record has the same tag; no new flows
+    bool isEvacuated = false;        ///< its failure domain is being evacuated; no new flows
 };
 
 /** Whether new flows may be placed on an upstream, not considering its health. */
@@ -114,6 +116,9 @@
      */
     directory_change withdraw(const std::string &name, bool mayReturn, monotonic_time now);
 
+    /** Sets the failure domains whose upstreams, also those announced later, get no new flows. */
+    void setEvacuatedDomains(std::set<std::string> domains);
+
     /**
      * Marks records Gone that were Missing for too long, and removes Gone records that no open flow
      * can use any more.
@@ -160,6 +165,7 @@
     /// If several records have the same tag, refers to the one that was added first.
     std::unordered_map<steering_tag, upstream_id> m_byTag;
     std::map<std::string, std::vector<upstream_id>> m_byService;
+    std::set<std::string> m_evacuatedDomains; ///< isEvacuated of each record agrees with it
     std::uint32_t m_lastId = 0;
 };
 
--- a/src/entry/derived_settings.cpp
+++ b/src/entry/derived_settings.cpp
@@ -12,7 +12,8 @@
 
 monotonic_time propagationBound(const entry_settings &settings)
 {
-    return std::min(settings.configBound, settings.drainBound);
+    const auto bound = std::min(settings.configBound, settings.drainBound);
+    return settings.evacuationBound.count() > 0 ? std::min(bound, settings.evacuationBound) : bound;
 }
 
 shutdown_settings deriveShutdownSettings(const entry_settings &settings)
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -41,6 +41,7 @@
     std::uint64_t configVersion = 0;
     std::uint64_t routes = 0;
     std::uint64_t upstreams = 0;
+    std::uint64_t domainsEvacuated = 0;
     std::uint64_t upstreamsSuspected = 0;
     std::uint64_t upstreamsDead = 0;
     std::uint64_t flowsObserved = 0;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -308,6 +308,7 @@
     m_settings.storeAddress = changed.storeAddress;
     m_settings.configBound = changed.configBound;
     m_settings.drainBound = changed.drainBound;
+    m_settings.evacuationBound = changed.evacuationBound;
     m_settings.stopGrace = changed.stopGrace;
     m_settings.flowLifetime = changed.flowLifetime;
     m_settings.storeHistory = changed.storeHistory;
@@ -371,6 +372,7 @@
     gauges.configVersion = m_routes.version();
     gauges.routes = m_routes.config().routes.size();
     gauges.upstreams = m_directory.size();
+    gauges.domainsEvacuated = m_state.evacuations().names.size();
     gauges.upstreamsSuspected = m_placement.countSuspected(now);
     gauges.upstreamsDead = m_health.countDead();
     gauges.flowsObserved = m_forwarder.countTrackedFlows();
--- a/src/entry/status_documents.cpp
+++ b/src/entry/status_documents.cpp
@@ -85,6 +85,7 @@
         writeText(writer, "domain", announced.domain);
         writeText(writer, "address", toString(announced.address));
         writeText(writer, "standing", toString(status.record->lifecycle));
+        writeFlag(writer, "evacuated", status.record->isEvacuated);
         writeFlag(writer, "suspected", status.isSuspected);
         writeText(writer, "verdict", status.verdict);
         writeCount(writer, "latency_us", static_cast<std::uint64_t>(status.latency.count()));
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,10 +31,12 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_descriptor, 13> gaugeTable {{
+inline constexpr std::array<gauge_descriptor, 14> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
+    {"domains_evacuated", "Failure domains whose upstreams get no new flows.",
+     &entry_gauges::domainsEvacuated},
     {"upstreams_suspected", "Upstreams that get no new flows because they did not answer.",
      &entry_gauges::upstreamsSuspected},
     {"upstreams_dead", "Upstreams that answer nobody; their flows are ended.",
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -261,6 +261,7 @@
         m_latencies.merge(digest.latencies, m_clock.now());
         mergeReaders(digest);
     }
+    const bool isComplete = m_state.adoptEvacuations(digest.evacuations);
     const bool isBehind = digest.contentRevision > m_state.revision()
         || digest.configVersion > m_state.configVersion();
     if (isBehind) {
@@ -268,7 +269,7 @@
             requestState(from);
         return false;
     }
-    if (digest.revision >= m_state.revision())
+    if (digest.revision >= m_state.revision() && isComplete)
         m_state.confirm(digest.revision, m_clock.now() - std::chrono::milliseconds(digest.ageMs));
     return false;
 }
@@ -386,6 +387,7 @@
     digest.contentRevision = m_state.contentRevision();
     digest.configVersion = m_state.configVersion();
     digest.ageMs = ageMs(m_state.confirmedAt());
+    digest.evacuations = m_state.evacuations();
     if (isLocalDomain)
         digest.latencies = m_latencies.recentReports(m_clock.now());
     reader_times readers = m_readers;
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -11,6 +11,7 @@
 #include <cereal/types/string.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 
 namespace chicoryhead {
@@ -145,11 +146,23 @@
     return gossip_message(std::move(decoded.value()));
 }
 
+result<gossip_message> decodeDigest(std::span<const std::byte> bytes)
+{
+    std::optional<evacuated_domains> evacuations;
+    auto decoded = decodeExtended<gossip_digest>(gossipFormatVersion, bytes, evacuations);
+    if (!decoded)
+        return decoded.error();
+    decoded.value().evacuations = std::move(evacuations);
+    return gossip_message(std::move(decoded.value()));
+}
+
 } // namespace
 
 std::vector<std::byte> encodeGossip(const gossip_digest &message)
 {
-    return encodeAs(message_type::Digest, message);
+    auto encoded = encodeExtended(gossipFormatVersion, message, message.evacuations);
+    encoded.insert(encoded.begin(), static_cast<std::byte>(message_type::Digest));
+    return encoded;
 }
 
 std::vector<std::byte> encodeGossip(const gossip_state_request &message)
@@ -173,7 +186,7 @@
         return error::Malformed;
     switch (static_cast<message_type>(datagram.front())) {
     case message_type::Digest:
-        return decodeAs<gossip_digest>(datagram.subspan(1));
+        return decodeDigest(datagram.subspan(1));
     case message_type::StateRequest:
         return decodeAs<gossip_state_request>(datagram.subspan(1));
     case message_type::StateFragment:
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -11,6 +11,7 @@
 #include "sync/fleet_store_base.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
     std::uint32_t ageMs = 0;               ///< since the revision was confirmed to be current
     std::vector<reader_report> readers;    ///< of the sender's domain
     std::vector<latency_report> latencies; ///< recent measurements; empty to remote domains
+    /// Not present if the sender's release does not support evacuations.
+    std::optional<evacuated_domains> evacuations;
 };
 
 /** Reports of an instance about upstreams that do not answer. */
--- a/src/settings/entry_settings_type.h
+++ b/src/settings/entry_settings_type.h
@@ -24,11 +24,13 @@
     endpoint dataAddress;        ///< receives the packets of callers
     endpoint statusAddress;      ///< serves readiness checks
     endpoint storeAddress;
-    endpoint peerAddress;            ///< receives messages of other instances
-    std::vector<endpoint> seeds;     ///< peer addresses of some instances; may be out of date
-    std::uint16_t metricsPort = 0;   ///< 0 to disable
-    monotonic_time configBound {0};  ///< time within which a new configuration must be in force
-    monotonic_time drainBound {0};   ///< time after which a draining upstream may get no new flows
+    endpoint peerAddress;           ///< receives messages of other instances
+    std::vector<endpoint> seeds;    ///< peer addresses of some instances; may be out of date
+    std::uint16_t metricsPort = 0;  ///< 0 to disable
+    monotonic_time configBound {0}; ///< time within which a new configuration must be in force
+    monotonic_time drainBound {0};  ///< time after which a draining upstream may get no new flows
+    /// Time after which an evacuated failure domain may get no new flows; 0 if there is no bound.
+    monotonic_time evacuationBound {0};
     monotonic_time stopGrace {0};    ///< time from the stop request until the process is killed
     monotonic_time flowLifetime {0}; ///< maximum age of a flow
     monotonic_time storeHistory {0}; ///< time for which the store keeps changes; 0 if unknown
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -16,6 +16,10 @@
 /// Time after an outage of the store in which missing upstreams may be announced again.
 constexpr monotonic_time outageGracePeriod = defaultReannounceTimeout;
 
+/// Confirmation time of a state without evacuations, from an instance of a release that does not
+/// report them: the state can be used, but is old enough to make this instance read the store.
+constexpr monotonic_time incompleteStateConfirmation {1};
+
 } // namespace
 
 fleet_state::fleet_state(routing_table &routes, upstream_directory &directory,
@@ -28,6 +32,8 @@
 {
     detectOutage(isAfterOutage, now);
     applyAll(changes, now);
+    applyEvacuations(changes, m_evacuations.names);
+    confirm(changes.revision, now);
 }
 
 void fleet_state::applyAll(const fleet_changes &changes, monotonic_time now)
@@ -37,7 +43,54 @@
     for (const fleet_change &change : changes.changes)
         std::visit([&](const auto &item) { applyOne(item, now); }, change);
     recordHistory(changes);
-    confirm(changes.revision, now);
+    m_revision = std::max(m_revision, changes.revision);
+}
+
+/// Evacuations are applied as a whole set, because a newer set may have arrived from another
+/// instance before the changes of the store.
+void fleet_state::applyEvacuations(const fleet_changes &changes, std::set<std::string> previous)
+{
+    for (const fleet_change &change : changes.changes) {
+        const auto *evacuation = std::get_if<domain_evacuation>(&change);
+        if (evacuation == nullptr)
+            continue;
+        if (evacuation->isEnded)
+            previous.erase(evacuation->domain);
+        else
+            previous.insert(evacuation->domain);
+    }
+    setEvacuations({changes.revision, std::move(previous)});
+}
+
+void fleet_state::setEvacuations(const evacuated_domains &evacuations)
+{
+    if (evacuations.revision <= m_evacuations.revision)
+        return;
+    const auto logChange = [&](const std::string &domain, bool isEvacuated) {
+        m_log.write("domain_evacuation",
+                    {{"domain", domain},
+                     {"evacuated", isEvacuated ? "1" : "0"},
+                     {"revision", std::to_string(evacuations.revision)}});
+    };
+    for (const std::string &domain : evacuations.names) {
+        if (!m_evacuations.names.contains(domain))
+            logChange(domain, true);
+    }
+    for (const std::string &domain : m_evacuations.names) {
+        if (!evacuations.names.contains(domain))
+            logChange(domain, false);
+    }
+    if (evacuations.names != m_evacuations.names)
+        m_directory.setEvacuatedDomains(evacuations.names);
+    m_evacuations = evacuations;
+}
+
+bool fleet_state::adoptEvacuations(const std::optional<evacuated_domains> &reported)
+{
+    if (!reported)
+        return false;
+    setEvacuations(*reported);
+    return true;
 }
 
 void fleet_state::recordHistory(const fleet_changes &changes)
@@ -72,6 +125,14 @@
 }
 
 void fleet_state::replace(const fleet_changes &fullState, bool isAfterOutage, monotonic_time now)
+{
+    replaceEntries(fullState, isAfterOutage, now);
+    applyEvacuations(fullState, {});
+    confirm(fullState.revision, now);
+}
+
+void fleet_state::replaceEntries(const fleet_changes &fullState, bool isAfterOutage,
+                                 monotonic_time now)
 {
     detectOutage(isAfterOutage, now);
     std::set<std::string> upstreams;
@@ -115,6 +176,7 @@
     m_revision = snapshot.revision;
     m_compactedRevision = snapshot.revision;
     m_contentRevision = snapshot.contentRevision;
+    adoptEvacuations(snapshot.evacuations);
 }
 
 void fleet_state::confirm(store_revision revision, monotonic_time at)
@@ -129,6 +191,8 @@
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, now);
     addMissing(other, now);
+    if (!adoptEvacuations(other.evacuations))
+        confirmedAt = incompleteStateConfirmation;
     const bool isFirstConfirmation = isPreloaded() && other.revision == m_revision;
     if (other.revision == m_revision)
         confirm(other.revision, confirmedAt);
@@ -143,14 +207,16 @@
     for (const std::string &name : other.removedInstances)
         changes.changes.emplace_back(instance_deregistration {name});
     const bool isFull = other.baseRevision == 0;
-    if (isFull)
-        replace(changes, false, now);
-    else
-        apply(changes, false, now);
+    if (isFull) {
+        replaceEntries(changes, false, now);
+    } else {
+        detectOutage(false, now);
+        applyAll(changes, now);
+    }
     // The configuration may be the only change; it is not part of `changes`.
     m_contentRevision = std::max(m_contentRevision, other.contentRevision);
     m_revision = other.revision;
-    m_confirmedAt = confirmedAt;
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
     if (isFull)
         m_compactedRevision = m_revision;
     return true;
@@ -173,6 +239,7 @@
     state_snapshot snapshot;
     snapshot.revision = m_revision;
     snapshot.contentRevision = m_contentRevision;
+    snapshot.evacuations = m_evacuations;
     snapshot.outageGraceLeft = std::max(m_outageGraceEnd - now, monotonic_time {0});
     for (const auto *record : m_directory.records()) {
         if (isInOutageGrace(now) && record->lifecycle == lifecycle_state::Missing)
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -14,8 +14,11 @@
 #include "routing/routing_base.h"
 #include "state_snapshot_type.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,6 +83,12 @@
     /** Marks missing upstreams as gone when their time is over; drops those gone for long. */
     void expire(monotonic_time now);
 
+    /**
+     * Takes over the evacuations reported by another instance if they are newer.
+     * @return false if its release does not report them, so that its state confirms nothing.
+     */
+    bool adoptEvacuations(const std::optional<evacuated_domains> &reported);
+
     /** Whether there is a configuration, and the state was confirmed at least once. */
     bool isSynchronised() const { return m_routes.version() > 0 && m_confirmedAt.count() > 0; }
 
@@ -90,6 +99,15 @@
 
     store_revision revision() const { return m_revision; }
 
+    /**
+     * Revision after which changes must be read from the store. It is less than revision() if the
+     * state came from an instance whose release does not report evacuations.
+     */
+    store_revision completeRevision() const { return std::min(m_revision, m_evacuations.revision); }
+
+    /** Failure domains that are being evacuated. */
+    const evacuated_domains &evacuations() const { return m_evacuations; }
+
     /** Upper bound of the revision of the last change that is relevant to this system. */
     store_revision contentRevision() const { return m_contentRevision; }
 
@@ -114,6 +132,10 @@
     void applyOne(const upstream_withdrawal &withdrawal, monotonic_time now);
     void applyOne(const instance_registration &registration, monotonic_time now);
     void applyOne(const instance_deregistration &deregistration, monotonic_time now);
+    void applyOne(const domain_evacuation & /*evacuation*/, monotonic_time /*now*/) { }
+    void applyEvacuations(const fleet_changes &changes, std::set<std::string> previous);
+    void setEvacuations(const evacuated_domains &evacuations);
+    void replaceEntries(const fleet_changes &fullState, bool isAfterOutage, monotonic_time now);
     void notifyRemoved(upstream_id upstream);
     void withdraw(const std::string &name, std::string_view cause, bool mayReturn,
                   monotonic_time now);
@@ -147,6 +169,7 @@
     std::deque<history_entry> m_history;    ///< all changes after m_compactedRevision, by revision
     store_revision m_compactedRevision = 0; ///< at most m_revision
     store_revision m_revision = 0;          ///< never decreases
+    evacuated_domains m_evacuations;        ///< its revision never decreases
     store_revision m_contentRevision = 0;   ///< at most m_revision
     monotonic_time m_confirmedAt {0};
     monotonic_time m_outageThreshold = std::chrono::seconds(2);
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
@@ -46,9 +47,24 @@
     std::string name;
 };
 
+/** Operators started or ended the evacuation of a failure domain. */
+struct domain_evacuation
+{
+    std::string domain;
+    bool isEnded = false;
+};
+
+/** Failure domains being evacuated as of a revision; the set with the highest revision applies. */
+struct evacuated_domains
+{
+    store_revision revision = 0; ///< the set includes all changes up to it
+    std::set<std::string> names;
+};
+
 /** One change in the store. */
-using fleet_change = std::variant<routing_config, upstream_announcement, upstream_withdrawal,
-                                  instance_registration, instance_deregistration>;
+using fleet_change =
+    std::variant<routing_config, upstream_announcement, upstream_withdrawal, instance_registration,
+                 instance_deregistration, domain_evacuation>;
 
 /** Changes up to and including a revision. */
 struct fleet_changes
--- a/src/sync/registration_codec_func.h
+++ b/src/sync/registration_codec_func.h
@@ -1,6 +1,7 @@
 /**
  * @file registration_codec_func.h
- * Serialization of addresses and registrations with cereal, shared by the codecs that use them.
+ * Serialization of addresses, registrations and evacuations with cereal, shared by the codecs that
+ * use them.
  */
 
 #pragma once
@@ -9,12 +10,17 @@
 #include "fleet_store_base.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <utility>
 
 namespace chicoryhead {
 
 namespace detail {
 
 inline constexpr std::size_t maxNameBytes = 512; ///< name of an instance, upstream, service, domain
+inline constexpr std::size_t maxEvacuatedDomains = 1024;
 
 } // namespace detail
 
@@ -40,4 +46,26 @@
     archive(value.peerAddress);
 }
 
+template<typename Archive>
+void save(Archive &archive, const evacuated_domains &value)
+{
+    archive(value.revision, static_cast<std::uint16_t>(value.names.size()));
+    for (const std::string &name : value.names)
+        saveBytes(archive, name);
+}
+
+template<typename Archive>
+void load(Archive &archive, evacuated_domains &value)
+{
+    std::uint16_t count = 0;
+    archive(value.revision, count);
+    if (count > detail::maxEvacuatedDomains)
+        throw std::length_error("count above bound");
+    for (std::uint16_t i = 0; i < count; ++i) {
+        std::string name;
+        loadBytes(archive, name, detail::maxNameBytes);
+        value.names.insert(std::move(name));
+    }
+}
+
 } // namespace chicoryhead
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -198,7 +198,7 @@
 
 std::vector<std::byte> encodeState(const state_snapshot &state)
 {
-    return compressBytes(encodeBinary(stateFormatVersion, state));
+    return compressBytes(encodeExtended(stateFormatVersion, state, state.evacuations));
 }
 
 result<state_snapshot> decodeState(std::span<const std::byte> bytes)
@@ -206,7 +206,11 @@
     const auto restored = decompressBytes(bytes, maxStateBytes);
     if (!restored)
         return restored.error();
-    return decodeBinary<state_snapshot>(stateFormatVersion, restored.value());
+    std::optional<evacuated_domains> evacuations;
+    auto state = decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), evacuations);
+    if (state)
+        state.value().evacuations = std::move(evacuations);
+    return state;
 }
 
 } // namespace chicoryhead
--- a/src/sync/state_snapshot_type.h
+++ b/src/sync/state_snapshot_type.h
@@ -9,6 +9,7 @@
 #include "fleet_store_base.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
     std::vector<upstream_announcement> missing;
     std::vector<instance_registration> instances;
     std::vector<std::string> removedUpstreams; ///< no longer announced; empty for a full state
+    /// Always the whole set; not present if the sender's release does not support evacuations.
+    std::optional<evacuated_domains> evacuations;
     std::vector<std::string> removedInstances; ///< no longer registered; empty for a full state
 };
 
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -92,7 +92,8 @@
         return;
     }
     m_state.preload(state.value(), now);
-    m_needsLoad = m_isCallPending;
+    // A snapshot without evacuations has no revision after which all changes could be watched.
+    m_needsLoad = m_isCallPending || m_state.completeRevision() == 0;
     m_nextCallAt = now + randomStartDelay();
     m_log.write("snapshot_loaded",
                 {{"revision", std::to_string(state.value().revision)},
@@ -181,7 +182,7 @@
     if (isLoad)
         m_store.load(done);
     else
-        m_store.watch(m_state.revision(), watchTimeout(), done);
+        m_store.watch(m_state.completeRevision(), watchTimeout(), done);
 }
 
 /// The batch delay is subtracted, so that the time between two answers stays within the same bound.
--- a/tests/model_fleet.h
+++ b/tests/model_fleet.h
@@ -51,6 +51,8 @@
             instances[registration->name] = *registration;
         else if (const auto *instanceWithdrawal = std::get_if<instance_deregistration>(&change))
             instances.erase(instanceWithdrawal->name);
+        else if (const auto *evacuation = std::get_if<domain_evacuation>(&change))
+            setEvacuated(*evacuation);
         return revision;
     }
 
@@ -64,6 +66,8 @@
             all.changes.emplace_back(announcement);
         for (const auto &[name, registration] : instances)
             all.changes.emplace_back(registration);
+        for (const std::string &domain : evacuatedDomains)
+            all.changes.emplace_back(domain_evacuation {domain});
         all.snapshotRevision = snapshot.revision;
         return all;
     }
@@ -94,10 +98,19 @@
     routing_config config;
     std::map<std::string, upstream_announcement> upstreams;
     std::map<std::string, instance_registration> instances;
+    std::set<std::string> evacuatedDomains;
     published_snapshot snapshot;
     store_revision hiddenRevision = 0; ///< injected fault: watches omit this change
 
 private:
+    void setEvacuated(const domain_evacuation &evacuation)
+    {
+        if (evacuation.isEnded)
+            evacuatedDomains.erase(evacuation.domain);
+        else
+            evacuatedDomains.insert(evacuation.domain);
+    }
+
     std::vector<std::pair<store_revision, fleet_change>> m_history;
     store_revision m_compactedRevision = 10;
 };
--- a/tests/test_fleet_model.cpp
+++ b/tests/test_fleet_model.cpp
@@ -88,6 +88,10 @@
                 recordViolation("version",
                                 m_registrations[i].name + " has version "
                                     + std::to_string(process.state.configVersion()));
+            if (process.state.evacuations().names != store.evacuatedDomains)
+                recordViolation("evacuation",
+                                m_registrations[i].name
+                                    + " differs from the store about the evacuated domains");
             for (const auto &[name, announcement] : store.upstreams) {
                 const auto *directoryEntry = process.directory.find(name);
                 const auto expected =
@@ -271,7 +275,10 @@
     {
         const auto name = "i-" + std::to_string(m_random.next() % 12);
         const auto storeEntry = store.upstreams.find(name);
-        if (chance(3)) {
+        if (chance(4)) {
+            const std::string domain(1, static_cast<char>('a' + m_random.next() % 3));
+            store.commit(domain_evacuation {domain, store.evacuatedDomains.contains(domain)});
+        } else if (chance(3)) {
             store.commit(makeConfig(store.config.version + 1 + m_random.next() % 3));
         } else if (storeEntry == store.upstreams.end()) {
             m_withdrawnAt.erase(name);
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -26,6 +26,7 @@
     state.upstreams[1].isDraining = true;
     state.upstreams[1].warmupLeft = 300ms;
     state.instances = {{"f-1", "a", {1, 2}}};
+    state.evacuations = evacuated_domains {16, {"b", "c"}};
     const auto decoded = decodeState(encodeState(state));
     REQUIRE(decoded);
     CHECK(decoded.value().revision == 17);
@@ -35,6 +36,9 @@
     CHECK(decoded.value().config.routes == state.config.routes);
     CHECK(decoded.value().upstreams == state.upstreams);
     CHECK(decoded.value().instances == state.instances);
+    REQUIRE(decoded.value().evacuations);
+    CHECK(decoded.value().evacuations->revision == 16);
+    CHECK(decoded.value().evacuations->names == state.evacuations->names);
 }
 
 TEST_CASE("Corrupted states and gossip messages are rejected or decoded without a crash",
@@ -45,10 +49,12 @@
     state.hasConfig = true;
     state.config = makeConfig(3);
     state.upstreams = {makeUpstream("i-1", "desk", "a")};
+    state.evacuations = evacuated_domains {2, {"b"}};
     const auto encodedState = encodeState(state);
     gossip_digest digest;
     digest.sender = {"f-1", "a", {1, 2}};
     digest.readers = {{7, 8}};
+    digest.evacuations = evacuated_domains {2, {"b"}};
     const auto encodedDigest = encodeGossip(digest);
     std::size_t refused = 0;
     for (int i = 0; i < 100'000; ++i) {
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -3,6 +3,7 @@
  * Encoding and decoding of the platform's packets, store records and settings.
  */
 
+#include "entry/derived_settings.h"
 #include "entry_support.h"
 #include "platform/packet_codec.h"
 #include "platform/record_codec.h"
@@ -297,10 +298,21 @@
     REQUIRE(settings.seeds.size() == 1);
     CHECK(toString(settings.seeds[0]) == "10.2.0.40:7720");
     CHECK(settings.drainBound == 2500ms);
+    CHECK(settings.evacuationBound == 0s);
     CHECK(settings.stopGrace == 6s);
     CHECK(settings.flowLifetime == 60s);
 }
 
+TEST_CASE("The tightest of the bounds limits the age of the state", "[platform]")
+{
+    std::vector<settings_problem> problems;
+    const auto settings = decodeSettings(
+        settingsWith("\"grace_s\":6", "\"grace_s\":6,\"evacuate_ms\":1500"), problems);
+    CHECK(problems.empty());
+    CHECK(settings.evacuationBound == 1500ms);
+    CHECK(propagationBound(settings) == 1500ms);
+}
+
 TEST_CASE("An invalid setting is reported with its path", "[platform]")
 {
     struct bad_case
@@ -315,6 +327,7 @@
           bad_case {"10.200.1.7:8169", "10.200.1.7:0", "platform.address"},
           bad_case {"7720", "80", "internal_ports.0"},
           bad_case {"\"grace_s\":6", "\"grace_s\":-1", "bounds.grace_s"},
+          bad_case {"\"grace_s\":6", "\"grace_s\":6,\"evacuate_ms\":\"x\"", "bounds.evacuate_ms"},
           bad_case {"\"flow_ttl_s\":60", "\"ttl\":60", "bounds.flow_ttl_s"}}) {
         CAPTURE(item.path);
         std::vector<settings_problem> problems;
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -23,6 +23,7 @@
     state_snapshot snapshot;
     snapshot.revision = revision;
     snapshot.contentRevision = revision;
+    snapshot.evacuations = evacuated_domains {revision, {}};
     snapshot.hasConfig = true;
     snapshot.config = makeConfig(1);
     snapshot.upstreams = {makeUpstream("i-1", "desk", "a"), makeUpstream("i-2", "desk", "a")};
@@ -293,6 +294,7 @@
         newer.baseRevision = 90;
         newer.revision = 101;
         newer.contentRevision = 101;
+        newer.evacuations = evacuated_domains {101, {}};
         newer.removedUpstreams = {"i-1"};
         CHECK(fixture.state.adopt(newer, fixture.clock.now(), fixture.clock.now()));
         CHECK(fixture.state.isSynchronised());
@@ -303,6 +305,7 @@
         state_snapshot same;
         same.baseRevision = 90;
         same.revision = 90;
+        same.evacuations = evacuated_domains {90, {}};
         CHECK(fixture.state.adopt(same, fixture.clock.now(), fixture.clock.now()));
         CHECK(fixture.state.isSynchronised());
     }
@@ -438,6 +441,7 @@
     state_snapshot newer;
     newer.revision = 120;
     newer.contentRevision = 120;
+    newer.evacuations = evacuated_domains {120, {}};
     newer.upstreams = {draining, makeUpstream("i-2", "desk", "a")};
     REQUIRE(fixture.state.adopt(newer, fixture.clock.now(), fixture.clock.now()));
     fixture.store.answer(fleet_changes {110, {makeUpstream("i-1", "desk", "a")}});
