Placement: new flows to cold upstreams stay below the configured rate

Cause: a service may configure how many requests a second an upstream bears while it warms up, for all instances together. Change: the rate is decoded with the configuration and transferred with it. Each instance issues itself permits for an equal share of three quarters of the rate, with a phase of its own; a permit expires after half a second. An upstream without a permit gets no new flow; if that leaves none, the flow is refused at once. Test: 60 instances, 600 flows a second for five upstreams with a rate of 20.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -161,6 +161,7 @@
     if (m_gossip.countLocalPeers() > 0)
         m_placement.setInstanceIndex(m_gossip.countLowerRankedPeers(),
                                      m_gossip.countLocalPeers() + 1);
+    m_placement.setWarmupLimits(m_routes.config().warmupRates, m_state.instances().size());
     m_gossip.announceChanges();
     m_peers.flush();
     if (!m_state.isSynchronised() || !m_packetProcessor.hasHeldPackets())
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -47,11 +47,13 @@
     , m_settings(settings)
     , m_suspicion(directory, m_locality, m_settings)
     , m_pathSuspicion(m_locality, m_settings)
+    , m_warmupLimit(m_locality, m_settings)
     , m_latencies(directory, m_settings)
     , m_roundRobin(directory, hashToUnitInterval(mixHash(m_locality.seed, 0)))
 {
     m_tierRules.push_back(&m_pathSuspicion);
     m_tierRules.push_back(&m_suspicion);
+    m_tierRules.push_back(&m_warmupLimit);
     m_weightRules.push_back(std::make_unique<warmup_weight>(m_settings));
     m_weightRules.push_back(std::make_unique<slow_upstream_weight>(m_latencies, m_settings));
     m_shareRules.push_back(std::make_unique<capacity_share>(m_locality, m_settings));
@@ -64,6 +66,12 @@
     m_roundRobin.setStartOffset(static_cast<double>(index) / static_cast<double>(count));
 }
 
+void domain_first_placement::setWarmupLimits(std::map<std::string, double> rates,
+                                             std::size_t instanceCount)
+{
+    m_warmupLimit.setLimits(std::move(rates), std::max<std::size_t>(instanceCount, 1));
+}
+
 std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
                                                           std::span<const upstream_id> tried,
                                                           monotonic_time now)
@@ -77,8 +85,10 @@
     const double median = m_latencies.median(upstreams, now);
     const bool isSpillover = bestTier == tiers.begin() && spillsOver(service, tiers, median, now);
     const auto &candidates = isSpillover ? tiers.of(upstream_tier::RemoteDomain) : *bestTier;
-    return m_roundRobin.selectNext(candidates,
-                                   [&](upstream_id id) { return weightOf(id, median, now); });
+    const auto chosen = m_roundRobin.selectNext(
+        candidates, [&](upstream_id id) { return weightOf(id, median, now); });
+    m_warmupLimit.recordPlacement(*m_directory.find(chosen), now);
+    return chosen;
 }
 
 tiered_upstreams domain_first_placement::groupByTier(std::span<const upstream_id> upstreams,
@@ -183,6 +193,7 @@
 {
     m_suspicion.forget(upstream);
     m_latencies.forget(upstream);
+    m_warmupLimit.forget(upstream);
     m_roundRobin.forget(upstream);
 }
 
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -10,6 +10,7 @@
 #include "placement_rule_base.h"
 #include "placement_type.h"
 #include "suspicion_base.h"
+#include "warmup_limit_base.h"
 #include "weighted_round_robin_base.h"
 
 #include <cstddef>
@@ -56,6 +57,13 @@
      */
     void setInstanceIndex(std::size_t index, std::size_t count);
 
+    /**
+     * Limits new flows to upstreams that are warming up.
+     * @param rates flows per second from all instances together, by service.
+     * @param instanceCount number of instances of all domains, this one included.
+     */
+    void setWarmupLimits(std::map<std::string, double> rates, std::size_t instanceCount);
+
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
@@ -78,6 +86,7 @@
     placement_settings m_settings;
     upstream_suspicion m_suspicion;
     path_suspicion m_pathSuspicion;
+    warmup_limit m_warmupLimit;
     latency_tracker m_latencies;
     weighted_round_robin m_roundRobin;
     std::vector<const tier_rule *> m_tierRules; ///< the least preferred tier of all rules applies
--- a/src/placement/placement_rule_base.h
+++ b/src/placement/placement_rule_base.h
@@ -21,7 +21,10 @@
 public:
     virtual ~tier_rule() = default;
 
-    /** Tier of an upstream; a value below `defaultTier` has no effect. */
+    /**
+     * Tier of an upstream; a value below `defaultTier` has no effect, and None excludes it from
+     * this selection.
+     */
     virtual upstream_tier tierOf(const upstream_record &record, upstream_tier defaultTier,
                                  monotonic_time now) const = 0;
 };
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -34,6 +34,12 @@
     double maxSuspectedFraction = 0.5;
     /// Factor on the weight of an upstream that is still warming up after its start.
     double warmupFactor = 0.5;
+    /// Fraction of the configured rate of a cold upstream that permits are issued for. Permits that
+    /// were left over add half as many in one second, and instances may disagree about their
+    /// number.
+    double warmupRateFraction = 0.75;
+    /// Time for which an unused permit for a flow to a cold upstream stays valid.
+    monotonic_time warmupPermitLifetime = std::chrono::milliseconds(500);
     /// An upstream is slow if its latency exceeds this multiple of its service's median.
     double slowLatencyRatio = 2.0;
     /// Smallest factor on the weight of a slow upstream; it needs some flows to be measured again.
--- a/src/routing/routing_base.h
+++ b/src/routing/routing_base.h
@@ -43,6 +43,9 @@
     config_version version = 0;
     std::vector<route> routes;
     monotonic_time idleTimeout {0}; ///< flows that are idle for longer may be discarded
+    /// Requests per second that an upstream takes while it is warming up, by service; services that
+    /// are not in it have no limit.
+    std::map<std::string, double> warmupRates;
     std::size_t unusableRoutes = 0; ///< omitted by the decoder; not passed on to other instances
 };
 
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -10,6 +10,8 @@
 #include "registration_codec_func.h"
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <stdexcept>
 
 namespace chicoryhead {
@@ -196,9 +198,48 @@
     loadNames(archive, value.removedInstances);
 }
 
+namespace detail {
+
+/** What releases after the first of the format version add to a state. */
+struct state_extension
+{
+    evacuated_domains evacuations;
+    std::map<std::string, double> warmupRates; ///< of the configuration, if there is one
+};
+
+template<typename Archive>
+void save(Archive &archive, const state_extension &value)
+{
+    archive(value.evacuations, static_cast<std::uint16_t>(value.warmupRates.size()));
+    for (const auto &[service, rate] : value.warmupRates) {
+        saveBytes(archive, service);
+        archive(rate);
+    }
+}
+
+template<typename Archive>
+void load(Archive &archive, state_extension &value)
+{
+    std::uint16_t count = 0;
+    archive(value.evacuations, count);
+    for (std::uint16_t i = 0; i < count; ++i) {
+        std::string service;
+        double rate = 0;
+        loadBytes(archive, service, maxNameBytes);
+        archive(rate);
+        if (rate > 0)
+            value.warmupRates[service] = rate;
+    }
+}
+
+} // namespace detail
+
 std::vector<std::byte> encodeState(const state_snapshot &state)
 {
-    return compressBytes(encodeExtended(stateFormatVersion, state, state.evacuations));
+    std::optional<detail::state_extension> extension;
+    if (state.evacuations)
+        extension = detail::state_extension {*state.evacuations, state.config.warmupRates};
+    return compressBytes(encodeExtended(stateFormatVersion, state, extension));
 }
 
 result<state_snapshot> decodeState(std::span<const std::byte> bytes)
@@ -206,10 +247,12 @@
     const auto restored = decompressBytes(bytes, maxStateBytes);
     if (!restored)
         return restored.error();
-    std::optional<evacuated_domains> evacuations;
-    auto state = decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), evacuations);
-    if (state)
-        state.value().evacuations = std::move(evacuations);
+    std::optional<detail::state_extension> extension;
+    auto state = decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension);
+    if (state && extension) {
+        state.value().evacuations = std::move(extension->evacuations);
+        state.value().config.warmupRates = std::move(extension->warmupRates);
+    }
     return state;
 }
 
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -22,6 +22,7 @@
     state.outageGraceLeft = std::chrono::milliseconds(1500);
     state.hasConfig = true;
     state.config = makeConfig(9);
+    state.config.warmupRates = {{"desk", 12.5}};
     state.upstreams = {makeUpstream("i-1", "desk", "a"), makeUpstream("i-2", "proofs", "b")};
     state.upstreams[1].isDraining = true;
     state.upstreams[1].warmupLeft = 300ms;
@@ -34,6 +35,7 @@
     CHECK(decoded.value().ageMs == 250);
     CHECK(decoded.value().outageGraceLeft == state.outageGraceLeft);
     CHECK(decoded.value().config.routes == state.config.routes);
+    CHECK(decoded.value().config.warmupRates == state.config.warmupRates);
     CHECK(decoded.value().upstreams == state.upstreams);
     CHECK(decoded.value().instances == state.instances);
     REQUIRE(decoded.value().evacuations);
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -9,7 +9,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
+#include <memory>
+#include <vector>
 
 using namespace chicoryhead;
 using namespace chicoryhead::test;
@@ -471,3 +474,93 @@
         CHECK(countLocal(12200ms) < 100);
     }
 }
+
+TEST_CASE("Cold domain: all instances together keep below the rate of each upstream that warms up",
+          "[placement]")
+{
+    // Guards against overloading upstreams that return cold from an evacuation, in any second.
+    constexpr double configuredRate = 20;
+    constexpr int maxPerSecond = 35; // one and a half times the rate, and 5
+    constexpr std::size_t instanceCount = 60;
+    upstream_directory directory;
+    for (int i = 0; i < 5; ++i) {
+        auto announced = makeUpstream("i-" + std::to_string(i), "desk", "a", 2);
+        announced.warmupLeft = 10s;
+        directory.announce(announced, 0s);
+    }
+    std::vector<std::unique_ptr<domain_first_placement>> instances;
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        instances.push_back(std::make_unique<domain_first_placement>(
+            directory, instance_locality {"a", 3, i * 7919}));
+        instances.back()->setInstanceIndex(i, instanceCount);
+        instances.back()->setWarmupLimits({{"desk", configuredRate}}, instanceCount);
+    }
+    const auto hasWarmUpstream = GENERATE(false, true);
+    if (hasWarmUpstream)
+        directory.announce(makeUpstream("i-warm", "desk", "b", 2), 0s);
+    std::map<upstream_id, std::deque<monotonic_time>> recent;
+    int refused = 0;
+    int mostPerSecond = 0;
+    int placedCold = 0;
+    const auto warm = hasWarmUpstream ? directory.find("i-warm")->id : noUpstream;
+    // 600 new flows a second for five cold upstreams, after a time without any.
+    for (monotonic_time now = 2s; now < 8s; now += 5ms) {
+        for (int flow = 0; flow < 3; ++flow) {
+            const auto index = static_cast<std::size_t>((now / 5ms * 3 + flow) % instanceCount);
+            const auto chosen = instances[index]->choose("desk", {}, now);
+            if (!chosen) {
+                ++refused;
+                continue;
+            }
+            if (*chosen == warm)
+                continue;
+            ++placedCold;
+            auto &times = recent[*chosen];
+            times.push_back(now);
+            while (now - times.front() >= 1s)
+                times.pop_front();
+            mostPerSecond = std::max(mostPerSecond, static_cast<int>(times.size()));
+        }
+    }
+    CHECK(mostPerSecond <= maxPerSecond);
+    // At least half of what the upstreams take is used.
+    CHECK(placedCold >= 5 * 6 * configuredRate / 2);
+    CHECK((refused == 0) == hasWarmUpstream);
+}
+
+TEST_CASE("Upstreams that warm up have no limit without a configured rate or when they are warm",
+          "[placement]")
+{
+    upstream_directory directory;
+    auto announced = makeUpstream("i-1", "desk", "a", 2);
+    announced.warmupLeft = 2s;
+    directory.announce(announced, 0s);
+    domain_first_placement placement {directory, {"a", 3, 42}};
+    const auto countPlaced = [&](monotonic_time now) {
+        int placed = 0;
+        for (int i = 0; i < 100; ++i)
+            placed += placement.choose("desk", {}, now) ? 1 : 0;
+        return placed;
+    };
+    CHECK(countPlaced(1s) == 100);
+    placement.setWarmupLimits({{"desk", 10}}, 1);
+    CHECK(countPlaced(1s) < 10);
+    CHECK(countPlaced(2s) == 100);
+    SECTION("fewer instances share the rate: permits are still issued")
+    {
+        announced.warmupLeft = 60s;
+        directory.announce(announced, 50s);
+        placement.setWarmupLimits({{"desk", 10}}, 2);
+        CHECK(countPlaced(51s) > 0);
+        placement.setWarmupLimits({{"desk", 1}}, 1);
+        int placed = 0;
+        for (monotonic_time now = 52s; now < 62s; now += 100ms)
+            placed += countPlaced(now);
+        CHECK(placed >= 5);
+        CHECK(placed <= 10);
+        announced.warmupLeft = 2s;
+        directory.announce(announced, 0s);
+    }
+    placement.setWarmupLimits({{"proofs", 10}}, 1);
+    CHECK(countPlaced(1s) == 100);
+}
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -204,10 +204,14 @@
             {"name":"no service","host":"198.18.0.3","prefix":"/443/"},
             {"name":"no port","host":"198.18.0.3","prefix":"443","service":"s1"},
             {"name":"no host","prefix":"/443/","service":"s1"}, 17],
-           "services":[],"limits":{"idle_timeout_ms":15000}})");
+           "services":[{"name":"s1","warmup_s":2.0,"warmup_per_s":12.5},
+                       {"name":"s2","warmup_s":2.0,"warmup_per_s":0.0},
+                       {"name":"s3"},{"name":"s4","warmup_per_s":"x"},{"warmup_per_s":3},7],
+           "limits":{"idle_timeout_ms":15000}})");
     REQUIRE(config);
     CHECK(config.value().version == 7);
     CHECK(config.value().idleTimeout == 15s);
+    CHECK(config.value().warmupRates == std::map<std::string, double> {{"s1", 12.5}});
     REQUIRE(config.value().routes.size() == 2);
     const route &first = config.value().routes[0];
     CHECK(toString(first.address) == "198.18.0.1:8443");
