Logs: era of the store, answers that are not applied, what confirmed a state

Cause: the logs of the restored store couldn't tell two hypotheses apart. They named no history of the store, no answer that was discarded, and not what made a state count as current. Change: header fields of HTTP responses are kept; the store's era is decoded from its header. Log lines store_restored, store_answer_ignored and state_confirmed, gauges store_era, store_answers_ignored, state_revision and state_checksum. state_adopted has the base of a delta and the checksum, upstream_changed the sequence. The stand-in store sends its era and can be restored from a copy. No decision changes.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -168,6 +168,23 @@
     return names;
 }
 
+std::uint32_t upstream_directory::checksum() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[id, record] : m_records) {
+        const bool isAnnounced = record.lifecycle == lifecycle_state::Ready
+            || record.lifecycle == lifecycle_state::Draining;
+        if (!isAnnounced)
+            continue;
+        const auto &announced = record.announced;
+        const auto place = mixHash(announced.address.address, announced.address.port);
+        const auto moment = mixHash(static_cast<std::uint64_t>(announced.startedAtMs),
+                                    static_cast<std::uint64_t>(record.lifecycle));
+        sum += mixHash(mixHash(announced.wireId, place), moment);
+    }
+    return static_cast<std::uint32_t>(sum ^ (sum >> 32U));
+}
+
 std::vector<upstream_id> upstream_directory::upstreamsWithReusedAddress() const
 {
     std::set<endpoint> announced;
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -141,6 +141,12 @@
     /** Names of all upstreams that are not Gone. */
     std::vector<std::string> announcedNames() const;
 
+    /**
+     * Checksum of the upstreams that are announced, in no particular order; equal on instances that
+     * have the same announcements.
+     */
+    std::uint32_t checksum() const;
+
     /** All records in no particular order; the pointers are valid until the next change. */
     std::vector<const upstream_record *> records() const;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -379,6 +379,10 @@
     gauges.flowsObserved = m_forwarder.countTrackedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
+    gauges.storeAnswersIgnored = m_follower.answersIgnored();
+    gauges.storeEra = m_follower.storeEra();
+    gauges.stateRevision = m_state.revision();
+    gauges.stateChecksum = m_state.checksum();
     gauges.peerBytesSent = m_gossip.bytesSent();
     gauges.peerMessagesMalformed = m_gossip.malformedMessages();
     gauges.peerMessagesUnexpected = m_gossip.unexpectedMessages();
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,7 +31,7 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_descriptor, 14> gaugeTable {{
+inline constexpr std::array<gauge_descriptor, 18> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
@@ -45,6 +45,15 @@
     {"instances", "Instances known to this one.", &entry_gauges::instances},
     {"store_items_malformed", "Items of the store that could not be decoded, since the start.",
      &entry_gauges::storeItemsMalformed},
+    {"store_answers_ignored",
+     "Answers of the store that were older than the state, since the start.",
+     &entry_gauges::storeAnswersIgnored},
+    {"store_era", "How often the store was restored from a copy, by its last answer.",
+     &entry_gauges::storeEra},
+    {"state_revision", "Revision of the store that the state includes.",
+     &entry_gauges::stateRevision},
+    {"state_checksum", "Checksum of the state; equal on instances at the same revision.",
+     &entry_gauges::stateChecksum},
     {"peer_bytes_sent", "Bytes sent to other instances, since the start.",
      &entry_gauges::peerBytesSent},
     {"peer_messages_malformed", "Messages that could not be decoded, since the start.",
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -256,21 +256,25 @@
 
 bool gossip_node::onDigest(const endpoint &from, const gossip_digest &digest)
 {
+    const auto now = m_clock.now();
     if (digest.sender.domain == m_self.domain) {
-        m_lastHeardAt[digest.sender.name] = m_clock.now();
-        m_latencies.merge(digest.latencies, m_clock.now());
+        m_lastHeardAt[digest.sender.name] = now;
+        m_latencies.merge(digest.latencies, now);
         mergeReaders(digest);
     }
     const bool isComplete = m_state.adoptEvacuations(digest.evacuations);
     const bool isBehind = digest.contentRevision > m_state.revision()
         || digest.configVersion > m_state.configVersion();
     if (isBehind) {
-        if (m_clock.now() >= m_nextStateRequestAt && shouldRequestState(digest))
+        if (now >= m_nextStateRequestAt && shouldRequestState(digest))
             requestState(from);
         return false;
     }
-    if (digest.revision >= m_state.revision() && isComplete)
-        m_state.confirm(digest.revision, m_clock.now() - std::chrono::milliseconds(digest.ageMs));
+    if (digest.revision >= m_state.revision() && isComplete) {
+        const bool wasStale = m_state.isStale(now);
+        m_state.confirm(digest.revision, now - std::chrono::milliseconds(digest.ageMs));
+        m_state.logConfirmation(wasStale, toString(from), now);
+    }
     return false;
 }
 
@@ -329,14 +333,18 @@
         return false;
     }
     const auto now = m_clock.now();
+    const bool wasStale = m_state.isStale(now);
     const bool hasChanged =
         m_state.adopt(state.value(), now - std::chrono::milliseconds(state.value().ageMs), now);
+    m_state.logConfirmation(wasStale, toString(from), now);
     if (!hasChanged)
         return false;
     m_log.write("state_adopted",
                 {{"from", toString(from)},
                  {"revision", std::to_string(state.value().revision)},
-                 {"age_ms", std::to_string(state.value().ageMs)}});
+                 {"base", std::to_string(state.value().baseRevision)},
+                 {"age_ms", std::to_string(state.value().ageMs)},
+                 {"checksum", std::to_string(m_state.checksum())}});
     announceChanges();
     return true;
 }
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -10,7 +10,9 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <cassert>
+#include <cctype>
 #include <optional>
 #include <utility>
 
@@ -37,6 +39,17 @@
 
 } // namespace
 
+std::string_view http_response::header(std::string_view name) const
+{
+    const auto isSameName = [&](const http_header &field) {
+        return std::equal(
+            field.name.begin(), field.name.end(), name.begin(), name.end(),
+            [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+    };
+    const auto found = std::find_if(headers.begin(), headers.end(), isSameName);
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
 http_connection::http_connection(asio::io_context &context, const endpoint &server,
                                  std::string_view name)
     : m_context(context), m_server(server), m_name(name), m_socket(context), m_deadline(context)
@@ -57,6 +70,7 @@
     m_response = {};
     m_hasResponseBytes = false;
     m_isComplete = false;
+    m_isReadingHeaderValue = true;
     m_deadline.expires_after(request.timeout);
     m_deadline.async_wait([this, epoch = m_epoch, current = *m_epoch](std::error_code code) {
         if (!code && *epoch == current)
@@ -141,6 +155,8 @@
     static const http_parser_settings settings = [] {
         http_parser_settings parserSettings;
         http_parser_settings_init(&parserSettings);
+        parserSettings.on_header_field = onHeaderName;
+        parserSettings.on_header_value = onHeaderValue;
         parserSettings.on_body = onBody;
         parserSettings.on_message_complete = onComplete;
         return parserSettings;
@@ -150,6 +166,24 @@
     return m_isComplete || parsed == bytes;
 }
 
+// The parser delivers names and values in pieces.
+int http_connection::onHeaderName(http_parser *parser, const char *data, std::size_t size)
+{
+    auto &self = *static_cast<http_connection *>(parser->data);
+    if (std::exchange(self.m_isReadingHeaderValue, false))
+        self.m_response.headers.emplace_back();
+    self.m_response.headers.back().name.append(data, size);
+    return 0;
+}
+
+int http_connection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
+{
+    auto &self = *static_cast<http_connection *>(parser->data);
+    self.m_isReadingHeaderValue = true;
+    self.m_response.headers.back().value.append(data, size);
+    return 0;
+}
+
 int http_connection::onBody(http_parser *parser, const char *data, std::size_t size)
 {
     auto &self = *static_cast<http_connection *>(parser->data);
--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -19,6 +19,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace chicoryhead {
 
@@ -31,11 +33,22 @@
     std::chrono::milliseconds timeout {1500};
 };
 
+/** A header field of an HTTP response. */
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+
 /** An HTTP response. */
 struct http_response
 {
     unsigned status = 0;
     std::string body;
+    std::vector<http_header> headers; ///< in the order in which they were received
+
+    /** The value of a header field, whose name is not case-sensitive; empty if there is none. */
+    std::string_view header(std::string_view name) const;
 };
 
 /**
@@ -85,6 +98,8 @@
     void finish(result<http_response> response);
     void close();
 
+    static int onHeaderName(http_parser *parser, const char *data, std::size_t size);
+    static int onHeaderValue(http_parser *parser, const char *data, std::size_t size);
     static int onBody(http_parser *parser, const char *data, std::size_t size);
     static int onComplete(http_parser *parser);
 
@@ -102,6 +117,7 @@
     bool m_isIdempotent = false; ///< the request may be sent again (GET)
     bool m_hasResponseBytes = false;
     bool m_isComplete = false;
+    bool m_isReadingHeaderValue = false; ///< of the last header; its name is complete
     /// Incremented when a request ends or the connection is closed, so that completion handlers of
     /// earlier requests are ignored.
     std::shared_ptr<int> m_epoch = std::make_shared<int>(0);
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -118,9 +118,8 @@
 /// may itself have started after the store recovered, and not know of the outage.
 void fleet_state::detectOutage(bool isAfterOutage, monotonic_time now)
 {
-    const bool hasGap = m_confirmedAt.count() > 0 && now - m_confirmedAt > m_outageThreshold;
     // A running grace period is not extended, or continual changes would keep it from ending.
-    if ((isAfterOutage || hasGap) && !isInOutageGrace(now))
+    if ((isAfterOutage || isStale(now)) && !isInOutageGrace(now))
         m_outageGraceEnd = now + outageGracePeriod;
 }
 
@@ -298,6 +297,25 @@
     return true;
 }
 
+void fleet_state::logConfirmation(bool wasStale, std::string_view source, monotonic_time now) const
+{
+    if (!wasStale || isStale(now))
+        return;
+    m_log.write("state_confirmed",
+                {{"from", std::string(source)},
+                 {"revision", std::to_string(m_revision)},
+                 {"version", std::to_string(m_routes.version())},
+                 {"checksum", std::to_string(checksum())}});
+}
+
+std::uint32_t fleet_state::checksum() const
+{
+    std::uint64_t sum = mixHash(m_routes.version(), m_directory.checksum());
+    for (const std::string &domain : m_evacuations.names)
+        sum = mixHash(sum, tagOfName(domain));
+    return static_cast<std::uint32_t>(sum);
+}
+
 void fleet_state::expire(monotonic_time now)
 {
     for (const upstream_id id : m_directory.expire(now))
@@ -337,6 +355,7 @@
                  {"domain", announced.domain},
                  {"before", isNew ? "unknown" : std::string(toString(previous))},
                  {"standing", std::string(toString(record->lifecycle))},
+                 {"sequence", std::to_string(announced.sequenceNumber)},
                  {"restarted", change.isRestart ? "1" : "0"}});
     if (record->hasTagCollision)
         m_log.write("upstream_excluded", {{"upstream", announced.name}, {"reason", "shared_tag"}});
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -114,6 +114,25 @@
     /** When the revision was last confirmed; 0 for never. */
     monotonic_time confirmedAt() const { return m_confirmedAt; }
 
+    /** Whether the state was confirmed and that is longer ago than the outage threshold. */
+    bool isStale(monotonic_time now) const
+    {
+        return m_confirmedAt.count() > 0 && now - m_confirmedAt > m_outageThreshold;
+    }
+
+    /**
+     * Logs that the state was confirmed again, if it was stale.
+     * @param wasStale isStale() before.
+     * @param source what confirmed it.
+     */
+    void logConfirmation(bool wasStale, std::string_view source, monotonic_time now) const;
+
+    /**
+     * Checksum of the configuration's version, the announced upstreams and the evacuated domains.
+     * Instances at the same revision have the same one.
+     */
+    std::uint32_t checksum() const;
+
     /** Number of routes, upstreams and instances. */
     std::size_t entryCount() const
     {
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -73,6 +73,8 @@
     std::vector<fleet_change> changes; ///< in the order in which they were made
     /// Revision at which the published snapshot was replaced by another one; 0 if it was not.
     store_revision snapshotRevision = 0;
+    /// Of the store that answered; counts up when it is restored from a copy, 0 if not known.
+    std::uint64_t era = 0;
 };
 
 /** An encoded state that an instance published for instances that start. */
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -206,7 +206,10 @@
     }
     handleSuccess(now);
     const fleet_changes &changes = answer.value();
+    recordEra(changes);
+    const bool wasStale = m_state.isStale(now);
     applyAnswer(changes, isLoad, now);
+    m_state.logConfirmation(wasStale, "store", now);
     if (changes.snapshotRevision > 0 && m_snapshotHandler)
         m_snapshotHandler(changes.snapshotRevision);
     m_needsLoad = false;
@@ -217,12 +220,30 @@
     tick();
 }
 
+void store_follower::recordEra(const fleet_changes &changes)
+{
+    const auto previous = std::exchange(m_storeEra, changes.era);
+    if (previous != changes.era && m_state.isSynchronised())
+        m_log.write("store_restored",
+                    {{"era", std::to_string(changes.era)},
+                     {"before", std::to_string(previous)},
+                     {"revision", std::to_string(changes.revision)},
+                     {"state_revision", std::to_string(m_state.revision())}});
+}
+
 void store_follower::applyAnswer(const fleet_changes &changes, bool isLoad, monotonic_time now)
 {
     // Newer changes from another instance may have been applied while the call was pending; older
     // ones would undo them until the next change.
-    if (changes.revision < m_state.revision())
+    if (changes.revision < m_state.revision()) {
+        ++m_answersIgnored;
+        m_log.write("store_answer_ignored",
+                    {{"call", isLoad ? "load" : "watch"},
+                     {"era", std::to_string(changes.era)},
+                     {"revision", std::to_string(changes.revision)},
+                     {"state_revision", std::to_string(m_state.revision())}});
         return;
+    }
     if (isLoad)
         m_state.replace(changes, isInOutageGrace(now), now);
     else
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -111,6 +111,12 @@
 
     std::uint64_t callsStarted() const { return m_calls; }
 
+    /** Answers of the store that were older than the state, so that they were not applied. */
+    std::uint64_t answersIgnored() const { return m_answersIgnored; }
+
+    /** Era of the store in its last answer; 0 if it has none. */
+    std::uint64_t storeEra() const { return m_storeEra; }
+
 private:
     bool needsStoreCall() const;
     bool needsSnapshot() const;
@@ -125,6 +131,7 @@
     monotonic_time batchDelayAfter(const fleet_changes &changes, bool isLoad) const;
     void startCall();
     std::chrono::milliseconds watchTimeout() const;
+    void recordEra(const fleet_changes &changes);
     void applyAnswer(const fleet_changes &changes, bool isLoad, monotonic_time now);
     void handleAnswer(const result<fleet_changes> &answer, bool isLoad);
     void handleSuccess(monotonic_time now);
@@ -143,6 +150,8 @@
     bool m_hasStoreRecovered = false; ///< an outage ended, at m_storeRecoveredAt
     unsigned m_failures = 0;          ///< since the last answer
     std::uint64_t m_calls = 0;
+    std::uint64_t m_answersIgnored = 0;
+    std::uint64_t m_storeEra = 0; ///< in the last answer
     monotonic_time m_callStartedAt {0};
     bool m_hasReadEarly = false;
     bool m_isReadingSnapshot = false;
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -74,16 +74,6 @@
     return itemFields(made.key, made.written);
 }
 
-void respond(const restinio::request_handle_t &request, int status, const json &body)
-{
-    request
-        ->create_response(restinio::http_status_line_t(
-            restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "Status"))
-        .append_header(restinio::http_field::content_type, "application/json")
-        .set_body(body.dump())
-        .done();
-}
-
 std::string textParameter(const restinio::query_string_params_t &query, const char *name)
 {
     return query.has(name) ? std::string(query[name]) : std::string();
@@ -96,6 +86,14 @@
 
 } // namespace
 
+struct store_copy::content
+{
+    std::map<std::string, item> items;
+    std::vector<change> history;
+    std::uint64_t revision = 100;
+    std::uint64_t compactedRevision = 0; ///< changes up to it are dropped
+};
+
 struct store_standin::implementation
 {
     implementation(asio::io_context &ioContext, const endpoint &listen)
@@ -141,6 +139,17 @@
         return restinio::request_accepted();
     }
 
+    void respond(const restinio::request_handle_t &request, int status, const json &body) const
+    {
+        request
+            ->create_response(restinio::http_status_line_t(
+                restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "Status"))
+            .append_header(restinio::http_field::content_type, "application/json")
+            .append_header(std::string(platform::names::storeEraHeader), std::to_string(era))
+            .set_body(body.dump())
+            .done();
+    }
+
     void serve(const std::string &path, const restinio::request_handle_t &request)
     {
         if (path == platform::names::itemPath)
@@ -159,13 +168,13 @@
     {
         const auto query =
             restinio::parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
-        const auto found = items.find(textParameter(query, "key"));
-        if (found == items.end()) {
+        const auto found = content.items.find(textParameter(query, "key"));
+        if (found == content.items.end()) {
             respond(request, 404, json::object());
             return;
         }
         json fields = itemFields(found->first, found->second);
-        fields["at_rev"] = revision;
+        fields["at_rev"] = content.revision;
         respond(request, 200, fields);
     }
 
@@ -175,8 +184,8 @@
             restinio::parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
         const std::string prefix = textParameter(query, "prefix");
         const std::string after = textParameter(query, "after");
-        json page {{"items", json::array()}, {"has_more", false}, {"at_rev", revision}};
-        for (const auto &[key, stored] : items) {
+        json page {{"items", json::array()}, {"has_more", false}, {"at_rev", content.revision}};
+        for (const auto &[key, stored] : content.items) {
             if (!key.starts_with(prefix) || key <= after)
                 continue;
             if (page["items"].size() == pageSize) {
@@ -195,7 +204,7 @@
         pending_watch watch {request, textParameter(query, "prefix"),
                              numberParameter(query, "after"),
                              std::make_shared<asio::steady_timer>(context)};
-        if (watch.after < compactedRevision) {
+        if (watch.after < content.compactedRevision || watch.after > content.revision) {
             respond(request, 410, json::object());
             return;
         }
@@ -213,8 +222,8 @@
     {
         const json body = json::parse(request->body(), nullptr, false);
         for (const json &row : body["expect"]) {
-            const auto found = items.find(row["key"]);
-            const std::uint64_t current = found == items.end() ? 0 : found->second.revision;
+            const auto found = content.items.find(row["key"]);
+            const std::uint64_t current = found == content.items.end() ? 0 : found->second.revision;
             if (row["revision"] != current) {
                 respond(request, 412, {{"items", json::array()}});
                 return;
@@ -229,19 +238,19 @@
         if (behaviour == store_behaviour::Lossy)
             unansweredRequests.push_back(request);
         else
-            respond(request, 200, {{"revision", revision}});
+            respond(request, 200, {{"revision", content.revision}});
     }
 
     bool answerWatch(const pending_watch &watch, bool evenIfEmpty)
     {
         json events = json::array();
-        for (const change &made : history) {
+        for (const change &made : content.history) {
             if (made.revision > watch.after && made.key.starts_with(watch.prefix))
                 events.push_back(changeFields(made));
         }
         if (events.empty() && !evenIfEmpty)
             return false;
-        respond(watch.request, 200, {{"events", events}, {"at_rev", revision}});
+        respond(watch.request, 200, {{"events", events}, {"at_rev", content.revision}});
         return true;
     }
 
@@ -254,7 +263,7 @@
 
     void record(change made)
     {
-        history.push_back(std::move(made));
+        content.history.push_back(std::move(made));
         if (behaviour == store_behaviour::Serving || behaviour == store_behaviour::Lossy)
             watches.remove_if([this](const pending_watch &watch) {
                 const bool isAnswered = answerWatch(watch, false);
@@ -266,30 +275,38 @@
 
     void put(const std::string &key, const std::string &value)
     {
-        item &stored = items[key];
+        item &stored = content.items[key];
         stored.value = value;
-        stored.revision = ++revision;
+        stored.revision = ++content.revision;
         if (stored.created == 0)
-            stored.created = revision;
-        record({revision, key, stored, false});
+            stored.created = content.revision;
+        record({content.revision, key, stored, false});
     }
 
     void remove(const std::string &key)
     {
-        if (items.erase(key) > 0)
-            record({++revision, key, {}, true});
+        if (content.items.erase(key) > 0)
+            record({++content.revision, key, {}, true});
+    }
+
+    void restore(const store_copy::content &copied)
+    {
+        content = copied;
+        ++era;
+        for (const pending_watch &watch : std::exchange(watches, {})) {
+            watch.deadline->cancel();
+            respond(watch.request, 410, json::object());
+        }
     }
 
     asio::io_context &context;
     endpoint local;
     std::unique_ptr<restinio_server> server;
-    std::map<std::string, item> items;
-    std::vector<change> history;
+    store_copy::content content;
     std::list<pending_watch> watches;
     std::list<restinio::request_handle_t> unansweredRequests; ///< kept open
     std::map<std::string, std::size_t> calls;
-    std::uint64_t revision = 100;
-    std::uint64_t compactedRevision = 0; ///< changes up to it are dropped
+    std::uint64_t era = 1; ///< counts up with each restore
     std::size_t pageSize = 500;
     store_behaviour behaviour = store_behaviour::Serving;
 };
@@ -316,7 +333,7 @@
 std::uint64_t store_standin::put(const std::string &key, const std::string &value)
 {
     m_implementation->put(key, value);
-    return m_implementation->revision;
+    return m_implementation->content.revision;
 }
 
 void store_standin::remove(const std::string &key)
@@ -326,14 +343,34 @@
 
 std::string store_standin::value(const std::string &key) const
 {
-    const auto found = m_implementation->items.find(key);
-    return found == m_implementation->items.end() ? std::string() : found->second.value;
+    const auto found = m_implementation->content.items.find(key);
+    return found == m_implementation->content.items.end() ? std::string() : found->second.value;
+}
+
+store_copy store_standin::copy() const
+{
+    return {std::make_shared<store_copy::content>(m_implementation->content)};
+}
+
+void store_standin::restore(const store_copy &copied)
+{
+    m_implementation->restore(*copied.kept);
+}
+
+std::uint64_t store_standin::era() const
+{
+    return m_implementation->era;
+}
+
+std::uint64_t store_standin::revision() const
+{
+    return m_implementation->content.revision;
 }
 
 void store_standin::dropHistory()
 {
-    m_implementation->history.clear();
-    m_implementation->compactedRevision = m_implementation->revision;
+    m_implementation->content.history.clear();
+    m_implementation->content.compactedRevision = m_implementation->content.revision;
 }
 
 void store_standin::setBehaviour(store_behaviour behaviour)
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -32,6 +32,13 @@
 /** Name of a behaviour for logs. */
 std::string_view toString(store_behaviour behaviour);
 
+/** A copy of a store's content, to restore it from. */
+struct store_copy
+{
+    struct content;
+    std::shared_ptr<const content> kept;
+};
+
 /** A store on an io_context that a single thread runs. */
 class store_standin
 {
@@ -54,6 +61,21 @@
     /** The value of an item; empty if there is none. */
     std::string value(const std::string &key) const;
 
+    /** Copies the content and the history. */
+    store_copy copy() const;
+
+    /**
+     * Replaces the content by a copy, as after a loss of data: later changes are undone, their
+     * revisions are given out again, and the era counts up. Waiting watches get status 410.
+     */
+    void restore(const store_copy &copied);
+
+    /** Era in the header of each answer. */
+    std::uint64_t era() const;
+
+    /** Revision of the last change. */
+    std::uint64_t revision() const;
+
     /** Drops the history, so that watches from an older revision get status 410. */
     void dropHistory();
 
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -76,6 +76,22 @@
     CHECK(fixture.store.calls("/chicoryhead/kv-range") == 7);
 }
 
+TEST_CASE("The era of the store is decoded from the header of its answers", "[store]")
+{
+    // Guards against a restored store that looks like the one before.
+    store_fixture fixture;
+    const auto copy = fixture.store.copy();
+    fixture.store.put("servers/i-1", entryText);
+    CHECK(fixture.load().value().era == 1);
+    CHECK(fixture.watch(100).value().era == 1);
+    fixture.store.restore(copy);
+    CHECK(fixture.watch(101).error() == error::HistoryLost);
+    const auto loaded = fixture.load();
+    CHECK(loaded.value().era == 2);
+    CHECK(loaded.value().revision == 100);
+    CHECK(loaded.value().changes.empty());
+}
+
 TEST_CASE("A watch returns changes, or an empty list at its timeout", "[store]")
 {
     store_fixture fixture;
