--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -142,11 +142,11 @@
 {
     instance_parts sender(static_cast<std::size_t>(state.range(0)));
     instance_parts receiver(static_cast<std::size_t>(state.range(0)));
-    store_revision revision = 1;
+    std::uint64_t revision = 1;
     std::size_t bytes = 0;
     for (auto _ : state) {
         sender.state.apply({++revision, {upstreamOf(0)}}, false, 2s);
-        const auto known = isFullState ? 0 : receiver.state.revision();
+        const auto known = isFullState ? store_revision {} : receiver.state.revision();
         const auto encoded =
             encodeState(sender.state.snapshot(receiver.state.configVersion(), known, 2s));
         const auto decoded = decodeState(encoded);
--- a/src/cli/operator_store_base.h
+++ b/src/cli/operator_store_base.h
@@ -15,8 +15,8 @@
 /** The configuration as stored. */
 struct stored_config
 {
-    store_revision revision = 0; ///< revision of the item; 0 if there is none
-    std::string text;            ///< original text
+    store_revision revision; ///< revision of the item; 0 if there is none
+    std::string text;        ///< original text
     routing_config decoded;
 };
 
--- a/src/core/codec_func.h
+++ b/src/core/codec_func.h
@@ -92,18 +92,23 @@
 }
 
 /**
- * Encodes a value followed by an extension that later releases added. Releases without it read the
- * value and ignore the rest, so both can run side by side.
+ * Encodes a value followed by extensions that later releases added, in the order in which they were
+ * added. Releases without them read the value and ignore the rest, so both can run side by side.
+ * Extensions after an empty one are left out.
  */
-template<typename Value, typename Extension>
+template<typename Value, typename... Extensions>
 std::vector<std::byte> encodeExtended(std::uint8_t format, const Value &value,
-                                      const std::optional<Extension> &extension)
+                                      const std::optional<Extensions> &...extensions)
 {
     auto encoded = encodeBinary(format, value);
-    if (!extension)
-        return encoded;
-    const auto added = encodeBinary(format, *extension);
-    encoded.insert(encoded.end(), added.begin(), added.end());
+    [[maybe_unused]] const auto append = [&](const auto &extension) {
+        if (!extension)
+            return false;
+        const auto added = encodeBinary(format, *extension);
+        encoded.insert(encoded.end(), added.begin(), added.end());
+        return true;
+    };
+    static_cast<void>((append(extensions) && ...));
     return encoded;
 }
 
@@ -151,19 +156,23 @@
 
 /**
  * Decodes the output of encodeExtended(); fails as decodeBinary() does.
- * @param extension stays empty if the sender's release did not add one.
+ * @param extensions those that the sender's release did not add stay empty.
  */
-template<typename Value, typename Extension>
+template<typename Value, typename... Extensions>
 result<Value> decodeExtended(std::uint8_t format, std::span<const std::byte> bytes,
-                             std::optional<Extension> &extension)
+                             std::optional<Extensions> &...extensions)
 {
     Value value {};
     auto stream = detail::openStream(bytes);
-    if (const auto failure = detail::readBinary(stream, format, value))
-        return failure;
-    if (stream.peek() == std::istringstream::traits_type::eof())
-        return value;
-    if (const auto failure = detail::readBinary(stream, format, extension.emplace()))
+    std::error_code failure = detail::readBinary(stream, format, value);
+    [[maybe_unused]] const auto read = [&](auto &extension) {
+        const bool isPresent = !failure && stream.peek() != std::istringstream::traits_type::eof();
+        if (isPresent)
+            failure = detail::readBinary(stream, format, extension.emplace());
+        return isPresent;
+    };
+    static_cast<void>((read(extensions) && ...));
+    if (failure)
         return failure;
     return value;
 }
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -60,6 +60,18 @@
     return tag ^ mask;
 }
 
+bool upstream_directory::isOutdated(const upstream_announcement &announced) const
+{
+    const auto *record = find(announced.name);
+    if (record == nullptr)
+        return false;
+    const upstream_announcement &known = record->announced;
+    if (announced.startedAtMs != known.startedAtMs)
+        return announced.startedAtMs != 0 && announced.startedAtMs < known.startedAtMs;
+    return announced.address == known.address && announced.service == known.service
+        && announced.sequenceNumber < known.sequenceNumber;
+}
+
 directory_change upstream_directory::announce(const upstream_announcement &announced,
                                               monotonic_time now)
 {
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -34,7 +34,7 @@
     unsigned slots = 1;               ///< number of requests it processes concurrently
     bool isDraining = false;          ///< keeps its flows but accepts no new ones
     monotonic_time warmupLeft {0};    ///< remaining time for which it is slow after its start
-    std::int64_t startedAtMs = 0;     ///< wall-clock time of its start; a change means a restart
+    std::int64_t startedAtMs = 0;     ///< wall-clock time of its start; 0 if it is not announced
     std::uint64_t sequenceNumber = 0; ///< counted up by the upstream; reset by a restart
 
     bool operator==(const upstream_announcement &) const = default;
@@ -106,6 +106,12 @@
     /** Replaces the retention times. */
     void setSettings(const directory_settings &settings) { m_settings = settings; }
 
+    /**
+     * Whether an announcement is older than the record of its upstream. The announcement of an
+     * upstream that restarted looks the same if it doesn't say when it started.
+     */
+    bool isOutdated(const upstream_announcement &announced) const;
+
     /** Adds an upstream or updates its record. */
     directory_change announce(const upstream_announcement &announced, monotonic_time now);
 
--- a/src/entry/derived_settings.cpp
+++ b/src/entry/derived_settings.cpp
@@ -83,4 +83,12 @@
     return derived;
 }
 
+/// The store removes the announcement of an upstream that is gone after three intervals.
+monotonic_time deriveRestoreGracePeriod(const entry_settings &settings)
+{
+    constexpr monotonic_time defaultPeriod = std::chrono::seconds(5);
+    return settings.announcementInterval.count() > 0 ? settings.announcementInterval * 4
+                                                     : defaultPeriod;
+}
+
 } // namespace chicoryhead
--- a/src/entry/derived_settings.h
+++ b/src/entry/derived_settings.h
@@ -26,4 +26,7 @@
 publisher_settings derivePublisherSettings(const entry_settings &settings);
 transfer_limits deriveTransferLimits(const entry_settings &settings);
 
+/** Time after a restore of the store in which upstreams and operators write again what it lost. */
+monotonic_time deriveRestoreGracePeriod(const entry_settings &settings);
+
 } // namespace chicoryhead
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -104,6 +104,7 @@
     m_peers.start();
     m_state.addListener(m_health);
     m_state.setOutageThreshold(deriveFollowerSettings(m_settings).maxStateAge);
+    m_state.setRestoreGracePeriod(deriveRestoreGracePeriod(m_settings));
     m_store.setTimeouts(deriveStoreCallTimes(m_settings));
     m_gossip.setTransferLimits(deriveTransferLimits(m_settings));
     m_follower.setUpdateHandler([this] {
@@ -161,7 +162,8 @@
     if (m_gossip.countLocalPeers() > 0)
         m_placement.setInstanceIndex(m_gossip.countLowerRankedPeers(),
                                      m_gossip.countLocalPeers() + 1);
-    m_placement.setWarmupLimits(m_routes.config().warmupRates, m_state.instances().size());
+    m_placement.setWarmupLimits(m_routes.config().warmupRates,
+                                m_state.instances().size() + m_state.formerInstances().size());
     m_gossip.announceChanges();
     m_peers.flush();
     if (!m_state.isSynchronised() || !m_packetProcessor.hasHeldPackets())
@@ -169,7 +171,7 @@
     const auto released = m_packetProcessor.releaseHeldPackets();
     m_log.write("synchronised",
                 {{"version", std::to_string(m_routes.version())},
-                 {"revision", std::to_string(m_state.revision())},
+                 {"revision", toString(m_state.revision())},
                  {"held_packets", std::to_string(released)}});
     m_data.flush();
 }
@@ -310,6 +312,7 @@
     m_settings.configBound = changed.configBound;
     m_settings.drainBound = changed.drainBound;
     m_settings.evacuationBound = changed.evacuationBound;
+    m_settings.announcementInterval = changed.announcementInterval;
     m_settings.stopGrace = changed.stopGrace;
     m_settings.flowLifetime = changed.flowLifetime;
     m_settings.storeHistory = changed.storeHistory;
@@ -319,6 +322,7 @@
     m_store.setTimeouts(deriveStoreCallTimes(m_settings));
     m_follower.setSettings(deriveFollowerSettings(m_settings));
     m_state.setOutageThreshold(deriveFollowerSettings(m_settings).maxStateAge);
+    m_state.setRestoreGracePeriod(deriveRestoreGracePeriod(m_settings));
     m_gossip.setSettings(deriveGossipSettings(m_settings));
     m_gossip.setTransferLimits(deriveTransferLimits(m_settings));
     m_publisher.setSettings(derivePublisherSettings(m_settings));
@@ -344,7 +348,7 @@
     if (path == instancePath)
         return {200,
                 renderInstance({m_settings.name, m_settings.domain, m_shutdown.isStopping(),
-                                m_gossip.isReader(), m_state.revision(), collectGauges()}),
+                                m_gossip.isReader(), m_state.revision().number, collectGauges()}),
                 jsonType};
     if (path == upstreamsPath)
         return {200, renderUpstreams(collectUpstreamStatuses()), jsonType};
@@ -373,15 +377,15 @@
     gauges.configVersion = m_routes.version();
     gauges.routes = m_routes.config().routes.size();
     gauges.upstreams = m_directory.size();
-    gauges.domainsEvacuated = m_state.evacuations().names.size();
+    gauges.domainsEvacuated = m_state.evacuatedDomains().size();
     gauges.upstreamsSuspected = m_placement.countSuspected(now);
     gauges.upstreamsDead = m_health.countDead();
     gauges.flowsObserved = m_forwarder.countTrackedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
     gauges.storeAnswersIgnored = m_follower.answersIgnored();
-    gauges.storeEra = m_follower.storeEra();
-    gauges.stateRevision = m_state.revision();
+    gauges.storeEra = m_state.revision().era;
+    gauges.stateRevision = m_state.revision().number;
     gauges.stateChecksum = m_state.checksum();
     gauges.peerBytesSent = m_gossip.bytesSent();
     gauges.peerMessagesMalformed = m_gossip.malformedMessages();
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -48,7 +48,7 @@
     {"store_answers_ignored",
      "Answers of the store that were older than the state, since the start.",
      &entry_gauges::storeAnswersIgnored},
-    {"store_era", "How often the store was restored from a copy, by its last answer.",
+    {"store_era", "Era of the store that the state is from; counts restores from a copy.",
      &entry_gauges::storeEra},
     {"state_revision", "Revision of the store that the state includes.",
      &entry_gauges::stateRevision},
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -262,7 +262,7 @@
         m_latencies.merge(digest.latencies, now);
         mergeReaders(digest);
     }
-    const bool isComplete = m_state.adoptEvacuations(digest.evacuations);
+    const bool isComplete = m_state.adoptEvacuations(digest.evacuations, now) && digest.hasEra;
     const bool isBehind = digest.contentRevision > m_state.revision()
         || digest.configVersion > m_state.configVersion();
     if (isBehind) {
@@ -270,7 +270,8 @@
             requestState(from);
         return false;
     }
-    if (digest.revision >= m_state.revision() && isComplete) {
+    const bool isSameEra = digest.revision.era == m_state.revision().era;
+    if (isSameEra && digest.revision >= m_state.revision() && isComplete) {
         const bool wasStale = m_state.isStale(now);
         m_state.confirm(digest.revision, now - std::chrono::milliseconds(digest.ageMs));
         m_state.logConfirmation(wasStale, toString(from), now);
@@ -341,8 +342,9 @@
         return false;
     m_log.write("state_adopted",
                 {{"from", toString(from)},
-                 {"revision", std::to_string(state.value().revision)},
-                 {"base", std::to_string(state.value().baseRevision)},
+                 {"revision", toString(state.value().revision)},
+                 {"era", std::to_string(state.value().revision.era)},
+                 {"base", toString(state.value().baseRevision)},
                  {"age_ms", std::to_string(state.value().ageMs)},
                  {"checksum", std::to_string(m_state.checksum())}});
     announceChanges();
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -190,7 +190,7 @@
     /// Local peers still to get a digest in this cycle, in random order. They are served in turn,
     /// because with independent random targets some peers would get none for seconds.
     std::vector<endpoint> m_localTargets;
-    store_revision m_announcedRevision = 0;   ///< last content revision that was announced at once
+    store_revision m_announcedRevision;       ///< last content revision that was announced at once
     monotonic_time m_lastStoreResponseAt {0}; ///< 0 for none
     monotonic_time m_startedAt;
     monotonic_time m_synchronisedSince {0};   ///< 0 for not yet
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -47,7 +47,7 @@
 template<typename Archive>
 void serialize(Archive &archive, gossip_state_request &value)
 {
-    archive(value.configVersion, value.revision, value.nonce);
+    archive(value.configVersion, value.revision.number, value.nonce);
 }
 
 template<typename Archive>
@@ -59,7 +59,8 @@
 template<typename Archive>
 void save(Archive &archive, const gossip_digest &value)
 {
-    archive(value.sender, value.revision, value.contentRevision, value.configVersion, value.ageMs);
+    archive(value.sender, value.revision.number, value.contentRevision.number, value.configVersion,
+            value.ageMs);
     saveBounded(archive, value.readers);
     saveBounded(archive, value.latencies);
 }
@@ -67,7 +68,8 @@
 template<typename Archive>
 void load(Archive &archive, gossip_digest &value)
 {
-    archive(value.sender, value.revision, value.contentRevision, value.configVersion, value.ageMs);
+    archive(value.sender, value.revision.number, value.contentRevision.number, value.configVersion,
+            value.ageMs);
     loadBounded(archive, value.readers, maxReaders);
     loadBounded(archive, value.latencies, maxLatencies);
 }
@@ -129,10 +131,11 @@
 
 namespace {
 
-template<typename Message>
-std::vector<std::byte> encodeAs(message_type type, const Message &message)
+template<typename Message, typename... Extensions>
+std::vector<std::byte> encodeAs(message_type type, const Message &message,
+                                const std::optional<Extensions> &...extensions)
 {
-    auto encoded = encodeBinary(gossipFormatVersion, message);
+    auto encoded = encodeExtended(gossipFormatVersion, message, extensions...);
     encoded.insert(encoded.begin(), static_cast<std::byte>(type));
     return encoded;
 }
@@ -149,25 +152,39 @@
 result<gossip_message> decodeDigest(std::span<const std::byte> bytes)
 {
     std::optional<evacuated_domains> evacuations;
-    auto decoded = decodeExtended<gossip_digest>(gossipFormatVersion, bytes, evacuations);
+    std::optional<detail::era_extension> eras;
+    auto decoded = decodeExtended<gossip_digest>(gossipFormatVersion, bytes, evacuations, eras);
     if (!decoded)
         return decoded.error();
     decoded.value().evacuations = std::move(evacuations);
+    detail::setEras(decoded.value(), eras);
     return gossip_message(std::move(decoded.value()));
 }
 
+result<gossip_message> decodeStateRequest(std::span<const std::byte> bytes)
+{
+    std::optional<std::uint64_t> era;
+    auto decoded = decodeExtended<gossip_state_request>(gossipFormatVersion, bytes, era);
+    if (!decoded)
+        return decoded.error();
+    decoded.value().revision.era = era.value_or(0);
+    return gossip_message(decoded.value());
+}
+
 } // namespace
 
 std::vector<std::byte> encodeGossip(const gossip_digest &message)
 {
-    auto encoded = encodeExtended(gossipFormatVersion, message, message.evacuations);
-    encoded.insert(encoded.begin(), static_cast<std::byte>(message_type::Digest));
-    return encoded;
+    std::optional<detail::era_extension> eras;
+    if (message.hasEra)
+        eras = detail::erasOf(message);
+    return encodeAs(message_type::Digest, message, message.evacuations, eras);
 }
 
 std::vector<std::byte> encodeGossip(const gossip_state_request &message)
 {
-    return encodeAs(message_type::StateRequest, message);
+    return encodeAs(message_type::StateRequest, message,
+                    std::optional<std::uint64_t>(message.revision.era));
 }
 
 std::vector<std::byte> encodeGossip(const gossip_state_fragment &message)
@@ -188,7 +205,7 @@
     case message_type::Digest:
         return decodeDigest(datagram.subspan(1));
     case message_type::StateRequest:
-        return decodeAs<gossip_state_request>(datagram.subspan(1));
+        return decodeStateRequest(datagram.subspan(1));
     case message_type::StateFragment:
         return decodeAs<gossip_state_fragment>(datagram.subspan(1));
     case message_type::LivenessReports:
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -28,8 +28,9 @@
 struct gossip_digest
 {
     instance_registration sender;
-    store_revision revision = 0;           ///< latest one that its state includes
-    store_revision contentRevision = 0;    ///< of the last change that concerned this system
+    store_revision revision;               ///< latest one that its state includes
+    store_revision contentRevision;        ///< of the last change that concerned this system
+    bool hasEra = true;                    ///< false if the sender's release does not report eras
     config_version configVersion = 0;      ///< of the active configuration
     std::uint32_t ageMs = 0;               ///< since the revision was confirmed to be current
     std::vector<reader_report> readers;    ///< of the sender's domain
@@ -50,7 +51,7 @@
 struct gossip_state_request
 {
     config_version configVersion = 0; ///< that the requester has; 0 for none
-    store_revision revision = 0;      ///< that the requester's state includes; 0 for none
+    store_revision revision;          ///< that the requester's state includes; 0 for none
     std::uint64_t nonce = 0;          ///< random; the response repeats it
 };
 
--- a/src/gossip/peer_view.cpp
+++ b/src/gossip/peer_view.cpp
@@ -40,18 +40,23 @@
     m_localPeers.clear();
     m_remotePeers.clear();
     m_lowerRanks.clear();
-    const std::uint64_t selfRank = rankOf(m_self.name);
-    for (const auto &[name, registration] : m_state.instances()) {
-        if (name == m_self.name)
-            continue;
-        const bool isLocalDomain = registration.domain == m_self.domain;
-        (isLocalDomain ? m_localPeers : m_remotePeers).push_back(registration.peerAddress);
-        if (isLocalDomain && rankOf(name) < selfRank)
-            m_lowerRanks.push_back(rankOf(name));
-    }
+    for (const auto &[name, registration] : m_state.instances())
+        add(registration);
+    for (const auto &[name, registration] : m_state.formerInstances())
+        add(registration);
     sortAndDeduplicate(m_localPeers);
     sortAndDeduplicate(m_remotePeers);
     return *this;
 }
 
+void peer_view::add(const instance_registration &registration) const
+{
+    if (registration.name == m_self.name)
+        return;
+    const bool isLocalDomain = registration.domain == m_self.domain;
+    (isLocalDomain ? m_localPeers : m_remotePeers).push_back(registration.peerAddress);
+    if (isLocalDomain && rankOf(registration.name) < rankOf(m_self.name))
+        m_lowerRanks.push_back(rankOf(registration.name));
+}
+
 } // namespace chicoryhead
--- a/src/gossip/peer_view_base.h
+++ b/src/gossip/peer_view_base.h
@@ -40,6 +40,7 @@
 
 private:
     const peer_view &refreshed() const;
+    void add(const instance_registration &registration) const;
 
     const fleet_state &m_state;
     const instance_registration &m_self;
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -32,7 +32,7 @@
 {
     detectOutage(isAfterOutage, now);
     applyAll(changes, now);
-    applyEvacuations(changes, m_evacuations.names);
+    applyEvacuations(changes, m_evacuations.names, now);
     confirm(changes.revision, now);
 }
 
@@ -48,7 +48,8 @@
 
 /// Evacuations are applied as a whole set, because a newer set may have arrived from another
 /// instance before the changes of the store.
-void fleet_state::applyEvacuations(const fleet_changes &changes, std::set<std::string> previous)
+void fleet_state::applyEvacuations(const fleet_changes &changes, std::set<std::string> previous,
+                                   monotonic_time now)
 {
     for (const fleet_change &change : changes.changes) {
         const auto *evacuation = std::get_if<domain_evacuation>(&change);
@@ -59,44 +60,99 @@
         else
             previous.insert(evacuation->domain);
     }
-    setEvacuations({changes.revision, std::move(previous)});
+    setEvacuations({changes.revision, std::move(previous)}, now);
 }
 
-void fleet_state::setEvacuations(const evacuated_domains &evacuations)
+/// After a restore, evacuations that the store lacks end with the grace period.
+void fleet_state::setEvacuations(const evacuated_domains &evacuations, monotonic_time now)
 {
     if (evacuations.revision <= m_evacuations.revision)
         return;
+    std::set<std::string> inForce = m_evacuatedDomains;
+    if (isRestoredSince(m_evacuations.revision, evacuations.revision)) {
+        beginRestoreGrace(now);
+    } else {
+        for (const std::string &domain : m_evacuations.names)
+            inForce.erase(domain);
+    }
+    inForce.insert(evacuations.names.begin(), evacuations.names.end());
+    m_evacuations = evacuations;
+    setEvacuatedDomains(inForce);
+}
+
+void fleet_state::setEvacuatedDomains(const std::set<std::string> &domains)
+{
+    if (domains == m_evacuatedDomains)
+        return;
     const auto logChange = [&](const std::string &domain, bool isEvacuated) {
         m_log.write("domain_evacuation",
                     {{"domain", domain},
                      {"evacuated", isEvacuated ? "1" : "0"},
-                     {"revision", std::to_string(evacuations.revision)}});
+                     {"revision", toString(m_evacuations.revision)}});
     };
-    for (const std::string &domain : evacuations.names) {
-        if (!m_evacuations.names.contains(domain))
+    for (const std::string &domain : domains) {
+        if (!m_evacuatedDomains.contains(domain))
             logChange(domain, true);
     }
-    for (const std::string &domain : m_evacuations.names) {
-        if (!evacuations.names.contains(domain))
+    for (const std::string &domain : m_evacuatedDomains) {
+        if (!domains.contains(domain))
             logChange(domain, false);
     }
-    if (evacuations.names != m_evacuations.names)
-        m_directory.setEvacuatedDomains(evacuations.names);
-    m_evacuations = evacuations;
+    m_evacuatedDomains = domains;
+    m_directory.setEvacuatedDomains(domains);
 }
 
-bool fleet_state::adoptEvacuations(const std::optional<evacuated_domains> &reported)
+bool fleet_state::adoptEvacuations(const std::optional<evacuated_domains> &reported,
+                                   monotonic_time now)
 {
     if (!reported)
         return false;
-    setEvacuations(*reported);
+    setEvacuations(*reported, now);
     return true;
 }
 
+/// Whether the store was restored after a revision of the confirmed state. A revision without an
+/// era comes from an instance of a release that does not report it.
+bool fleet_state::isRestoredSince(const store_revision &known, const store_revision &later) const
+{
+    return m_confirmedAt.count() > 0 && known.era > 0 && later.era > known.era;
+}
+
+void fleet_state::beginRestoreGrace(monotonic_time now)
+{
+    m_restoreGraceEnd = now + m_restoreGracePeriod;
+    // Upstreams that are missing now are announced again, as after an outage.
+    m_outageGraceEnd = std::max(m_outageGraceEnd, now + outageGracePeriod);
+}
+
+void fleet_state::endRestoreGrace(monotonic_time now)
+{
+    m_restoreGraceEnd = monotonic_time {0};
+    for (const auto &[name, announced] : std::exchange(m_outdatedAnnouncements, {}))
+        applyOne(announced, now);
+    m_formerInstances.clear();
+    ++m_instancesVersion;
+    setEvacuatedDomains(m_evacuations.names);
+}
+
+/// Prepares the state for one of a restored store.
+void fleet_state::beginEra(const fleet_changes &fullState, monotonic_time now)
+{
+    m_log.write("store_restored",
+                {{"era", std::to_string(fullState.revision.era)},
+                 {"before", std::to_string(m_revision.era)},
+                 {"revision", toString(fullState.revision)},
+                 {"state_revision", toString(m_revision)}});
+    beginRestoreGrace(now);
+    m_formerInstances.merge(m_instances);
+    m_outdatedAnnouncements.clear();
+    m_contentRevision = fullState.revision;
+}
+
 void fleet_state::recordHistory(const fleet_changes &changes)
 {
     // A delta from another instance may end before the newest change in the history here.
-    const auto newest = m_history.empty() ? 0 : m_history.back().revision;
+    const auto newest = m_history.empty() ? store_revision {} : m_history.back().revision;
     const auto revision = std::max(changes.revision, newest);
     for (const fleet_change &change : changes.changes) {
         if (const auto *announced = std::get_if<upstream_announcement>(&change))
@@ -126,7 +182,7 @@
 void fleet_state::replace(const fleet_changes &fullState, bool isAfterOutage, monotonic_time now)
 {
     replaceEntries(fullState, isAfterOutage, now);
-    applyEvacuations(fullState, {});
+    applyEvacuations(fullState, {}, now);
     confirm(fullState.revision, now);
 }
 
@@ -134,6 +190,8 @@
                                  monotonic_time now)
 {
     detectOutage(isAfterOutage, now);
+    if (isRestoredSince(m_revision, fullState.revision))
+        beginEra(fullState, now);
     std::set<std::string> upstreams;
     std::set<std::string> instances;
     for (const fleet_change &change : fullState.changes) {
@@ -146,6 +204,8 @@
         if (!upstreams.contains(name))
             withdraw(name, "not_listed", isInOutageGrace(now), now);
     }
+    std::erase_if(m_outdatedAnnouncements,
+                  [&](const auto &entry) { return !upstreams.contains(entry.first); });
     std::erase_if(m_instances, [&](const auto &entry) { return !instances.contains(entry.first); });
     ++m_instancesVersion;
     applyAll(fullState, now);
@@ -175,7 +235,7 @@
     m_revision = snapshot.revision;
     m_compactedRevision = snapshot.revision;
     m_contentRevision = snapshot.contentRevision;
-    adoptEvacuations(snapshot.evacuations);
+    adoptEvacuations(snapshot.evacuations, now);
 }
 
 void fleet_state::confirm(store_revision revision, monotonic_time at)
@@ -190,7 +250,7 @@
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, now);
     addMissing(other, now);
-    if (!adoptEvacuations(other.evacuations))
+    if (!adoptEvacuations(other.evacuations, now) || !other.hasEra)
         confirmedAt = incompleteStateConfirmation;
     const bool isFirstConfirmation = isPreloaded() && other.revision == m_revision;
     if (other.revision == m_revision)
@@ -205,7 +265,7 @@
         changes.changes.emplace_back(upstream_withdrawal {name});
     for (const std::string &name : other.removedInstances)
         changes.changes.emplace_back(instance_deregistration {name});
-    const bool isFull = other.baseRevision == 0;
+    const bool isFull = !other.baseRevision;
     if (isFull) {
         replaceEntries(changes, false, now);
     } else {
@@ -247,7 +307,9 @@
     snapshot.hasConfig = m_routes.version() > knownVersion;
     if (snapshot.hasConfig)
         snapshot.config = m_routes.config();
-    if (knownRevision > 0 && knownRevision >= m_compactedRevision && knownRevision <= m_revision) {
+    const bool isInHistory = knownRevision && knownRevision.era == m_revision.era
+        && knownRevision >= m_compactedRevision && knownRevision <= m_revision;
+    if (isInHistory) {
         snapshot.baseRevision = knownRevision;
         addDelta(snapshot, now);
     } else {
@@ -258,7 +320,11 @@
 
 void fleet_state::addFullState(state_snapshot &snapshot, monotonic_time now) const
 {
-    for (const std::string &name : m_directory.announcedNames())
+    for (const std::string &name : m_directory.announcedNames()) {
+        if (!m_outdatedAnnouncements.contains(name))
+            addUpstream(snapshot, name, now);
+    }
+    for (const auto &[name, announced] : m_outdatedAnnouncements)
         addUpstream(snapshot, name, now);
     for (const auto &[name, registration] : m_instances)
         snapshot.instances.push_back(registration);
@@ -283,9 +349,15 @@
     }
 }
 
+/// Adds an upstream as the store lists it.
 bool fleet_state::addUpstream(state_snapshot &snapshot, const std::string &name,
                               monotonic_time now) const
 {
+    const auto outdated = m_outdatedAnnouncements.find(name);
+    if (outdated != m_outdatedAnnouncements.end()) {
+        snapshot.upstreams.push_back(outdated->second);
+        return true;
+    }
     const auto *record = m_directory.find(name);
     const bool isAnnounced = record != nullptr
         && (record->lifecycle == lifecycle_state::Ready
@@ -303,7 +375,8 @@
         return;
     m_log.write("state_confirmed",
                 {{"from", std::string(source)},
-                 {"revision", std::to_string(m_revision)},
+                 {"revision", toString(m_revision)},
+                 {"era", std::to_string(m_revision.era)},
                  {"version", std::to_string(m_routes.version())},
                  {"checksum", std::to_string(checksum())}});
 }
@@ -318,6 +391,8 @@
 
 void fleet_state::expire(monotonic_time now)
 {
+    if (m_restoreGraceEnd.count() > 0 && now >= m_restoreGraceEnd)
+        endRestoreGrace(now);
     for (const upstream_id id : m_directory.expire(now))
         notifyRemoved(id);
 }
@@ -339,6 +414,11 @@
 
 void fleet_state::applyOne(const upstream_announcement &announced, monotonic_time now)
 {
+    if (m_restoreGraceEnd.count() > 0 && m_directory.isOutdated(announced)) {
+        m_outdatedAnnouncements[announced.name] = announced;
+        return;
+    }
+    m_outdatedAnnouncements.erase(announced.name);
     const auto *known = m_directory.find(announced.name);
     const bool isNew = known == nullptr;
     const auto previous = isNew ? lifecycle_state::Gone : known->lifecycle;
@@ -369,12 +449,14 @@
 
 void fleet_state::applyOne(const instance_registration &registration, monotonic_time /*now*/)
 {
+    m_formerInstances.erase(registration.name);
     m_instances[registration.name] = registration;
     ++m_instancesVersion;
 }
 
 void fleet_state::applyOne(const instance_deregistration &deregistration, monotonic_time /*now*/)
 {
+    m_formerInstances.erase(deregistration.name);
     m_instances.erase(deregistration.name);
     ++m_instancesVersion;
 }
@@ -388,6 +470,7 @@
 void fleet_state::withdraw(const std::string &name, std::string_view cause, bool mayReturn,
                            monotonic_time now)
 {
+    m_outdatedAnnouncements.erase(name);
     const auto *known = m_directory.find(name);
     if (known == nullptr || known->lifecycle == lifecycle_state::Gone)
         return;
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -2,7 +2,10 @@
  * @file fleet_state_base.h
  * This instance's copy of the configuration, the upstreams and the registered instances.
  *
- * The state has the store revision that it includes and the time when that was last confirmed.
+ * The state has the store revision that it includes and the time when that was last confirmed. When
+ * the store was restored from a copy, its state replaces this one although its changes have lower
+ * numbers. Additions of the restored state apply at once. What it lacks, and announcements that are
+ * older than the known ones, apply after a grace period, in which their owners write them again.
  */
 
 #pragma once
@@ -37,11 +40,14 @@
      */
     void setOutageThreshold(monotonic_time threshold) { m_outageThreshold = threshold; }
 
+    /** Sets how long the state from before a restore of the store counts if the store lacks it. */
+    void setRestoreGracePeriod(monotonic_time period) { m_restoreGracePeriod = period; }
+
     /** Adds a listener that is notified of removed upstreams; it must outlive the state. */
     void addListener(upstream_listener &listener) { m_listeners.push_back(&listener); }
 
     /**
-     * Applies changes made after the current revision.
+     * Applies changes made after the current revision, in its era.
      * @param isAfterOutage whether the store was unavailable, so that a missing upstream may be
      * announced again.
      */
@@ -80,20 +86,23 @@
     state_snapshot snapshot(config_version knownVersion, store_revision knownRevision,
                             monotonic_time now) const;
 
-    /** Marks missing upstreams as gone when their time is over; drops those gone for long. */
+    /**
+     * Marks missing upstreams as gone when their time is over; drops those gone for long. Ends the
+     * grace period after a restore of the store.
+     */
     void expire(monotonic_time now);
 
     /**
      * Takes over the evacuations reported by another instance if they are newer.
      * @return false if its release does not report them, so that its state confirms nothing.
      */
-    bool adoptEvacuations(const std::optional<evacuated_domains> &reported);
+    bool adoptEvacuations(const std::optional<evacuated_domains> &reported, monotonic_time now);
 
     /** Whether there is a configuration, and the state was confirmed at least once. */
     bool isSynchronised() const { return m_routes.version() > 0 && m_confirmedAt.count() > 0; }
 
     /** Whether the state was preloaded and not confirmed yet. */
-    bool isPreloaded() const { return m_revision > 0 && m_confirmedAt.count() == 0; }
+    bool isPreloaded() const { return m_revision && m_confirmedAt.count() == 0; }
 
     config_version configVersion() const { return m_routes.version(); }
 
@@ -105,9 +114,12 @@
      */
     store_revision completeRevision() const { return std::min(m_revision, m_evacuations.revision); }
 
-    /** Failure domains that are being evacuated. */
+    /** Failure domains that are being evacuated according to the store. */
     const evacuated_domains &evacuations() const { return m_evacuations; }
 
+    /** Failure domains whose upstreams get no new flows. */
+    const std::set<std::string> &evacuatedDomains() const { return m_evacuatedDomains; }
+
     /** Upper bound of the revision of the last change that is relevant to this system. */
     store_revision contentRevision() const { return m_contentRevision; }
 
@@ -145,6 +157,15 @@
     /** Registered instances by name, including this one. */
     const std::map<std::string, instance_registration> &instances() const { return m_instances; }
 
+    /**
+     * Instances whose registrations the store lost in a restore, and that are still peers until
+     * they could register again.
+     */
+    const std::map<std::string, instance_registration> &formerInstances() const
+    {
+        return m_formerInstances;
+    }
+
 private:
     void applyOne(const routing_config &config, monotonic_time now);
     void applyOne(const upstream_announcement &announced, monotonic_time now);
@@ -152,8 +173,14 @@
     void applyOne(const instance_registration &registration, monotonic_time now);
     void applyOne(const instance_deregistration &deregistration, monotonic_time now);
     void applyOne(const domain_evacuation & /*evacuation*/, monotonic_time /*now*/) { }
-    void applyEvacuations(const fleet_changes &changes, std::set<std::string> previous);
-    void setEvacuations(const evacuated_domains &evacuations);
+    void applyEvacuations(const fleet_changes &changes, std::set<std::string> previous,
+                          monotonic_time now);
+    void setEvacuations(const evacuated_domains &evacuations, monotonic_time now);
+    void setEvacuatedDomains(const std::set<std::string> &domains);
+    bool isRestoredSince(const store_revision &known, const store_revision &later) const;
+    void beginRestoreGrace(monotonic_time now);
+    void endRestoreGrace(monotonic_time now);
+    void beginEra(const fleet_changes &fullState, monotonic_time now);
     void replaceEntries(const fleet_changes &fullState, bool isAfterOutage, monotonic_time now);
     void notifyRemoved(upstream_id upstream);
     void withdraw(const std::string &name, std::string_view cause, bool mayReturn,
@@ -174,8 +201,8 @@
     /** Name of a changed upstream or instance. */
     struct history_entry
     {
-        store_revision revision = 0; ///< revision of a state that includes the change
-        bool isUpstream = true;      ///< false for an instance
+        store_revision revision; ///< revision of a state that includes the change
+        bool isUpstream = true;  ///< false for an instance
         std::string name;
     };
 
@@ -185,11 +212,19 @@
     event_log &m_log;
     std::map<std::string, instance_registration> m_instances;
     std::uint64_t m_instancesVersion = 1;
-    std::deque<history_entry> m_history;    ///< all changes after m_compactedRevision, by revision
-    store_revision m_compactedRevision = 0; ///< at most m_revision
-    store_revision m_revision = 0;          ///< never decreases
-    evacuated_domains m_evacuations;        ///< its revision never decreases
-    store_revision m_contentRevision = 0;   ///< at most m_revision
+    std::deque<history_entry> m_history; ///< all changes after m_compactedRevision, by revision
+    store_revision m_compactedRevision;  ///< at most m_revision
+    store_revision m_revision;           ///< never decreases
+    evacuated_domains m_evacuations;     ///< its revision never decreases
+    /// Equal to the names of m_evacuations except during the grace period after a restore.
+    std::set<std::string> m_evacuatedDomains;
+    store_revision m_contentRevision; ///< at most m_revision
+    /// Announcements in the restored store that are older than the known ones, by name; empty
+    /// unless the grace period after a restore is running.
+    std::map<std::string, upstream_announcement> m_outdatedAnnouncements;
+    std::map<std::string, instance_registration> m_formerInstances; ///< none is in m_instances
+    monotonic_time m_restoreGracePeriod = std::chrono::seconds(5);
+    monotonic_time m_restoreGraceEnd {0}; ///< 0 if no grace period is running
     monotonic_time m_confirmedAt {0};
     monotonic_time m_outageThreshold = std::chrono::seconds(2);
     monotonic_time m_outageGraceEnd {0}; ///< missing upstreams may be announced again until then
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -9,6 +9,7 @@
 #include "core/core_type.h"
 #include "directory/directory_base.h"
 #include "routing/routing_base.h"
+#include "store_revision_type.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,9 +22,6 @@
 
 namespace chicoryhead {
 
-/** Sequence number of the last change of the store that a state includes; 0 for none. */
-using store_revision = std::uint64_t;
-
 /** The announcement of an upstream was removed or became invalid. */
 struct upstream_withdrawal
 {
@@ -57,7 +55,7 @@
 /** Failure domains being evacuated as of a revision; the set with the highest revision applies. */
 struct evacuated_domains
 {
-    store_revision revision = 0; ///< the set includes all changes up to it
+    store_revision revision; ///< the set includes all changes up to it
     std::set<std::string> names;
 };
 
@@ -69,18 +67,16 @@
 /** Changes up to and including a revision. */
 struct fleet_changes
 {
-    store_revision revision = 0;
+    store_revision revision;
     std::vector<fleet_change> changes; ///< in the order in which they were made
     /// Revision at which the published snapshot was replaced by another one; 0 if it was not.
-    store_revision snapshotRevision = 0;
-    /// Of the store that answered; counts up when it is restored from a copy, 0 if not known.
-    std::uint64_t era = 0;
+    store_revision snapshotRevision {};
 };
 
 /** An encoded state that an instance published for instances that start. */
 struct published_snapshot
 {
-    store_revision revision = 0; ///< revision of its publication; the content is older
+    store_revision revision; ///< revision of its publication; the content is older
     std::vector<std::byte> bytes;
 };
 
@@ -129,7 +125,10 @@
     virtual void publishSnapshot(std::span<const std::byte> snapshot, store_revision replaced,
                                  write_handler done) = 0;
 
-    /** Waits for changes after a revision; the answer is empty if there are none in time. */
+    /**
+     * Waits for changes after a revision; the answer is empty if there are none in time. A store
+     * that was restored since may answer with changes of its new era.
+     */
     virtual void watch(store_revision after, std::chrono::milliseconds wait, handler done) = 0;
 
     /** Cancels a pending load or watch. */
--- a/src/sync/registration_codec_func.h
+++ b/src/sync/registration_codec_func.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -19,6 +20,39 @@
 
 namespace detail {
 
+/** Eras of the revisions in a message, which itself has only their numbers. */
+struct era_extension
+{
+    std::uint64_t state = 0;
+    std::uint64_t evacuations = 0;
+};
+
+template<typename Archive>
+void serialize(Archive &archive, era_extension &value)
+{
+    archive(value.state, value.evacuations);
+}
+
+/** Eras of a digest or state. */
+template<typename Message>
+era_extension erasOf(const Message &message)
+{
+    return {message.revision.era, message.evacuations ? message.evacuations->revision.era : 0};
+}
+
+/** Adds the eras to the revisions of a decoded digest or state. */
+template<typename Message>
+void setEras(Message &message, const std::optional<era_extension> &eras)
+{
+    message.hasEra = eras.has_value();
+    if (!eras)
+        return;
+    message.revision.era = eras->state;
+    message.contentRevision.era = eras->state;
+    if (message.evacuations)
+        message.evacuations->revision.era = eras->evacuations;
+}
+
 inline constexpr std::size_t maxNameBytes = 512; ///< name of an instance, upstream, service, domain
 inline constexpr std::size_t maxEvacuatedDomains = 1024;
 
@@ -49,7 +83,7 @@
 template<typename Archive>
 void save(Archive &archive, const evacuated_domains &value)
 {
-    archive(value.revision, static_cast<std::uint16_t>(value.names.size()));
+    archive(value.revision.number, static_cast<std::uint16_t>(value.names.size()));
     for (const std::string &name : value.names)
         saveBytes(archive, name);
 }
@@ -58,7 +92,7 @@
 void load(Archive &archive, evacuated_domains &value)
 {
     std::uint16_t count = 0;
-    archive(value.revision, count);
+    archive(value.revision.number, count);
     if (count > detail::maxEvacuatedDomains)
         throw std::length_error("count above bound");
     for (std::uint16_t i = 0; i < count; ++i) {
--- a/src/sync/snapshot_publisher.cpp
+++ b/src/sync/snapshot_publisher.cpp
@@ -35,6 +35,9 @@
 
 void snapshot_publisher::tick(bool isPrimaryReader)
 {
+    // A snapshot from before a restore of the store needs a load after it.
+    if (std::exchange(m_era, m_state.revision().era) != m_state.revision().era)
+        schedule(monotonic_time {0});
     const bool isPublisher =
         isPrimaryReader && m_settings.interval.count() > 0 && m_state.isSynchronised();
     if (!isPublisher || m_isCallPending || m_clock.now() < m_nextPublishAt || !hasEnoughEntries())
@@ -76,7 +79,7 @@
     }
     m_log.write("snapshot_published",
                 {{"bytes", std::to_string(bytes)},
-                 {"revision", std::to_string(m_state.revision())},
+                 {"revision", toString(m_state.revision())},
                  {"outcome", code ? code.message() : "done"}});
 }
 
@@ -88,6 +91,8 @@
         m_isCallPending = false;
         if (answer)
             onSnapshotPublished(answer.value().revision);
+        else if (answer.error() == error::NotFound)
+            m_newestRevision = {};
     });
 }
 
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -171,7 +171,8 @@
 template<typename Archive>
 void save(Archive &archive, const state_snapshot &value)
 {
-    archive(value.baseRevision, value.revision, value.contentRevision, value.ageMs);
+    archive(value.baseRevision.number, value.revision.number, value.contentRevision.number,
+            value.ageMs);
     saveTime(archive, value.outageGraceLeft);
     saveFlag(archive, value.hasConfig);
     if (value.hasConfig)
@@ -186,7 +187,8 @@
 template<typename Archive>
 void load(Archive &archive, state_snapshot &value)
 {
-    archive(value.baseRevision, value.revision, value.contentRevision, value.ageMs);
+    archive(value.baseRevision.number, value.revision.number, value.contentRevision.number,
+            value.ageMs);
     loadTime(archive, value.outageGraceLeft);
     loadFlag(archive, value.hasConfig);
     if (value.hasConfig)
@@ -239,7 +241,10 @@
     std::optional<detail::state_extension> extension;
     if (state.evacuations)
         extension = detail::state_extension {*state.evacuations, state.config.warmupRates};
-    return compressBytes(encodeExtended(stateFormatVersion, state, extension));
+    std::optional<detail::era_extension> eras;
+    if (state.hasEra)
+        eras = detail::erasOf(state);
+    return compressBytes(encodeExtended(stateFormatVersion, state, extension, eras));
 }
 
 result<state_snapshot> decodeState(std::span<const std::byte> bytes)
@@ -248,11 +253,18 @@
     if (!restored)
         return restored.error();
     std::optional<detail::state_extension> extension;
-    auto state = decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension);
-    if (state && extension) {
+    std::optional<detail::era_extension> eras;
+    auto state =
+        decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension, eras);
+    if (!state)
+        return state;
+    if (extension) {
         state.value().evacuations = std::move(extension->evacuations);
         state.value().config.warmupRates = std::move(extension->warmupRates);
     }
+    detail::setEras(state.value(), eras);
+    if (state.value().baseRevision)
+        state.value().baseRevision.era = state.value().revision.era;
     return state;
 }
 
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -93,10 +93,10 @@
     }
     m_state.preload(state.value(), now);
     // A snapshot without evacuations has no revision after which all changes could be watched.
-    m_needsLoad = m_isCallPending || m_state.completeRevision() == 0;
+    m_needsLoad = m_isCallPending || !m_state.completeRevision();
     m_nextCallAt = now + randomStartDelay();
     m_log.write("snapshot_loaded",
-                {{"revision", std::to_string(state.value().revision)},
+                {{"revision", toString(state.value().revision)},
                  {"bytes", std::to_string(snapshot.bytes.size())}});
     if (m_snapshotHandler)
         m_snapshotHandler(snapshot.revision);
@@ -179,10 +179,12 @@
     auto done = [this, isLoad](const result<fleet_changes> &answer) {
         handleAnswer(answer, isLoad);
     };
-    if (isLoad)
+    if (isLoad) {
         m_store.load(done);
-    else
-        m_store.watch(m_state.completeRevision(), watchTimeout(), done);
+    } else {
+        m_watchedRevision = m_state.completeRevision();
+        m_store.watch(m_watchedRevision, watchTimeout(), done);
+    }
 }
 
 /// The batch delay is subtracted, so that the time between two answers stays within the same bound.
@@ -206,12 +208,19 @@
     }
     handleSuccess(now);
     const fleet_changes &changes = answer.value();
-    recordEra(changes);
+    if (!isLoad && changes.revision.era != m_watchedRevision.era) {
+        // The changes are those of a restored store, whose state before them is not known here.
+        handleHistoryLoss(now);
+        tick();
+        return;
+    }
     const bool wasStale = m_state.isStale(now);
     applyAnswer(changes, isLoad, now);
     m_state.logConfirmation(wasStale, "store", now);
-    if (changes.snapshotRevision > 0 && m_snapshotHandler)
+    if (changes.snapshotRevision && m_snapshotHandler)
         m_snapshotHandler(changes.snapshotRevision);
+    if (!isLoad)
+        m_historyLosses = 0;
     m_needsLoad = false;
     m_batchDelay = batchDelayAfter(changes, isLoad);
     m_nextCallAt = now + m_batchDelay;
@@ -220,17 +229,6 @@
     tick();
 }
 
-void store_follower::recordEra(const fleet_changes &changes)
-{
-    const auto previous = std::exchange(m_storeEra, changes.era);
-    if (previous != changes.era && m_state.isSynchronised())
-        m_log.write("store_restored",
-                    {{"era", std::to_string(changes.era)},
-                     {"before", std::to_string(previous)},
-                     {"revision", std::to_string(changes.revision)},
-                     {"state_revision", std::to_string(m_state.revision())}});
-}
-
 void store_follower::applyAnswer(const fleet_changes &changes, bool isLoad, monotonic_time now)
 {
     // Newer changes from another instance may have been applied while the call was pending; older
@@ -239,9 +237,10 @@
         ++m_answersIgnored;
         m_log.write("store_answer_ignored",
                     {{"call", isLoad ? "load" : "watch"},
-                     {"era", std::to_string(changes.era)},
-                     {"revision", std::to_string(changes.revision)},
-                     {"state_revision", std::to_string(m_state.revision())}});
+                     {"era", std::to_string(changes.revision.era)},
+                     {"revision", toString(changes.revision)},
+                     {"state_era", std::to_string(m_state.revision().era)},
+                     {"state_revision", toString(m_state.revision())}});
         return;
     }
     if (isLoad)
@@ -255,9 +254,9 @@
     if (m_failures > 0) {
         m_hasStoreRecovered = true;
         m_storeRecoveredAt = now;
-        m_log.write("store_regained",
-                    {{"failures", std::to_string(m_failures)},
-                     {"revision", std::to_string(m_state.revision())}});
+        m_log.write(
+            "store_regained",
+            {{"failures", std::to_string(m_failures)}, {"revision", toString(m_state.revision())}});
     }
     m_failures = 0;
 }
@@ -265,28 +264,47 @@
 void store_follower::handleFailure(std::error_code code, monotonic_time now)
 {
     if (code == error::HistoryLost) {
-        m_needsLoad = true;
-        m_nextCallAt = now;
-        m_log.write("store_history_lost", {{"revision", std::to_string(m_state.revision())}});
+        handleHistoryLoss(now);
         return;
     }
     if (m_failures == 0)
         m_log.write("store_lost",
-                    {{"reason", code.message()}, {"revision", std::to_string(m_state.revision())}});
+                    {{"reason", code.message()}, {"revision", toString(m_state.revision())}});
+    scheduleRetry(m_failures, now);
+    ++m_failures;
+}
+
+/// The next call follows at once, unless several watches in a row were refused.
+void store_follower::handleHistoryLoss(monotonic_time now)
+{
+    m_log.write("store_history_lost",
+                {{"revision", toString(m_state.revision())},
+                 {"era", std::to_string(m_state.revision().era)}});
+    // Another instance may have supplied a newer state, which a watch may continue from.
+    const auto revision = m_state.completeRevision();
+    m_needsLoad = !revision || revision == m_watchedRevision;
+    if (m_historyLosses > 1)
+        scheduleRetry(m_historyLosses, now);
+    else
+        m_nextCallAt = now;
+    ++m_historyLosses;
+}
+
+void store_follower::scheduleRetry(unsigned failures, monotonic_time now)
+{
     m_batchDelay = monotonic_time {0};
-    const auto delay = retryDelay();
+    const auto delay = retryDelay(failures);
     // Instances that lost the store at the same time must not all retry at the same time.
     const auto jitter = monotonic_time {
         static_cast<std::int64_t>(m_random.next() % static_cast<std::uint64_t>(delay.count()))};
     m_nextCallAt = now + delay / 2 + jitter / 2;
-    ++m_failures;
 }
 
-monotonic_time store_follower::retryDelay() const
+monotonic_time store_follower::retryDelay(unsigned failures) const
 {
     if (m_state.isSynchronised() && role() == reader_role::None)
         return m_settings.nonReaderRetryDelay;
-    const unsigned doublings = std::min(m_failures, 8U);
+    const unsigned doublings = std::min(failures, 8U);
     return std::min(m_settings.minRetryDelay * (1U << doublings), m_settings.maxRetryDelay);
 }
 
--- a/src/sync/store_follower_base.h
+++ b/src/sync/store_follower_base.h
@@ -114,9 +114,6 @@
     /** Answers of the store that were older than the state, so that they were not applied. */
     std::uint64_t answersIgnored() const { return m_answersIgnored; }
 
-    /** Era of the store in its last answer; 0 if it has none. */
-    std::uint64_t storeEra() const { return m_storeEra; }
-
 private:
     bool needsStoreCall() const;
     bool needsSnapshot() const;
@@ -131,12 +128,13 @@
     monotonic_time batchDelayAfter(const fleet_changes &changes, bool isLoad) const;
     void startCall();
     std::chrono::milliseconds watchTimeout() const;
-    void recordEra(const fleet_changes &changes);
     void applyAnswer(const fleet_changes &changes, bool isLoad, monotonic_time now);
     void handleAnswer(const result<fleet_changes> &answer, bool isLoad);
     void handleSuccess(monotonic_time now);
     void handleFailure(std::error_code code, monotonic_time now);
-    monotonic_time retryDelay() const;
+    void handleHistoryLoss(monotonic_time now);
+    void scheduleRetry(unsigned failures, monotonic_time now);
+    monotonic_time retryDelay(unsigned failures) const;
     bool isInOutageGrace(monotonic_time now) const;
 
     fleet_store &m_store;
@@ -151,8 +149,9 @@
     unsigned m_failures = 0;          ///< since the last answer
     std::uint64_t m_calls = 0;
     std::uint64_t m_answersIgnored = 0;
-    std::uint64_t m_storeEra = 0; ///< in the last answer
     monotonic_time m_callStartedAt {0};
+    store_revision m_watchedRevision; ///< that the last watch started from
+    unsigned m_historyLosses = 0;     ///< watches refused since one was answered
     bool m_hasReadEarly = false;
     bool m_isReadingSnapshot = false;
     bool m_isSnapshotUnavailable = false; ///< there is none, or it can't be decoded
--- a/tests/model_fleet.h
+++ b/tests/model_fleet.h
@@ -39,8 +39,8 @@
     /** Applies one change; returns its revision. */
     store_revision commit(const fleet_change &change)
     {
-        ++revision;
-        m_history.emplace_back(revision, change);
+        ++revision.number;
+        m_history.emplace_back(revision.number, change);
         if (const auto *config = std::get_if<routing_config>(&change))
             this->config = *config;
         else if (const auto *announcement = std::get_if<upstream_announcement>(&change))
@@ -56,6 +56,14 @@
         return revision;
     }
 
+    /** Returns to the content of a copy; later numbers are given out again in a new era. */
+    void restore(const model_store &copy)
+    {
+        const auto era = revision.era + 1;
+        *this = copy;
+        revision.era = era;
+    }
+
     fleet_changes readAll() const
     {
         fleet_changes all;
@@ -68,39 +76,46 @@
             all.changes.emplace_back(registration);
         for (const std::string &domain : evacuatedDomains)
             all.changes.emplace_back(domain_evacuation {domain});
-        all.snapshotRevision = snapshot.revision;
+        all.snapshotRevision = snapshotRevision();
         return all;
     }
 
-    /** Changes after a revision, or error::HistoryLost. */
-    result<fleet_changes> changesAfter(store_revision after) const
+    /** Changes after a number, whatever its era, or error::HistoryLost. */
+    result<fleet_changes> changesAfter(std::uint64_t after) const
     {
-        if (after < m_compactedRevision)
+        if (after < m_compactedNumber || after > revision.number)
             return error::HistoryLost;
         fleet_changes changes;
         changes.revision = revision;
         for (const auto &[changedAt, change] : m_history) {
-            if (changedAt > after && changedAt != hiddenRevision)
+            if (changedAt > after && changedAt != hiddenNumber)
                 changes.changes.push_back(change);
         }
-        if (snapshot.revision > after)
-            changes.snapshotRevision = snapshot.revision;
+        if (snapshot.revision.number > after)
+            changes.snapshotRevision = snapshotRevision();
         return changes;
     }
 
+    /** Revision at which the snapshot was published, in the current era. */
+    store_revision snapshotRevision() const
+    {
+        return snapshot.revision ? store_revision {snapshot.revision.number, revision.era}
+                                 : store_revision {};
+    }
+
     void compactHistory()
     {
         m_history.clear();
-        m_compactedRevision = revision;
+        m_compactedNumber = revision.number;
     }
 
-    store_revision revision = 10;
+    store_revision revision {10, 1};
     routing_config config;
     std::map<std::string, upstream_announcement> upstreams;
     std::map<std::string, instance_registration> instances;
     std::set<std::string> evacuatedDomains;
     published_snapshot snapshot;
-    store_revision hiddenRevision = 0; ///< injected fault: watches omit this change
+    std::uint64_t hiddenNumber = 0; ///< injected fault: watches omit this change
 
 private:
     void setEvacuated(const domain_evacuation &evacuation)
@@ -111,8 +126,8 @@
             evacuatedDomains.insert(evacuation.domain);
     }
 
-    std::vector<std::pair<store_revision, fleet_change>> m_history;
-    store_revision m_compactedRevision = 10;
+    std::vector<std::pair<std::uint64_t, fleet_change>> m_history; ///< by number
+    std::uint64_t m_compactedNumber = 10;
 };
 
 /** Store client of one instance, with delayed and lost responses. */
@@ -136,10 +151,10 @@
         startCall(
             m_otherCalls,
             [this, done] {
-                if (m_store.snapshot.revision == 0)
+                if (!m_store.snapshot.revision)
                     done(error::NotFound);
                 else
-                    done(m_store.snapshot);
+                    done(published_snapshot {m_store.snapshotRevision(), m_store.snapshot.bytes});
             },
             [done](error code) { done(code); });
     }
@@ -151,11 +166,12 @@
         startCall(
             m_otherCalls,
             [this, copied, replaced, done] {
-                if (m_store.snapshot.revision != replaced) {
+                if (m_store.snapshot.revision.number != replaced.number) {
                     done(error::VersionConflict);
                     return;
                 }
-                m_store.snapshot = {++m_store.revision, copied};
+                ++m_store.revision.number;
+                m_store.snapshot = {m_store.revision, copied};
                 done({});
             },
             [done](error code) { done(code); });
@@ -215,7 +231,7 @@
 
     struct pending_watch
     {
-        store_revision after = 0;
+        store_revision after;
         monotonic_time until {0};
         handler done;
     };
@@ -257,7 +273,7 @@
     {
         if (!m_watch.done)
             return;
-        const auto changes = m_store.changesAfter(m_watch.after);
+        const auto changes = m_store.changesAfter(m_watch.after.number);
         const bool hasChanges = !changes || !changes.value().changes.empty();
         if (isReachable ? !hasChanges && m_clock.now() < m_watch.until
                         : m_clock.now() < m_watch.until + 700ms)
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -78,7 +78,7 @@
     void write(const std::string &text)
     {
         m_store.config = text;
-        ++m_store.revision;
+        ++m_store.revision.number;
     }
 
     memory_store &m_store;
--- a/tests/test_derived_settings.cpp
+++ b/tests/test_derived_settings.cpp
@@ -68,3 +68,15 @@
     CHECK(derivePublisherSettings(settings).interval == 0s);
     CHECK(deriveTransferLimits(settings).bytesPerSecond == settings.linkBytesPerSecond / 4);
 }
+
+TEST_CASE("The grace period after a restore outlasts the announcement of an upstream that is gone",
+          "[settings]")
+{
+    // Guards against an upstream that is used again because a restored store still lists it.
+    auto settings = settingsWith(3s, 6s);
+    CHECK(deriveRestoreGracePeriod(settings) > 0s);
+    for (const monotonic_time interval : {300ms, 1200ms, 5000ms}) {
+        settings.announcementInterval = interval;
+        CHECK(deriveRestoreGracePeriod(settings) > interval * 3);
+    }
+}
--- a/tests/test_evacuation.cpp
+++ b/tests/test_evacuation.cpp
@@ -185,9 +185,9 @@
     // Guards against an evacuation that returns with a late message or a slow read of the store.
     state_fixture fixture;
     fixture.state.replace({100, {makeConfig(1), domain_evacuation {"a"}}}, false, 1s);
-    fixture.state.adoptEvacuations(evacuated_domains {110, {}});
+    fixture.state.adoptEvacuations(evacuated_domains {110, {}}, 1s);
     CHECK(fixture.state.evacuations().names.empty());
-    fixture.state.adoptEvacuations(evacuated_domains {105, {"a"}});
+    fixture.state.adoptEvacuations(evacuated_domains {105, {"a"}}, 1s);
     CHECK(fixture.state.evacuations().names.empty());
     fixture.state.apply({107, {domain_evacuation {"a"}}}, false, 1s);
     CHECK(fixture.state.evacuations().names.empty());
--- a/tests/test_fleet_model.cpp
+++ b/tests/test_fleet_model.cpp
@@ -8,6 +8,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
+#include <functional>
+#include <map>
+
 using namespace chicoryhead;
 using namespace chicoryhead::test;
 
@@ -32,7 +36,8 @@
                 {"f-" + std::to_string(i), domains[i % 3], {0x0a000001 + i, 7720}});
         store.commit(makeConfig(1));
         for (int i = 0; i < 6; ++i)
-            store.commit(makeUpstream("i-" + std::to_string(i), "desk", domains[i % 3]));
+            store.commit(announcementOf("i-" + std::to_string(i), domains[i % 3]));
+        copyStore();
         m_processes.resize(instanceCount);
         m_observed.resize(instanceCount);
         m_restartAt.resize(instanceCount);
@@ -169,7 +174,7 @@
     void injectStaleState(const std::string &withdrawn)
     {
         auto snapshot = m_processes[0]->state.snapshot(0, 0, m_clock.now());
-        snapshot.revision += 1;
+        ++snapshot.revision.number;
         snapshot.contentRevision = snapshot.revision;
         snapshot.upstreams.push_back(makeUpstream(withdrawn, "desk", "a"));
         m_processes[0]->state.adopt(snapshot, m_clock.now(), m_clock.now());
@@ -177,6 +182,8 @@
 
     std::size_t stepCount() const { return m_stepCount; }
 
+    std::size_t restoreCount() const { return m_restoreCount; }
+
     const std::map<std::string, std::string> &violations() const { return m_violations; }
 
     model_store store;
@@ -224,7 +231,7 @@
     void injectRandomFault()
     {
         const auto i = randomInstance();
-        switch (m_random.next() % 12) {
+        switch (m_random.next() % 13) {
         case 0:
             if (m_processes[i])
                 killProcess(i);
@@ -266,11 +273,88 @@
                     killProcess(other);
             }
             break;
+        case 9:
+            restoreStore();
+            break;
         default:
             makeRandomStoreChange();
         }
     }
 
+    /// Restores the store from a copy that is up to ten seconds old. Operators and upstreams write
+    /// again what it lost; announcements of upstreams that are gone expire.
+    void restoreStore()
+    {
+        const model_store before = store;
+        store.restore(m_copies[m_random.next() % m_copies.size()]);
+        m_withdrawnAt.clear();
+        ++m_restoreCount;
+        if (store.config.version < before.config.version)
+            schedule(randomTime(m_random, 2s), [this, config = before.config] {
+                if (store.config.version < config.version)
+                    store.commit(config);
+            });
+        for (const auto &[name, announcement] : before.upstreams)
+            schedule(randomTime(m_random, 2s),
+                     [this, announced = announcement] { announceAgain(announced); });
+        for (const auto &[name, announcement] : store.upstreams) {
+            if (!before.upstreams.contains(name))
+                schedule(3600ms,
+                         [this, announced = announcement] { expireAnnouncement(announced); });
+        }
+        for (const char *domain : {"a", "b", "c"}) {
+            const bool isEvacuated = before.evacuatedDomains.contains(domain);
+            schedule(randomTime(m_random, 2s), [this, domain, isEvacuated] {
+                if (store.evacuatedDomains.contains(domain) != isEvacuated)
+                    store.commit(domain_evacuation {domain, !isEvacuated});
+            });
+        }
+    }
+
+    /// An upstream writes its state again, unless the store has a later announcement of it.
+    void announceAgain(upstream_announcement announced)
+    {
+        const auto storeEntry = store.upstreams.find(announced.name);
+        const bool isSuperseded = storeEntry != store.upstreams.end()
+            && storeEntry->second.sequenceNumber >= announced.sequenceNumber;
+        if (isSuperseded || m_withdrawnAt.contains(announced.name))
+            return;
+        announced.sequenceNumber = ++m_lastSequence;
+        store.commit(announced);
+    }
+
+    void expireAnnouncement(const upstream_announcement &announced)
+    {
+        const auto storeEntry = store.upstreams.find(announced.name);
+        if (storeEntry != store.upstreams.end()
+            && storeEntry->second.sequenceNumber == announced.sequenceNumber)
+            m_withdrawnAt[announced.name] = store.commit(upstream_withdrawal {announced.name});
+    }
+
+    void schedule(monotonic_time after, std::function<void()> callback)
+    {
+        m_scheduled.emplace(m_clock.now() + after, std::move(callback));
+    }
+
+    /// Keeps copies of the store of the last ten seconds.
+    void copyStore()
+    {
+        if (m_clock.now() < m_nextCopyAt)
+            return;
+        m_nextCopyAt = m_clock.now() + 1s;
+        m_copies.push_back(store);
+        if (m_copies.size() > 10)
+            m_copies.pop_front();
+    }
+
+    upstream_announcement announcementOf(const std::string &name, const char *domain = "a")
+    {
+        auto announced = makeUpstream(name, "desk", domain);
+        announced.startedAtMs = 1;
+        announced.sequenceNumber = ++m_lastSequence;
+        return announced;
+    }
+
     void makeRandomStoreChange()
     {
         const auto name = "i-" + std::to_string(m_random.next() % 12);
@@ -282,9 +366,9 @@
             store.commit(makeConfig(store.config.version + 1 + m_random.next() % 3));
         } else if (storeEntry == store.upstreams.end()) {
             m_withdrawnAt.erase(name);
-            store.commit(makeUpstream(name, "desk", "a"));
+            store.commit(announcementOf(name));
         } else if (chance(2)) {
-            auto draining = storeEntry->second;
+            auto draining = announcementOf(name);
             draining.isDraining = true;
             store.commit(draining);
         } else {
@@ -296,6 +380,11 @@
     {
         m_clock.advance(stepTime);
         ++m_stepCount;
+        copyStore();
+        while (!m_scheduled.empty() && m_scheduled.begin()->first <= m_clock.now()) {
+            const auto callback = m_scheduled.extract(m_scheduled.begin()).mapped();
+            callback();
+        }
         m_network.deliver();
         for (std::size_t i = 0; i < instanceCount; ++i) {
             if (!m_processes[i] && m_clock.now() >= m_restartAt[i])
@@ -344,6 +433,11 @@
     std::map<std::string, store_revision> m_withdrawnAt; ///< by upstream
     std::map<std::string, std::string> m_violations;     ///< first violation by invariant
     std::size_t m_stepCount = 0;
+    std::size_t m_restoreCount = 0;
+    std::deque<model_store> m_copies;
+    monotonic_time m_nextCopyAt {0};
+    std::multimap<monotonic_time, std::function<void()>> m_scheduled;
+    std::uint64_t m_lastSequence = 0; ///< of all upstreams together
 
 public:
     /** Withdraws an upstream and records the revision for the checks. */
@@ -367,6 +461,7 @@
           "[model]")
 {
     std::size_t stepCount = 0;
+    std::size_t restoreCount = 0;
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         fleet_model model(seed);
         model.runFor(3s);
@@ -380,8 +475,10 @@
         INFO("seed " << seed << ": " << describe(model));
         CHECK(model.violations().empty());
         stepCount += model.stepCount();
+        restoreCount += model.restoreCount();
     }
     CHECK(stepCount > 300'000);
+    CHECK(restoreCount > 100);
 }
 
 TEST_CASE("Halves of a fleet with different message formats agree through the store", "[model]")
@@ -407,14 +504,14 @@
     REQUIRE(model.violations().empty());
     SECTION("a withdrawal that watches omit")
     {
-        model.store.hiddenRevision = model.store.revision + 1;
+        model.store.hiddenNumber = model.store.revision.number + 1;
         model.withdraw("i-3");
         model.runFor(3s);
         CHECK(model.violations().contains("withdrawn"));
     }
     SECTION("a configuration that watches omit")
     {
-        model.store.hiddenRevision = model.store.revision + 1;
+        model.store.hiddenNumber = model.store.revision.number + 1;
         model.store.commit(makeConfig(9));
         model.runFor(convergenceTime);
         model.checkConvergence();
--- a/tests/test_instance_registrar.cpp
+++ b/tests/test_instance_registrar.cpp
@@ -56,7 +56,7 @@
     domain_first_placement placement {directory, {"a", 3, 7}};
     fleet_state state {routes, directory, placement, log};
     scripted_store store;
-    store_revision revision = 0;
+    std::uint64_t revision = 0;
     const instance_registration own {"f-1", "a", {0x0a000001, 7720}};
     instance_registrar registrar {own, store, state, clock, random, log};
 };
--- a/tests/test_operator_access.cpp
+++ b/tests/test_operator_access.cpp
@@ -80,7 +80,7 @@
     CHECK(before.value().decoded.version == 3);
 
     CHECK(fixture.access.replaceConfig(second, 0) == error::VersionConflict);
-    CHECK(fixture.access.replaceConfig(second, before.value().revision + 1)
+    CHECK(fixture.access.replaceConfig(second, before.value().revision.number + 1)
           == error::VersionConflict);
     CHECK(fixture.inStore([&] { return fixture.store->value(configKey); }) == first);
 
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -317,6 +317,16 @@
     CHECK(propagationBound(settings) == 1500ms);
 }
 
+TEST_CASE("The interval between announcements of an upstream is optional", "[platform]")
+{
+    std::vector<settings_problem> problems;
+    CHECK(decodeSettings(settingsText, problems).announcementInterval == 0s);
+    const auto settings =
+        decodeSettings(settingsWith("\"zone\"", "\"heartbeat_ms\":1200,\"zone\""), problems);
+    CHECK(problems.empty());
+    CHECK(settings.announcementInterval == 1200ms);
+}
+
 TEST_CASE("An invalid setting is reported with its path", "[platform]")
 {
     struct bad_case
@@ -330,6 +340,7 @@
           bad_case {"10.1.0.10:8172", "10.1.0.10", "listen_addrs.datagram_addr"},
           bad_case {"10.200.1.7:8169", "10.200.1.7:0", "platform.address"},
           bad_case {"7720", "80", "internal_ports.0"},
+          bad_case {"\"zone\"", "\"heartbeat_ms\":-1,\"zone\"", "heartbeat_ms"},
           bad_case {"\"grace_s\":6", "\"grace_s\":-1", "bounds.grace_s"},
           bad_case {"\"grace_s\":6", "\"grace_s\":6,\"evacuate_ms\":\"x\"", "bounds.evacuate_ms"},
           bad_case {"\"flow_ttl_s\":60", "\"ttl\":60", "bounds.flow_ttl_s"}}) {
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -72,7 +72,7 @@
     const auto loaded = fixture.load();
     REQUIRE(loaded);
     CHECK(loaded.value().changes.size() == 26);
-    CHECK(loaded.value().revision == 126);
+    CHECK(loaded.value().revision == store_revision {126, 1});
     CHECK(fixture.store.calls("/chicoryhead/kv-range") == 7);
 }
 
@@ -82,16 +82,47 @@
     store_fixture fixture;
     const auto copy = fixture.store.copy();
     fixture.store.put("servers/i-1", entryText);
-    CHECK(fixture.load().value().era == 1);
-    CHECK(fixture.watch(100).value().era == 1);
+    CHECK(fixture.load().value().revision.era == 1);
+    CHECK(fixture.watch(100).value().revision.era == 1);
     fixture.store.restore(copy);
     CHECK(fixture.watch(101).error() == error::HistoryLost);
     const auto loaded = fixture.load();
-    CHECK(loaded.value().era == 2);
-    CHECK(loaded.value().revision == 100);
+    CHECK(loaded.value().revision == store_revision {100, 2});
     CHECK(loaded.value().changes.empty());
 }
 
+TEST_CASE("A load during which the store is restored fails", "[store]")
+{
+    // Guards against a state that is half from before and half from after a restore.
+    store_fixture fixture;
+    for (int i = 0; i < 9; ++i)
+        fixture.store.put("servers/i-" + std::to_string(i), entryText);
+    fixture.store.setPageSize(4);
+    const auto copy = fixture.store.copy();
+    std::optional<result<fleet_changes>> outcome;
+    fixture.client.load([&](result<fleet_changes> answer) { outcome.emplace(std::move(answer)); });
+    fixture.runUntil([&] { return fixture.store.calls("/chicoryhead/kv-range") == 1; });
+    fixture.store.restore(copy);
+    fixture.runUntil([&] { return outcome.has_value(); });
+    CHECK(outcome->error() == error::HistoryLost);
+    CHECK(fixture.load().value().changes.size() == 9);
+}
+
+TEST_CASE("A snapshot has the era of the store that returned it", "[store]")
+{
+    store_fixture fixture;
+    std::optional<std::error_code> published;
+    fixture.client.publishSnapshot(std::vector<std::byte>(4), {},
+                                   [&](std::error_code code) { published = code; });
+    fixture.runUntil([&] { return published.has_value(); });
+    fixture.store.restore(fixture.store.copy());
+    std::optional<result<published_snapshot>> read;
+    fixture.client.readSnapshot(
+        [&](result<published_snapshot> answer) { read.emplace(std::move(answer)); });
+    fixture.runUntil([&] { return read.has_value(); });
+    CHECK(read->value().revision == store_revision {101, 2});
+}
+
 TEST_CASE("A watch returns changes, or an empty list at its timeout", "[store]")
 {
     store_fixture fixture;
@@ -99,14 +130,14 @@
     const auto empty = fixture.watch(revision);
     REQUIRE(empty);
     CHECK(empty.value().changes.empty());
-    CHECK(empty.value().revision == revision);
+    CHECK(empty.value().revision == store_revision {revision, 1});
 
     fixture.store.remove("servers/i-1");
     const auto changes = fixture.watch(revision);
     REQUIRE(changes);
     REQUIRE(changes.value().changes.size() == 1);
     CHECK(std::get<upstream_withdrawal>(changes.value().changes[0]).name == "i-1");
-    CHECK(changes.value().revision == revision + 1);
+    CHECK(changes.value().revision == store_revision {revision + 1, 1});
 }
 
 TEST_CASE("A pending watch returns when an item changes", "[store]")
--- a/tests/test_start_at_scale.cpp
+++ b/tests/test_start_at_scale.cpp
@@ -151,7 +151,7 @@
     SECTION("it does not publish while other instances do")
     {
         std::size_t published = 0;
-        for (store_revision revision = 501; revision < 510; ++revision) {
+        for (std::uint64_t revision = 501; revision < 510; ++revision) {
             fixture.publisher.onSnapshotPublished(revision);
             published += fixture.countPublishedWithin(8500ms, {});
         }
--- a/tests/test_state_changes.cpp
+++ b/tests/test_state_changes.cpp
@@ -50,7 +50,7 @@
         record(instance_deregistration {name}, name, "");
     }
 
-    /** Changes after a revision, as a watch returns them. */
+    /** Changes after a revision of the current era, as a watch returns them. */
     fleet_changes after(store_revision revision) const
     {
         fleet_changes changes {m_revision, {}};
@@ -59,6 +59,27 @@
         return changes;
     }
 
+    /** Returns to a number of the current era; the numbers after it are given out again. */
+    void restore(std::uint64_t number)
+    {
+        const store_revision restored {number, m_revision.era};
+        const store_revision next {number, m_revision.era + 1};
+        m_contents[next] = m_contents.at(restored);
+        const auto kept = m_changes.upper_bound(restored);
+        std::map<store_revision, fleet_change> changes;
+        std::map<store_revision, std::string> names;
+        for (auto entry = m_changes.begin(); entry != kept; ++entry) {
+            const store_revision renamed {entry->first.number, next.era};
+            changes.emplace(renamed, entry->second);
+            names.emplace(renamed, m_names.at(entry->first));
+            m_contents[renamed] = m_contents.at(entry->first);
+        }
+        m_changes = std::move(changes);
+        m_names = std::move(names);
+        m_contents[{100, next.era}] = {};
+        m_revision = next;
+    }
+
     /** The full state, as a load returns it. */
     fleet_changes fullState() const
     {
@@ -88,12 +109,13 @@
             content.erase(name);
         else
             content[name] = value;
-        m_contents[++m_revision] = std::move(content);
+        ++m_revision.number;
+        m_contents[m_revision] = std::move(content);
         m_changes.emplace(m_revision, change);
         m_names.emplace(m_revision, name);
     }
 
-    store_revision m_revision = 100;
+    store_revision m_revision {100, 1};
     std::map<store_revision, fleet_change> m_changes;
     std::map<store_revision, std::string> m_names;
     std::map<store_revision, fleet_content> m_contents;
@@ -193,29 +215,34 @@
             const unsigned changes = random() % 3;
             for (unsigned i = 0; i < changes; ++i)
                 changeSomething(store, random);
+            if (random() % 60 == 0)
+                store.restore(std::max<std::uint64_t>(store.revision().number - random() % 8, 100));
             replica &receiver = *instances[random() % instances.size()];
             const replica &sender = *instances[random() % instances.size()];
             const auto before = receiver.state.revision();
             const auto action = random() % 20;
-            if (before == 0 || action == 0)
+            const bool isSameEra = sender.state.revision().era == before.era;
+            const bool isOldEra = before.era < store.revision().era;
+            if (!before || action == 0 || (isOldEra && action < 6))
                 receiver.load(store);
             else if (action < 6)
                 receiver.watch(store);
-            else if (action < 9 && sender.state.contentRevision() <= before
+            else if (action < 9 && isSameEra && sender.state.contentRevision() <= before
                      && sender.state.revision() > before)
                 receiver.state.confirm(sender.state.revision(), receiver.now()); // as a digest does
-            else if (action < 13 && sender.state.revision() > 0)
+            else if (action < 13 && sender.state.revision())
                 inFlight.emplace_back(
                     &receiver,
                     sender.state.snapshot(0, random() % 4 == 0 ? 0 : before, sender.now()));
             else if (action < 16 && !inFlight.empty())
                 deliver(inFlight, random);
-            else if (&receiver != &sender && sender.state.revision() > 0)
+            else if (&receiver != &sender && sender.state.revision())
                 receiver.fetch(sender);
-            INFO("seed " << seed << " step " << step << " revision " << receiver.state.revision());
+            INFO("seed " << seed << " step " << step << " revision "
+                         << toString(receiver.state.revision()));
             REQUIRE(receiver.state.revision() >= before);
             for (const auto &instance : instances) {
-                if (instance->state.revision() > 0)
+                if (instance->state.revision())
                     REQUIRE(instance->content() == store.contentAt(instance->state.revision()));
             }
         }
@@ -297,7 +324,8 @@
     store.changeUpstream("i-1", false);
     reader.load(store);
     receiver.load(store);
-    const auto revision = store.revision() + 1;
+    auto revision = store.revision();
+    ++revision.number;
     reader.state.apply({revision, {makeConfig(2)}}, false, reader.now());
     SECTION("as a delta")
     {
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -469,7 +469,7 @@
     }
     fixture.follower.setRolePolicy([&] { return role; });
     fixture.synchronise();
-    store_revision revision = 100;
+    std::uint64_t revision = 100;
     const auto before = fixture.follower.callsStarted();
     for (int i = 0; i < 1000; ++i) {
         fixture.step(10ms);
@@ -600,7 +600,7 @@
     one.synchronise();
     other.synchronise();
     one.state.apply({110, {}}, true, one.clock.now());
-    store_revision revision = 110;
+    std::uint64_t revision = 110;
     for (int second = 0; second < 12; ++second) {
         follower_fixture &sender = second % 2 == 0 ? one : other;
         follower_fixture &receiver = second % 2 == 0 ? other : one;
