--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -121,6 +121,8 @@
         [&](result<published_snapshot> answer) { read.emplace(std::move(answer)); });
     fixture.runUntil([&] { return read.has_value(); });
     CHECK(read->value().revision == store_revision {101, 2});
+    // Guards against a publisher that expects no snapshot after it has loaded the store.
+    CHECK(fixture.load().value().snapshotRevision == store_revision {101, 2});
 }
 
 TEST_CASE("A watch returns changes, or an empty list at its timeout", "[store]")
