CLI: a restored store can't take a version that instances have passed

Looked for the cause of the incident elsewhere: 'config put' compares versions with the store alone, and its condition is a bare revision. After a restore a version above the store's but below the one in force was accepted, never applied, and 'config wait' said it was in force. The number that the write expects can stand for another change by then. Change: put asks one instance of each failure domain for its version; a write that is answered in another era than the read counts as unknown and is resolved by reading again. Instances log config_outdated.

--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -65,6 +65,10 @@
         return fail(call, exit_code::Unknown,
                     "no response from the store; the change may still take effect, check the "
                     "version later");
+    if (now.value().text != text && now.value().revision.era != base.revision.era)
+        return fail(call, exit_code::Refused,
+                    "the store was restored from a copy in the meantime and has version "
+                        + std::to_string(now.value().decoded.version));
     if (now.value().text != text)
         return fail(call, exit_code::Refused,
                     "the configuration was replaced by another operator in the meantime");
@@ -129,6 +133,12 @@
         return fail(call, exit_code::Invalid,
                     "version " + std::to_string(version) + " is not above the store's "
                         + std::to_string(current));
+    const config_version inForce = readVersionInForce(call, store);
+    if (version <= inForce)
+        return fail(call, exit_code::Invalid,
+                    "version " + std::to_string(version) + " is not above version "
+                        + std::to_string(inForce)
+                        + ", which is in force on instances; the store has an older copy");
     return submit(call, store, file.text, version, base);
 }
 
--- a/src/cli/instance_pages.cpp
+++ b/src/cli/instance_pages.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace chicoryhead {
 
@@ -60,6 +61,26 @@
     return rows;
 }
 
+config_version readVersionInForce(const command_call &call, operator_store &store)
+{
+    const auto fleet = store.readFleet();
+    if (!fleet)
+        return 0;
+    config_version highest = 0;
+    std::set<std::string> answered;
+    for (const fleet_change &change : fleet.value().changes) {
+        const auto *registration = std::get_if<instance_registration>(&change);
+        if (registration == nullptr || answered.contains(registration->domain))
+            continue;
+        const auto page = readInstancePage(call, *registration);
+        if (!page)
+            continue;
+        answered.insert(registration->domain);
+        highest = std::max(highest, page->version);
+    }
+    return highest;
+}
+
 result<std::vector<upstream_row>> readUpstreamPage(const command_call &call,
                                                    const instance_registration &instance)
 {
--- a/src/cli/instance_pages.h
+++ b/src/cli/instance_pages.h
@@ -47,6 +47,13 @@
 /** Registered instances sorted by name, each with its status page. Errors: those of the store. */
 result<std::vector<instance_row>> readInstances(const command_call &call, operator_store &store);
 
+/**
+ * The highest version in force on one instance of each failure domain. It is above the store's after
+ * the store was restored from a copy, as instances never return to an older version.
+ * @return 0 if no instance answers.
+ */
+config_version readVersionInForce(const command_call &call, operator_store &store);
+
 /** Reads the upstreams that an instance lists; error::Malformed, or an error of page_client. */
 result<std::vector<upstream_row>> readUpstreamPage(const command_call &call,
                                                    const instance_registration &instance);
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -400,6 +400,10 @@
 void fleet_state::applyOne(const routing_config &config, monotonic_time now)
 {
     const config_version previous = m_routes.version();
+    if (config.version < previous)
+        m_log.write(
+            "config_outdated",
+            {{"version", std::to_string(config.version)}, {"in_force", std::to_string(previous)}});
     if (!m_routes.apply(config, now))
         return;
     m_log.write("config_applied",
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -36,6 +36,7 @@
     std::error_code writeError;        ///< result of a replacement
     bool appliesDespiteError = false;  ///< a replacement takes effect although it returns an error
     std::string concurrentReplacement; ///< written by another operator before each replacement
+    std::uint64_t concurrentEra = 0;   ///< of the store after concurrentReplacement
     std::function<void()> onReadFleet = [] {
     };
 };
@@ -67,6 +68,7 @@
     {
         if (!m_store.concurrentReplacement.empty())
             write(m_store.concurrentReplacement);
+        m_store.revision.era = std::max(m_store.revision.era, m_store.concurrentEra);
         if (expected != m_store.revision && !m_store.writeError)
             return error::VersionConflict;
         if (!m_store.writeError || m_store.appliesDespiteError)
@@ -206,6 +208,33 @@
     CHECK(fixture.store.config == configText(6));
 }
 
+TEST_CASE("A version that instances have passed is rejected after the store was restored", "[cli]")
+{
+    // Guards against a configuration that the store accepts and no instance ever applies, because
+    // the store returned to an older one.
+    cli_fixture fixture;
+    fixture.setPage(2, 8);
+    CHECK(fixture.put(configText(7)) == exit_code::Invalid);
+    CHECK(contains(fixture.err.str(), "not above version 8, which is in force"));
+    CHECK(fixture.store.config == configText(4));
+    CHECK(fixture.put(configText(9)) == exit_code::Done);
+    SECTION("the store can be written while no instance answers")
+    {
+        fixture.pages.pages.clear();
+        CHECK(fixture.put(configText(10)) == exit_code::Done);
+    }
+}
+
+TEST_CASE("A replacement during which the store was restored is reported as such", "[cli]")
+{
+    cli_fixture fixture;
+    fixture.store.writeError = error::OutcomeUnknown;
+    fixture.store.concurrentReplacement = configText(3);
+    fixture.store.concurrentEra = 2;
+    CHECK(fixture.put(configText(5)) == exit_code::Refused);
+    CHECK(contains(fixture.err.str(), "restored from a copy in the meantime and has version 3"));
+}
+
 TEST_CASE("A configuration with an unusable route is rejected", "[cli]")
 {
     // Guards against a typing error in the file that removes a route still used by callers.
--- a/tests/test_operator_access.cpp
+++ b/tests/test_operator_access.cpp
@@ -88,6 +88,22 @@
     CHECK(fixture.inStore([&] { return fixture.store->value(configKey); }) == second);
 }
 
+TEST_CASE("A write to a store that was restored since the read has an unknown outcome",
+          "[operator]")
+{
+    // Guards against a replacement of a configuration that the operator has not read: its number
+    // was given out again.
+    access_fixture fixture;
+    REQUIRE_FALSE(fixture.access.replaceConfig(first, 0));
+    const auto before = fixture.access.readConfig().value();
+    CHECK(before.revision.era == 1);
+    fixture.inStore([&] { fixture.store->restore(fixture.store->copy()); });
+    CHECK(fixture.access.replaceConfig(second, before.revision) == error::OutcomeUnknown);
+    const auto after = fixture.access.readConfig().value();
+    CHECK(after.revision.era == 2);
+    CHECK_FALSE(fixture.access.replaceConfig(first, after.revision));
+}
+
 TEST_CASE("A write whose response is lost reports a timeout or an unknown outcome", "[operator]")
 {
     access_fixture fixture;
