Soak: the store is restored from a copy

Six processes and a store that loses two to six configurations and up to nine seconds of changes; operator and upstreams write them again within two seconds. Half of the restores are followed by undisturbed maintenance, which the checks of config and drain need.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 soak: build
 	@$(BUILD)/tests/soak/chicoryhead-soak --break all --jobs 6 --folder $(BUILD)/soak \
 		--program $(BUILD)/src/entry/chicoryhead-entry
-	@$(BUILD)/tests/soak/chicoryhead-soak --first 1 --count 3 --seeds 144,149,340 --require_occasions --jobs 6 --folder $(BUILD)/soak \
+	@$(BUILD)/tests/soak/chicoryhead-soak --first 1 --count 3 --seeds 144,149,340,2009 --require_occasions --jobs 6 --folder $(BUILD)/soak \
 		--program $(BUILD)/src/entry/chicoryhead-entry
 
 sanitize: deps
--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -135,10 +135,40 @@
 config_version deployment_standin::putConfig()
 {
     m_config.version += 1 + m_random.next() % 3;
-    m_store->put(std::string(platform::names::configKey), platform::encodeConfig(m_config));
+    writeConfig();
     return m_config.version;
 }
 
+void deployment_standin::writeConfig()
+{
+    m_store->put(std::string(platform::names::configKey), platform::encodeConfig(m_config));
+}
+
+void deployment_standin::rewriteLost()
+{
+    if (m_store->value(std::string(platform::names::configKey)) != platform::encodeConfig(m_config))
+        writeConfig();
+    for (const auto &upstream : m_upstreams) {
+        const auto &announced = upstream->announced();
+        if (m_store->value(platform::announcementKey(announced.name))
+            == platform::encodeAnnouncement(announced))
+            continue;
+        upstream->renewAnnouncement();
+        announce(*upstream);
+    }
+}
+
+void deployment_standin::expireAnnouncements()
+{
+    std::set<std::string> live;
+    for (const auto &upstream : m_upstreams)
+        live.insert(platform::announcementKey(upstream->announced().name));
+    for (const std::string &key : m_store->keys(std::string(platform::names::upstreamPrefix))) {
+        if (!live.contains(key))
+            m_store->remove(key);
+    }
+}
+
 std::string deployment_standin::addUpstream(unsigned service, unsigned domain)
 {
     std::array<char, 16> name {};
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -70,6 +70,12 @@
 
     const deployment_plan &plan() const { return m_plan; }
 
+    /** The operator and the upstreams write again what the store lacks after a restore. */
+    void rewriteLost();
+
+    /** Removes the announcements of upstreams that have stopped. */
+    void expireAnnouncements();
+
     /** The configuration that was written last. */
     const routing_config &config() const { return m_config; }
 
@@ -113,6 +119,7 @@
     endpoint address(unsigned kind, std::size_t number, std::uint16_t port) const;
     entry_settings settingsOf(unsigned domain, std::size_t number) const;
     void addInstance(unsigned domain);
+    void writeConfig();
     void announce(const upstream_standin &upstream);
     std::optional<endpoint> route(unsigned domain, const flow_key &flow);
     bool isInRotation(const deployed_instance &instance) const;
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -367,6 +367,16 @@
     return m_implementation->content.revision;
 }
 
+std::vector<std::string> store_standin::keys(const std::string &prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto &[key, stored] : m_implementation->content.items) {
+        if (key.starts_with(prefix))
+            found.push_back(key);
+    }
+    return found;
+}
+
 void store_standin::dropHistory()
 {
     m_implementation->content.history.clear();
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chicoryhead::standin {
 
@@ -76,6 +77,9 @@
     /** Revision of the last change. */
     std::uint64_t revision() const;
 
+    /** Keys with a prefix. */
+    std::vector<std::string> keys(const std::string &prefix) const;
+
     /** Drops the history, so that watches from an older revision get status 410. */
     void dropHistory();
 
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -32,7 +32,14 @@
                      deployment_observer &observer);
 
     /** Marks the announcement as draining; the owner writes it to the store. */
-    void drain() { m_announced.isDraining = true; }
+    void drain()
+    {
+        m_announced.isDraining = true;
+        ++m_announced.sequenceNumber;
+    }
+
+    /** Counts up the announcement, to write it to the store once more. */
+    void renewAnnouncement() { ++m_announced.sequenceNumber; }
 
     const upstream_announcement &announced() const { return m_announced; }
 
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -68,13 +68,13 @@
 
 void fault_injector::tick()
 {
-    constexpr std::array<action, 11> actions {
+    constexpr std::array<action, 12> actions {
         &fault_injector::pauseInstance,  &fault_injector::killInstance,
         &fault_injector::stopInstance,   &fault_injector::disturbStoreConnection,
         &fault_injector::disturbStore,   &fault_injector::dropHistory,
         &fault_injector::reloadSettings, &fault_injector::drainUpstream,
         &fault_injector::crashUpstream,  &fault_injector::changeConfig,
-        &fault_injector::killAll};
+        &fault_injector::killAll,        &fault_injector::restoreStore};
     const auto now = m_deployment.clock().now();
     while (!m_scheduled.empty() && m_scheduled.begin()->first <= now) {
         const auto callback = m_scheduled.extract(m_scheduled.begin()).mapped();
@@ -251,6 +251,52 @@
     m_deployment.store().dropHistory();
 }
 
+/// Copies the store, and restores it from the copy some seconds and changes later.
+void fault_injector::restoreStore()
+{
+    logEvent("store is copied");
+    const auto lostTime = drawTime(500, 9000);
+    const unsigned lostChanges = 2 + draw(5);
+    for (unsigned i = 0; i < lostChanges; ++i)
+        schedule(lostTime * static_cast<int>(i) / static_cast<int>(lostChanges),
+                 [this] { changeConfig(); });
+    schedule(lostTime, [this, copy = m_deployment.store().copy(), outage = drawTime(100, 2500)] {
+        beginRestore(copy, outage);
+    });
+}
+
+void fault_injector::beginRestore(const standin::store_copy &copy, monotonic_time outage)
+{
+    if (m_isStoreDisturbed || m_hasEnded)
+        return;
+    logEvent("store: away, to be restored");
+    m_isStoreDisturbed = true;
+    m_deployment.store().setBehaviour(store_behaviour::Silent);
+    updateStoreStability();
+    schedule(outage, [this, copy] { endRestore(copy); });
+}
+
+/// The operator and the upstreams write again what the copy lacks; announcements of upstreams that
+/// have stopped expire.
+void fault_injector::endRestore(const standin::store_copy &copy)
+{
+    logEvent("store is restored from the copy");
+    m_deployment.store().restore(copy);
+    m_deployment.store().setBehaviour(store_behaviour::Serving);
+    schedule(drawTime(0, 1900), [this] { m_deployment.rewriteLost(); });
+    schedule(announcementExpiry, [this] {
+        m_deployment.expireAnnouncements();
+        m_isStoreDisturbed = false;
+        updateStoreStability();
+    });
+    // Changes that follow undisturbed show whether the instances still compare revisions with those
+    // from before.
+    if (draw(2) == 0) {
+        schedule(maintenanceDelay, [this] { startPlannedMaintenance(); });
+        m_nextFault = m_deployment.clock().now() + maintenanceDelay + maintenanceTime;
+    }
+}
+
 void fault_injector::reloadSettings()
 {
     const auto &program = *instances()[drawInstance()].program;
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -57,6 +57,9 @@
     void disturbStoreConnection();
     void disturbStore();
     void dropHistory();
+    void restoreStore();
+    void beginRestore(const standin::store_copy &copy, monotonic_time outage);
+    void endRestore(const standin::store_copy &copy);
     void reloadSettings();
     /** Chooses an upstream that may be removed; empty if the service has too few left. */
     std::string drawUpstream(unsigned service);
