Fix: an odd entry in the store no longer spoils the states sent to others

Cause: the decoder of the store's items checked types only, the one of messages between instances has limits. 2^32 slots were cut to none, a warm-up of 2^63 ms overflowed, port 0 was taken. Ruled out: deep nesting (parsed iteratively, 200,000 levels), numbers beyond 64 bits, ports out of range: refused before, no process ends. Change: one set of limits for both decoders. What is out of range makes an announcement malformed and a route unusable.

--- a/src/cli/instance_pages.h
+++ b/src/cli/instance_pages.h
@@ -48,8 +48,8 @@
 result<std::vector<instance_row>> readInstances(const command_call &call, operator_store &store);
 
 /**
- * The highest version in force on one instance of each failure domain. It is above the store's after
- * the store was restored from a copy, as instances never return to an older version.
+ * The highest version in force on one instance of each failure domain. It is above the store's
+ * after the store was restored from a copy, as instances never return to an older version.
  * @return 0 if no instance answers.
  */
 config_version readVersionInForce(const command_call &call, operator_store &store);
--- a/src/core/codec_func.h
+++ b/src/core/codec_func.h
@@ -13,6 +13,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <istream>
@@ -26,13 +27,18 @@
 
 namespace chicoryhead {
 
-/** Writes a container with a 16-bit element count. */
+/** Writes a container with a 16-bit element count; leaves out the elements beyond. */
 template<typename Archive, typename Container>
 void saveBounded(Archive &archive, const Container &items)
 {
-    archive(static_cast<std::uint16_t>(items.size()));
-    for (const auto &item : items)
+    const auto count = static_cast<std::uint16_t>(std::min<std::size_t>(items.size(), UINT16_MAX));
+    archive(count);
+    std::uint16_t saved = 0;
+    for (const auto &item : items) {
+        if (saved++ == count)
+            break;
         archive(item);
+    }
 }
 
 /**
@@ -52,13 +58,14 @@
         archive(item);
 }
 
-/** Writes the bytes of a string or vector as one block, with a 16-bit length. */
+/** Writes the bytes of a string or vector as one block, with a 16-bit length; cuts longer ones. */
 template<typename Archive, typename Bytes>
 void saveBytes(Archive &archive, const Bytes &bytes)
 {
     static_assert(sizeof(typename Bytes::value_type) == 1);
-    archive(static_cast<std::uint16_t>(bytes.size()));
-    archive(cereal::binary_data(bytes.data(), bytes.size()));
+    const auto count = static_cast<std::uint16_t>(std::min<std::size_t>(bytes.size(), UINT16_MAX));
+    archive(count);
+    archive(cereal::binary_data(bytes.data(), count));
 }
 
 /**
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -6,6 +6,7 @@
 #include "gossip_codec_func.h"
 
 #include "core/codec_func.h"
+#include "core/field_limits.h"
 #include "sync/registration_codec_func.h"
 
 #include <cereal/types/string.hpp>
@@ -108,7 +109,7 @@
 template<typename Archive>
 void load(Archive &archive, gossip_liveness_reports &value)
 {
-    loadBytes(archive, value.domain, detail::maxNameBytes);
+    loadBytes(archive, value.domain, maxNameBytes);
     std::uint8_t isReply = 0;
     archive(isReply);
     value.isReply = isReply != 0;
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -447,6 +447,10 @@
 
 void fleet_state::applyOne(const upstream_withdrawal &withdrawal, monotonic_time now)
 {
+    if (withdrawal.isMalformed)
+        m_log.write("upstream_malformed",
+                    {{"upstream", withdrawal.name},
+                     {"known", m_directory.find(withdrawal.name) == nullptr ? "0" : "1"}});
     withdraw(withdrawal.name, withdrawal.isMalformed ? "malformed" : "removed",
              isInOutageGrace(now) && !withdrawal.isMalformed, now);
 }
--- a/src/sync/registration_codec_func.h
+++ b/src/sync/registration_codec_func.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "core/codec_func.h"
+#include "core/field_limits.h"
 #include "fleet_store_base.h"
 
 #include <cstddef>
@@ -53,7 +54,6 @@
         message.evacuations->revision.era = eras->evacuations;
 }
 
-inline constexpr std::size_t maxNameBytes = 512; ///< name of an instance, upstream, service, domain
 inline constexpr std::size_t maxEvacuatedDomains = 1024;
 
 } // namespace detail
@@ -75,8 +75,8 @@
 template<typename Archive>
 void load(Archive &archive, instance_registration &value)
 {
-    loadBytes(archive, value.name, detail::maxNameBytes);
-    loadBytes(archive, value.domain, detail::maxNameBytes);
+    loadBytes(archive, value.name, maxNameBytes);
+    loadBytes(archive, value.domain, maxNameBytes);
     archive(value.peerAddress);
 }
 
@@ -97,7 +97,7 @@
         throw std::length_error("count above bound");
     for (std::uint16_t i = 0; i < count; ++i) {
         std::string name;
-        loadBytes(archive, name, detail::maxNameBytes);
+        loadBytes(archive, name, maxNameBytes);
         value.names.insert(std::move(name));
     }
 }
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -7,6 +7,7 @@
 
 #include "core/codec_func.h"
 #include "core/compress_func.h"
+#include "core/field_limits.h"
 #include "registration_codec_func.h"
 
 #include <cstdint>
@@ -24,11 +25,6 @@
 /// Size limit of a decompressed state; it has 8.5 MB at the fleet size planned for in two years.
 constexpr std::size_t maxStateBytes = std::size_t {32} * 1024 * 1024;
 
-constexpr std::size_t maxTargets = 256;
-constexpr std::size_t maxListEntries =
-    65535; ///< routes, upstreams and instances: the count has 16 bits
-using detail::maxNameBytes;
-
 void saveNames(cereal::PortableBinaryOutputArchive &archive, const std::vector<std::string> &names)
 {
     archive(static_cast<std::uint16_t>(names.size()));
@@ -73,6 +69,8 @@
 {
     std::int64_t count = 0;
     archive(count);
+    if (count < 0 || count > maxDuration.count())
+        throw std::out_of_range("duration out of range");
     time = monotonic_time(count);
 }
 
@@ -111,7 +109,7 @@
 {
     loadBytes(archive, value.name, maxNameBytes);
     archive(value.address);
-    loadBounded(archive, value.targets, maxTargets);
+    loadBounded(archive, value.targets, maxRouteTargets);
     if (value.targets.empty())
         throw std::length_error("route without target");
     loadTime(archive, value.targetLatency);
