Gossip: releases without eras get changes instead of full states

Found by reading before the landing: an instance of the former release sends no era with its request, so it got the full state for each change while both releases run side by side. Unless a restore was seen, its number can only be of the same era, and it gets the changes after it. After a restore it gets the full state, as its number can stand for another one. Test: 'A release without eras gets changes, and after a restore the full state', 18 upstreams instead of 1 before.

--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -309,7 +309,11 @@
 {
     if (!m_state.isSynchronised())
         return;
-    auto state = m_state.snapshot(request.configVersion, request.revision, m_clock.now());
+    store_revision known = request.revision;
+    // Unless the store was restored, a requester of another release can only be in the same era.
+    if (!request.hasEra && !m_state.hasSeenRestore())
+        known.era = m_state.revision().era;
+    auto state = m_state.snapshot(request.configVersion, known, m_clock.now());
     state.ageMs = ageMs(m_state.confirmedAt());
     m_transfers.enqueue(from, request.nonce, encodeState(state));
 }
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -168,6 +168,7 @@
     auto decoded = decodeExtended<gossip_state_request>(gossipFormatVersion, bytes, era);
     if (!decoded)
         return decoded.error();
+    decoded.value().hasEra = era.has_value();
     decoded.value().revision.era = era.value_or(0);
     return gossip_message(decoded.value());
 }
@@ -184,8 +185,10 @@
 
 std::vector<std::byte> encodeGossip(const gossip_state_request &message)
 {
-    return encodeAs(message_type::StateRequest, message,
-                    std::optional<std::uint64_t>(message.revision.era));
+    std::optional<std::uint64_t> era;
+    if (message.hasEra)
+        era = message.revision.era;
+    return encodeAs(message_type::StateRequest, message, era);
 }
 
 std::vector<std::byte> encodeGossip(const gossip_state_fragment &message)
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -53,6 +53,7 @@
     config_version configVersion = 0; ///< that the requester has; 0 for none
     store_revision revision;          ///< that the requester's state includes; 0 for none
     std::uint64_t nonce = 0;          ///< random; the response repeats it
+    bool hasEra = true;               ///< false if the requester's release does not report eras
 };
 
 /** One fragment of an encoded state. */
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -120,6 +120,7 @@
 
 void fleet_state::beginRestoreGrace(monotonic_time now)
 {
+    m_hasSeenRestore = true;
     m_restoreGraceEnd = now + m_restoreGracePeriod;
     // Upstreams that are missing now are announced again, as after an outage.
     m_outageGraceEnd = std::max(m_outageGraceEnd, now + outageGracePeriod);
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -114,6 +114,9 @@
      */
     store_revision completeRevision() const { return std::min(m_revision, m_evacuations.revision); }
 
+    /** Whether the store was restored while this process has been running. */
+    bool hasSeenRestore() const { return m_hasSeenRestore; }
+
     /** Failure domains that are being evacuated according to the store. */
     const evacuated_domains &evacuations() const { return m_evacuations; }
 
@@ -223,6 +226,7 @@
     /// unless the grace period after a restore is running.
     std::map<std::string, upstream_announcement> m_outdatedAnnouncements;
     std::map<std::string, instance_registration> m_formerInstances; ///< none is in m_instances
+    bool m_hasSeenRestore = false;
     monotonic_time m_restoreGracePeriod = std::chrono::seconds(5);
     monotonic_time m_restoreGraceEnd {0}; ///< 0 if no grace period is running
     monotonic_time m_confirmedAt {0};
--- a/tests/test_store_eras.cpp
+++ b/tests/test_store_eras.cpp
@@ -343,6 +343,40 @@
     CHECK_FALSE(decodeState(encodeState(snapshot)).value().hasEra);
 }
 
+TEST_CASE("A release without eras gets changes, and after a restore the full state", "[restore]")
+{
+    // Guards against full states for each change while releases run side by side, and against a
+    // delta after a number that was given out again.
+    gossip_fixture fixture(2);
+    auto &sender = *fixture.instances[0];
+    const auto countUpstreams = [&] {
+        std::optional<state_snapshot> received;
+        fragment_assembler assembler;
+        assembler.expectResponse(fixture.registrations[0].peerAddress, 5);
+        fixture.network.attach(fixture.registrations[1].peerAddress,
+                               [&](std::span<const std::byte> bytes, const endpoint &from) {
+                                   const auto message = decodeGossip(bytes);
+                                   const auto *fragment =
+                                       std::get_if<gossip_state_fragment>(&message.value());
+                                   if (fragment == nullptr || fragment->nonce != 5)
+                                       return;
+                                   if (const auto state = assembler.addFragment(from, *fragment))
+                                       received = decodeState(*state).value();
+                               });
+        gossip_state_request request {1, 100, 5, false};
+        sender.gossip.receive(fixture.registrations[1].peerAddress, encodeGossip(request));
+        fixture.run(300ms);
+        REQUIRE(received);
+        return received->upstreams.size();
+    };
+    fixture.applyStoreContent(sender, fixture.storeContent({100, 3}, 1));
+    sender.state.apply({{101, 3}, {announcementOf("i-3", 5)}}, false, fixture.clock.now());
+    CHECK(countUpstreams() == 1);
+    fixture.applyStoreContent(sender, fixture.storeContent({100, 4}, 1));
+    sender.state.apply({{101, 4}, {announcementOf("i-3", 6)}}, false, fixture.clock.now());
+    CHECK(countUpstreams() == 18);
+}
+
 TEST_CASE("A state of a release without eras is used, but confirms nothing", "[restore]")
 {
     // Guards against a state of unknown era that keeps an instance from reading the store.
