--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -120,18 +120,15 @@
 
 void fleet_state::beginRestoreGrace(monotonic_time now)
 {
-    m_hasSeenRestore = true;
-    m_restoreGraceEnd = now + m_restoreGracePeriod;
+    m_restoreGrace.begin(now);
     // Upstreams that are missing now are announced again, as after an outage.
     m_outageGraceEnd = std::max(m_outageGraceEnd, now + outageGracePeriod);
 }
 
 void fleet_state::endRestoreGrace(monotonic_time now)
 {
-    m_restoreGraceEnd = monotonic_time {0};
-    for (const auto &[name, announced] : std::exchange(m_outdatedAnnouncements, {}))
+    for (const auto &[name, announced] : m_restoreGrace.end())
         applyOne(announced, now);
-    m_formerInstances.clear();
     ++m_instancesVersion;
     setEvacuatedDomains(m_evacuations.names);
 }
@@ -145,8 +142,7 @@
                  {"revision", toString(fullState.revision)},
                  {"state_revision", toString(m_revision)}});
     beginRestoreGrace(now);
-    m_formerInstances.merge(m_instances);
-    m_outdatedAnnouncements.clear();
+    m_restoreGrace.keepInstances(std::exchange(m_instances, {}));
     m_contentRevision = fullState.revision;
 }
 
@@ -205,8 +201,7 @@
         if (!upstreams.contains(name))
             withdraw(name, "not_listed", isInOutageGrace(now), now);
     }
-    std::erase_if(m_outdatedAnnouncements,
-                  [&](const auto &entry) { return !upstreams.contains(entry.first); });
+    m_restoreGrace.discardUnless([&](const std::string &name) { return upstreams.contains(name); });
     std::erase_if(m_instances, [&](const auto &entry) { return !instances.contains(entry.first); });
     ++m_instancesVersion;
     applyAll(fullState, now);
@@ -322,10 +317,10 @@
 void fleet_state::addFullState(state_snapshot &snapshot, monotonic_time now) const
 {
     for (const std::string &name : m_directory.announcedNames()) {
-        if (!m_outdatedAnnouncements.contains(name))
+        if (!m_restoreGrace.heldBack().contains(name))
             addUpstream(snapshot, name, now);
     }
-    for (const auto &[name, announced] : m_outdatedAnnouncements)
+    for (const auto &[name, announced] : m_restoreGrace.heldBack())
         addUpstream(snapshot, name, now);
     for (const auto &[name, registration] : m_instances)
         snapshot.instances.push_back(registration);
@@ -354,9 +349,9 @@
 bool fleet_state::addUpstream(state_snapshot &snapshot, const std::string &name,
                               monotonic_time now) const
 {
-    const auto outdated = m_outdatedAnnouncements.find(name);
-    if (outdated != m_outdatedAnnouncements.end()) {
-        snapshot.upstreams.push_back(outdated->second);
+    const auto heldBack = m_restoreGrace.heldBack().find(name);
+    if (heldBack != m_restoreGrace.heldBack().end()) {
+        snapshot.upstreams.push_back(heldBack->second);
         return true;
     }
     const auto *record = m_directory.find(name);
@@ -392,7 +387,7 @@
 
 void fleet_state::expire(monotonic_time now)
 {
-    if (m_restoreGraceEnd.count() > 0 && now >= m_restoreGraceEnd)
+    if (m_restoreGrace.isOver(now))
         endRestoreGrace(now);
     for (const upstream_id id : m_directory.expire(now))
         notifyRemoved(id);
@@ -419,11 +414,11 @@
 
 void fleet_state::applyOne(const upstream_announcement &announced, monotonic_time now)
 {
-    if (m_restoreGraceEnd.count() > 0 && m_directory.isOutdated(announced)) {
-        m_outdatedAnnouncements[announced.name] = announced;
+    if (m_restoreGrace.isRunning() && m_directory.isOutdated(announced)) {
+        m_restoreGrace.holdBack(announced);
         return;
     }
-    m_outdatedAnnouncements.erase(announced.name);
+    m_restoreGrace.discard(announced.name);
     const auto *known = m_directory.find(announced.name);
     const bool isNew = known == nullptr;
     const auto previous = isNew ? lifecycle_state::Gone : known->lifecycle;
@@ -458,14 +453,14 @@
 
 void fleet_state::applyOne(const instance_registration &registration, monotonic_time /*now*/)
 {
-    m_formerInstances.erase(registration.name);
+    m_restoreGrace.discardInstance(registration.name);
     m_instances[registration.name] = registration;
     ++m_instancesVersion;
 }
 
 void fleet_state::applyOne(const instance_deregistration &deregistration, monotonic_time /*now*/)
 {
-    m_formerInstances.erase(deregistration.name);
+    m_restoreGrace.discardInstance(deregistration.name);
     m_instances.erase(deregistration.name);
     ++m_instancesVersion;
 }
@@ -479,7 +474,7 @@
 void fleet_state::withdraw(const std::string &name, std::string_view cause, bool mayReturn,
                            monotonic_time now)
 {
-    m_outdatedAnnouncements.erase(name);
+    m_restoreGrace.discard(name);
     const auto *known = m_directory.find(name);
     if (known == nullptr || known->lifecycle == lifecycle_state::Gone)
         return;
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -14,6 +14,7 @@
 #include "directory/directory_base.h"
 #include "eventlog/event_log_base.h"
 #include "fleet_store_base.h"
+#include "restore_grace_base.h"
 #include "routing/routing_base.h"
 #include "state_snapshot_type.h"
 
@@ -41,7 +42,7 @@
     void setOutageThreshold(monotonic_time threshold) { m_outageThreshold = threshold; }
 
     /** Sets how long the state from before a restore of the store counts if the store lacks it. */
-    void setRestoreGracePeriod(monotonic_time period) { m_restoreGracePeriod = period; }
+    void setRestoreGracePeriod(monotonic_time period) { m_restoreGrace.setPeriod(period); }
 
     /** Adds a listener that is notified of removed upstreams; it must outlive the state. */
     void addListener(upstream_listener &listener) { m_listeners.push_back(&listener); }
@@ -115,7 +116,7 @@
     store_revision completeRevision() const { return std::min(m_revision, m_evacuations.revision); }
 
     /** Whether the store was restored while this process has been running. */
-    bool hasSeenRestore() const { return m_hasSeenRestore; }
+    bool hasSeenRestore() const { return m_restoreGrace.hasBegun(); }
 
     /** Failure domains that are being evacuated according to the store. */
     const evacuated_domains &evacuations() const { return m_evacuations; }
@@ -166,7 +167,7 @@
      */
     const std::map<std::string, instance_registration> &formerInstances() const
     {
-        return m_formerInstances;
+        return m_restoreGrace.formerInstances();
     }
 
 private:
@@ -222,13 +223,7 @@
     /// Equal to the names of m_evacuations except during the grace period after a restore.
     std::set<std::string> m_evacuatedDomains;
     store_revision m_contentRevision; ///< at most m_revision
-    /// Announcements in the restored store that are older than the known ones, by name; empty
-    /// unless the grace period after a restore is running.
-    std::map<std::string, upstream_announcement> m_outdatedAnnouncements;
-    std::map<std::string, instance_registration> m_formerInstances; ///< none is in m_instances
-    bool m_hasSeenRestore = false;
-    monotonic_time m_restoreGracePeriod = std::chrono::seconds(5);
-    monotonic_time m_restoreGraceEnd {0}; ///< 0 if no grace period is running
+    restore_grace m_restoreGrace;     ///< none of its instances is in m_instances
     monotonic_time m_confirmedAt {0};
     monotonic_time m_outageThreshold = std::chrono::seconds(2);
     monotonic_time m_outageGraceEnd {0}; ///< missing upstreams may be announced again until then
