Store: an answer without an era is taken for one of the last era

Found while writing the postmortem: an answer without the header was taken for era 0, so older than any state, and never applied. The header is in all answers of the store; one that lacks it says nothing about a restore.

--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -141,13 +141,14 @@
 
     void respond(const restinio::request_handle_t &request, int status, const json &body) const
     {
-        request
-            ->create_response(restinio::http_status_line_t(
-                restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "Status"))
-            .append_header(restinio::http_field::content_type, "application/json")
-            .append_header(std::string(platform::names::storeEraHeader), std::to_string(era))
-            .set_body(body.dump())
-            .done();
+        auto response = request->create_response(restinio::http_status_line_t(
+            restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "Status"));
+        response.append_header(restinio::http_field::content_type, "application/json");
+        if (sendsEra)
+            response.append_header(std::string(platform::names::storeEraHeader),
+                                   std::to_string(era));
+        response.set_body(body.dump());
+        response.done();
     }
 
     void serve(const std::string &path, const restinio::request_handle_t &request)
@@ -306,6 +307,7 @@
     std::list<pending_watch> watches;
     std::list<restinio::request_handle_t> unansweredRequests; ///< kept open
     std::map<std::string, std::size_t> calls;
+    bool sendsEra = true;
     std::uint64_t era = 1; ///< counts up with each restore
     std::size_t pageSize = 500;
     store_behaviour behaviour = store_behaviour::Serving;
@@ -362,6 +364,11 @@
     return m_implementation->era;
 }
 
+void store_standin::setSendsEra(bool sendsEra)
+{
+    m_implementation->sendsEra = sendsEra;
+}
+
 std::uint64_t store_standin::revision() const
 {
     return m_implementation->content.revision;
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -74,6 +74,9 @@
     /** Era in the header of each answer. */
     std::uint64_t era() const;
 
+    /** Sets whether answers have the header with the era. */
+    void setSendsEra(bool sendsEra);
+
     /** Revision of the last change. */
     std::uint64_t revision() const;
 
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -91,6 +91,21 @@
     CHECK(loaded.value().changes.empty());
 }
 
+TEST_CASE("An answer without an era is taken for one of the last era", "[store]")
+{
+    // Guards against answers that are never applied because they look older than the state.
+    store_fixture fixture;
+    fixture.store.setSendsEra(false);
+    CHECK(fixture.load().value().revision == store_revision {100, 0});
+    fixture.store.setSendsEra(true);
+    fixture.store.restore(fixture.store.copy());
+    CHECK(fixture.load().value().revision == store_revision {100, 2});
+    fixture.store.setSendsEra(false);
+    fixture.store.put("servers/i-1", entryText);
+    CHECK(fixture.watch(100).value().revision == store_revision {101, 2});
+    CHECK(fixture.load().value().revision == store_revision {101, 2});
+}
+
 TEST_CASE("A load during which the store is restored fails", "[store]")
 {
     // Guards against a state that is half from before and half from after a restore.
