CLI: evacuate a failure domain, and follow how its flows end

Operators could evacuate a domain only by writing the store's item by hand: a misspelled domain evacuated nothing and looked like success, a second evacuation could leave a service without upstreams, and nothing told which instances follow or how many flows are left.

"chicoryhead evacuations" lists what is being evacuated. A lost response is resolved by reading the store again.

Left out: a metric of the flows in evacuated domains. The pages have them by upstream.

--- a/src/cli/argument.h
+++ b/src/cli/argument.h
@@ -18,6 +18,9 @@
 DECLARE_uint64(base);
 DECLARE_uint32(timeout);
 DECLARE_uint32(pages_port);
+DECLARE_bool(end);
+DECLARE_bool(force);
+DECLARE_bool(wait);
 
 namespace chicoryhead {
 
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -17,7 +17,7 @@
 
 constexpr const char *exitCodeHelp = R"(Exit codes:
   0  done
-  1  refused: the configuration is not the version that the change is based on
+  1  refused: not the state that the change is based on
   2  usage error
   3  invalid input; nothing was changed
   4  store or file not readable; nothing was changed
--- a/src/cli/cli_base.h
+++ b/src/cli/cli_base.h
@@ -21,7 +21,7 @@
 /** Exit codes of the client, documented in docs/operators-guide.md. */
 enum class exit_code : int {
     Done = 0,
-    Refused = 1, ///< the configuration is not the version that the change is based on
+    Refused = 1, ///< the store does not have the state that the change is based on
     Usage = 2,
     Invalid = 3,     ///< malformed input, or the store rejected the change
     Unavailable = 4, ///< store or file can't be read; nothing was changed
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -63,6 +63,8 @@
 exit_code runFlows(const command_call &call);
 exit_code runDomains(const command_call &call);
 exit_code runUnhealthy(const command_call &call);
+exit_code runEvacuate(const command_call &call);
+exit_code runEvacuations(const command_call &call);
 exit_code runTrace(const command_call &call);
 
 } // namespace chicoryhead
--- a/src/cli/instance_pages.cpp
+++ b/src/cli/instance_pages.cpp
@@ -45,19 +45,28 @@
 
 } // namespace
 
+std::vector<instance_registration> registeredInstances(const fleet_changes &fleet)
+{
+    std::vector<instance_registration> registrations;
+    for (const fleet_change &change : fleet.changes) {
+        if (const auto *registration = std::get_if<instance_registration>(&change))
+            registrations.push_back(*registration);
+    }
+    std::sort(registrations.begin(), registrations.end(),
+              [](const auto &a, const auto &b) { return a.name < b.name; });
+    return registrations;
+}
+
 result<std::vector<instance_row>> readInstances(const command_call &call, operator_store &store)
 {
     const auto fleet = store.readFleet();
     if (!fleet)
         return fleet.error();
     std::vector<instance_row> rows;
-    for (const fleet_change &change : fleet.value().changes) {
-        if (const auto *registration = std::get_if<instance_registration>(&change))
-            rows.push_back({*registration, readInstancePage(call, *registration)});
+    for (instance_registration &registration : registeredInstances(fleet.value())) {
+        auto page = readInstancePage(call, registration);
+        rows.push_back({std::move(registration), std::move(page)});
     }
-    std::sort(rows.begin(), rows.end(), [](const instance_row &a, const instance_row &b) {
-        return a.registration.name < b.registration.name;
-    });
     return rows;
 }
 
@@ -93,7 +102,8 @@
         for (const json &fields : document.at("upstreams"))
             rows.push_back({fields.at("service"), fields.at("name"), fields.at("standing"),
                             fields.at("suspected"), fields.at("latency_us"), fields.at("flows"),
-                            fields.value("domain", ""), fields.value("verdict", "")});
+                            fields.value("domain", ""), fields.value("verdict", ""),
+                            fields.value("evacuated", false)});
     } catch (const json::exception &) {
         return error::Malformed;
     }
--- a/src/cli/instance_pages.h
+++ b/src/cli/instance_pages.h
@@ -40,10 +40,14 @@
     bool isSuspected = false;
     std::uint64_t latencyUs = 0; ///< 0 if unknown
     std::uint64_t flows = 0;
-    std::string domain;  ///< empty if the instance runs an older release
-    std::string verdict; ///< answering, silent or dead; empty with an older release
+    std::string domain;       ///< empty if the instance runs an older release
+    std::string verdict;      ///< answering, silent or dead; empty with an older release
+    bool isEvacuated = false; ///< false with an older release
 };
 
+/** The registrations among the items of the store, sorted by name. */
+std::vector<instance_registration> registeredInstances(const fleet_changes &fleet);
+
 /** Registered instances sorted by name, each with its status page. Errors: those of the store. */
 result<std::vector<instance_row>> readInstances(const command_call &call, operator_store &store);
 
--- a/src/cli/operator_store_base.h
+++ b/src/cli/operator_store_base.h
@@ -39,6 +39,16 @@
      * replaced.
      */
     virtual std::error_code replaceConfig(const std::string &text, store_revision expected) = 0;
+
+    /**
+     * Starts the evacuation of a failure domain.
+     * @return success; error::VersionConflict if it has started before; otherwise as for
+     * replaceConfig().
+     */
+    virtual std::error_code startEvacuation(const std::string &domain) = 0;
+
+    /** Ends an evacuation, if there is one. @return as for replaceConfig(). */
+    virtual std::error_code endEvacuation(const std::string &domain) = 0;
 };
 
 /** HTTP client for the status pages of instances. */
--- a/src/cli/table/command_table.h
+++ b/src/cli/table/command_table.h
@@ -18,12 +18,14 @@
 inline constexpr std::array<std::string_view, 1> jsonFlags {"json"};
 inline constexpr std::array<std::string_view, 2> waitFlags {"pages_port", "timeout"};
 inline constexpr std::array<std::string_view, 1> putFlags {"base"};
+inline constexpr std::array<std::string_view, 5> evacuateFlags {"end", "force", "wait", "timeout",
+                                                                "pages_port"};
 inline constexpr std::array<std::string_view, 1> pageFlags {"pages_port"};
 
 /// Maximum number of log files per invocation; there is one per instance.
 inline constexpr std::size_t maxLogFiles = 8192;
 
-inline constexpr std::array<command, 11> commandTable {{
+inline constexpr std::array<command, 13> commandTable {{
     {"config show", "", 0, 0, jsonFlags, "prints the current configuration of the store",
      runConfigShow},
     {"config version", "", 0, 0, {}, "prints the current version", runConfigVersion},
@@ -42,6 +44,10 @@
     {"upstreams", "[SERVICE]", 0, 1, {}, "lists the announced upstreams", runUpstreams},
     {"flows", "[SERVICE]", 0, 1, pageFlags,
      "lists recently observed flows by instance and upstream, with latency", runFlows},
+    {"evacuate", "DOMAIN", 1, 1, evacuateFlags,
+     "evacuates a failure domain: its upstreams get no new flows until it ends", runEvacuate},
+    {"evacuations", "", 0, 0, pageFlags,
+     "lists the evacuated failure domains and the flows that are left in them", runEvacuations},
     {"trace",
      "FLOW|REQUEST [FILE...]",
      1,
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -37,6 +38,7 @@
     bool appliesDespiteError = false;  ///< a replacement takes effect although it returns an error
     std::string concurrentReplacement; ///< written by another operator before each replacement
     std::uint64_t concurrentEra = 0;   ///< of the store after concurrentReplacement
+    std::string concurrentEvacuation;  ///< started by another operator before each start
     std::function<void()> onReadFleet = [] {
     };
 };
@@ -76,7 +78,40 @@
         return m_store.writeError;
     }
 
+    std::error_code startEvacuation(const std::string &domain) override
+    {
+        if (!m_store.concurrentEvacuation.empty())
+            m_store.fleet.emplace_back(domain_evacuation {m_store.concurrentEvacuation});
+        if (!m_store.writeError && isEvacuated(domain))
+            return error::VersionConflict;
+        if (!m_store.writeError || m_store.appliesDespiteError)
+            m_store.fleet.emplace_back(domain_evacuation {domain});
+        return m_store.writeError;
+    }
+
+    std::error_code endEvacuation(const std::string &domain) override
+    {
+        if (!m_store.writeError || m_store.appliesDespiteError)
+            std::erase_if(m_store.fleet, [&](const fleet_change &change) {
+                return isEvacuationOf(change, domain);
+            });
+        return m_store.writeError;
+    }
+
 private:
+    static bool isEvacuationOf(const fleet_change &change, const std::string &domain)
+    {
+        const auto *evacuation = std::get_if<domain_evacuation>(&change);
+        return evacuation != nullptr && evacuation->domain == domain;
+    }
+
+    bool isEvacuated(const std::string &domain) const
+    {
+        return std::any_of(
+            m_store.fleet.begin(), m_store.fleet.end(),
+            [&](const fleet_change &change) { return isEvacuationOf(change, domain); });
+    }
+
     void write(const std::string &text)
     {
         m_store.config = text;
@@ -370,6 +405,167 @@
     CHECK(contains(fixture.err.str(), "1 instances did not answer"));
 }
 
+namespace {
+
+/** Upstreams i-1 in domain a and i-2 in domain b serve "desk". */
+struct evacuation_cli_fixture : cli_fixture
+{
+    evacuation_cli_fixture()
+    {
+        addUpstream("i-1", "desk", "a");
+        addUpstream("i-2", "desk", "b");
+        setUpstreams(1, false, 5);
+        setUpstreams(2, false, 3);
+    }
+
+    void addUpstream(const std::string &name, const std::string &service, const std::string &domain)
+    {
+        upstream_announcement announced;
+        announced.name = name;
+        announced.service = service;
+        announced.domain = domain;
+        store.fleet.emplace_back(announced);
+    }
+
+    /// The page of an instance that observes flows to i-1.
+    void setUpstreams(int instance, bool isEvacuated, int flows)
+    {
+        pages.pages["10.0.0." + std::to_string(instance) + ":9102/v1/upstreams"] =
+            std::string(R"({"upstreams":[{"service":"desk","name":"i-1","domain":"a",)")
+            + R"("standing":"ready","suspected":false,"latency_us":0,"evacuated":)"
+            + (isEvacuated ? "true" : "false") + R"(,"flows":)" + std::to_string(flows)
+            + R"(},{"service":"desk","name":"i-2","domain":"b","standing":"ready",)"
+            + R"("suspected":false,"latency_us":0,"evacuated":false,"flows":40}]})";
+    }
+};
+
+} // namespace
+
+TEST_CASE("An evacuation is started and ended once, and only for a known failure domain", "[cli]")
+{
+    // Guards against a typing error that evacuates nothing and is taken for done.
+    evacuation_cli_fixture fixture;
+    CHECK(fixture.run({"evacuate", "c"}) == exit_code::Invalid);
+    CHECK(contains(fixture.err.str(), "unknown failure domain c; known: a b"));
+    CHECK(fixture.run({"evacuate", "--end", "a"}) == exit_code::Refused);
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Done);
+    CHECK(fixture.out.str() == "a is being evacuated\n");
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Refused);
+    CHECK(contains(fixture.err.str(), "a is being evacuated already"));
+    CHECK(fixture.run({"evacuate", "--end", "a"}) == exit_code::Done);
+    CHECK(fixture.out.str() == "the evacuation of a has ended\n");
+    CHECK(fixture.run({"evacuations"}) == exit_code::Done);
+    CHECK(fixture.out.str() == "DOMAIN  INSTANCES  FOLLOWING  FLOWS\n");
+    SECTION("a domain that lost all its upstreams can be taken back")
+    {
+        fixture.store.fleet = {domain_evacuation {"a"}};
+        CHECK(fixture.run({"evacuate", "--end", "a"}) == exit_code::Done);
+        CHECK(fixture.store.fleet.empty());
+    }
+}
+
+TEST_CASE("An evacuation that leaves a service without upstreams has to be forced", "[cli]")
+{
+    // Guards against an outage by two evacuations, or by one of the only domain of a service.
+    evacuation_cli_fixture fixture;
+    SECTION("the other failure domain is being evacuated")
+    {
+        REQUIRE(fixture.run({"evacuate", "b"}) == exit_code::Done);
+        CHECK(fixture.run({"evacuate", "a"}) == exit_code::Refused);
+        CHECK(contains(fixture.err.str(), "no upstreams would be left for: desk; --force"));
+    }
+    SECTION("a service has upstreams in one failure domain only")
+    {
+        fixture.addUpstream("i-3", "proofs", "a");
+        CHECK(fixture.run({"evacuate", "a"}) == exit_code::Refused);
+        CHECK(contains(fixture.err.str(), "no upstreams would be left for: proofs; --force"));
+    }
+    SECTION("the upstreams of the other failure domain drain")
+    {
+        for (fleet_change &change : fixture.store.fleet) {
+            auto *announced = std::get_if<upstream_announcement>(&change);
+            if (announced != nullptr && announced->domain == "b")
+                announced->isDraining = true;
+        }
+        CHECK(fixture.run({"evacuate", "a"}) == exit_code::Refused);
+    }
+    CHECK(fixture.run({"evacuate", "--force", "a"}) == exit_code::Done);
+}
+
+TEST_CASE("An evacuation with a lost response is resolved by reading the store", "[cli]")
+{
+    evacuation_cli_fixture fixture;
+    fixture.store.writeError = error::OutcomeUnknown;
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Unknown);
+    fixture.store.appliesDespiteError = true;
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Done);
+    CHECK(fixture.run({"evacuate", "--end", "a"}) == exit_code::Done);
+    fixture.store.appliesDespiteError = false;
+    fixture.store.writeError = error::Throttled;
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Unavailable);
+    fixture.store.writeError = error::Rejected;
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Invalid);
+    fixture.store.writeError = {};
+    fixture.store.concurrentEvacuation = "a";
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Refused);
+    CHECK(contains(fixture.err.str(), "by another operator"));
+    fixture.store.readError = error::StoreUnavailable;
+    CHECK(fixture.run({"evacuate", "a"}) == exit_code::Unavailable);
+    CHECK(fixture.run({"evacuations"}) == exit_code::Unavailable);
+}
+
+TEST_CASE("Waiting for an evacuation ends when all instances follow and no flows are left", "[cli]")
+{
+    evacuation_cli_fixture fixture;
+    SECTION("an instance does not follow")
+    {
+        fixture.setUpstreams(1, true, 0);
+        CHECK(fixture.run({"evacuate", "--wait", "--timeout=3", "a"}) == exit_code::Timeout);
+        CHECK(contains(fixture.out.str(), "1 of 2 instances follow, 3 flows\n"));
+        CHECK(contains(fixture.err.str(), "behind or not answering: f-2"));
+    }
+    SECTION("an instance does not answer")
+    {
+        fixture.setUpstreams(1, true, 0);
+        fixture.pages.pages.erase("10.0.0.2:9102/v1/upstreams");
+        CHECK(fixture.run({"evacuate", "--wait", "--timeout=3", "a"}) == exit_code::Timeout);
+        CHECK(contains(fixture.err.str(), "behind or not answering: f-2"));
+    }
+    SECTION("flows are left")
+    {
+        fixture.setUpstreams(1, true, 2);
+        fixture.setUpstreams(2, true, 0);
+        CHECK(fixture.run({"evacuate", "--wait", "--timeout=3", "a"}) == exit_code::Timeout);
+        CHECK(contains(fixture.err.str(), "flows are left in a"));
+        CHECK(fixture.run({"evacuations"}) == exit_code::Done);
+        CHECK(contains(fixture.out.str(), "a       2          2          2"));
+    }
+    SECTION("the flows end one after the other")
+    {
+        int reads = 0;
+        fixture.store.onReadFleet = [&] {
+            ++reads;
+            fixture.setUpstreams(1, reads > 2, std::max(5 - reads, 0));
+            fixture.setUpstreams(2, reads > 3, 0);
+        };
+        CHECK(fixture.run({"evacuate", "--wait", "a"}) == exit_code::Done);
+        CHECK(fixture.out.str()
+              == "a is being evacuated\n0 of 2 instances follow, 3 flows\n"
+                 "1 of 2 instances follow, 2 flows\n2 of 2 instances follow, 1 flows\n"
+                 "2 of 2 instances follow, 0 flows\n");
+    }
+    SECTION("the end needs no flow to end")
+    {
+        fixture.store.fleet.emplace_back(domain_evacuation {"a"});
+        fixture.setUpstreams(2, true, 3);
+        CHECK(fixture.run({"evacuate", "--end", "--wait", "--timeout=3", "a"})
+              == exit_code::Timeout);
+        fixture.store.fleet.emplace_back(domain_evacuation {"a"});
+        fixture.setUpstreams(2, false, 3);
+        CHECK(fixture.run({"evacuate", "--end", "--wait", "a"}) == exit_code::Done);
+    }
+}
+
 TEST_CASE("The log for a flow trace is read from standard input", "[cli]")
 {
     cli_fixture fixture;
--- a/tests/test_operator_access.cpp
+++ b/tests/test_operator_access.cpp
@@ -113,6 +113,30 @@
     CHECK(fixture.access.readConfig().value().text == first);
 }
 
+TEST_CASE("An evacuation is written once and removed", "[operator]")
+{
+    // Guards against a client whose items the instances do not take for an evacuation.
+    access_fixture fixture;
+    const std::string key = std::string(platform::names::evacuationPrefix) + "d1";
+    const auto evacuations = [&] {
+        std::vector<std::string> domains;
+        for (const fleet_change &change : fixture.access.readFleet().value().changes) {
+            if (const auto *evacuation = std::get_if<domain_evacuation>(&change))
+                domains.push_back(evacuation->domain);
+        }
+        return domains;
+    };
+    fixture.inStore([&] { fixture.store->put(configKey, first); });
+    REQUIRE_FALSE(fixture.access.startEvacuation("d1"));
+    CHECK(evacuations() == std::vector<std::string> {"d1"});
+    CHECK(fixture.access.startEvacuation("d1") == error::VersionConflict);
+    REQUIRE_FALSE(fixture.access.endEvacuation("d1"));
+    CHECK(evacuations().empty());
+    CHECK_FALSE(fixture.access.endEvacuation("d1"));
+    fixture.inStore([&] { fixture.store->setBehaviour(standin::store_behaviour::Throttled); });
+    CHECK(fixture.access.startEvacuation("d1") == error::Throttled);
+}
+
 TEST_CASE("Rejected calls and a malformed configuration have distinct errors", "[operator]")
 {
     access_fixture fixture;
