Placement: requests in progress count with their age

In a burst an upstream's queue was noticed only when the requests in it had been answered.

Cause: ages of requests in progress were left out, because a flow's packets may move to another instance, which then sees the answer. The move can be noticed: an instance that takes flows over sees packets of open flows that it doesn't know.

Change: a request counts as a lower bound of the latency when its age reaches a quarter, half and the whole of its route's target latency; not while packets are handled late, before any upstream answered after the request, or when flows were taken over since it started. Others are told only what is above the own average; a lower bound below it would make a slow upstream seem faster to them.

Tests: a hanging upstream loses its share within its route's target latency (failed before), answered requests, no answer at all, flows taken over, no target latency.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -227,7 +227,10 @@
 {
     const auto now = m_suspensionDetector.lastActivityAt();
     m_suspensionDetector.recordTick(m_tickDueAt, now);
-    m_health.setLocalHealth(m_suspensionDetector.isTimingReliable(now));
+    const bool isTimingReliable = m_suspensionDetector.isTimingReliable(now);
+    m_health.setLocalHealth(isTimingReliable);
+    if (isTimingReliable)
+        m_forwarder.sampleRequestsInProgress(now);
     for (const health_change &change : m_health.evaluate(now))
         applyHealthChange(change);
     m_data.flush();
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -198,6 +198,7 @@
         return;
     }
     if (flow == nullptr) {
+        m_lastTakeoverAt = now;
         flow = m_flowTable.add(packet.flow, now);
         if (flow == nullptr)
             return;
@@ -229,6 +230,7 @@
         return;
     const upstream_id upstream = decision.upstream->id;
     flow.acknowledged = packet.acknowledged;
+    m_lastAnswerAt = now;
     // Only a packet without data is a timely answer: the acknowledgement in a new request may refer
     // to an answer from long before.
     if (packet.dataBytes == 0)
@@ -250,7 +252,7 @@
     const bool isWaiting = flow.requestStartedAt.count() > 0;
     trackAcknowledgement(packet, flow, now, decision);
     if (isWaiting && flow.requestStartedAt.count() > 0 && age >= m_settings.minAbortedRequestAge)
-        m_latencies.noteAborted(flow.upstream, age, now);
+        m_latencies.noteUnanswered(flow.upstream, age, now);
 }
 
 void forwarder::trackRequest(const caller_packet &packet, flow_entry &flow, monotonic_time now,
@@ -268,6 +270,35 @@
     if (decision.isFirstRequestPacket) {
         flow.requestStartedAt = now;
         flow.requestSequence = packet.sequence;
+        watchRequest(packet, now);
+    }
+}
+
+void forwarder::watchRequest(const caller_packet &packet, monotonic_time now)
+{
+    const route *selected = m_routes.find(packet.flow.service);
+    if (selected == nullptr || m_requestsInProgress.size() >= m_settings.maxTrackedFlows)
+        return;
+    const auto firstAge = monotonic_time(static_cast<monotonic_time::rep>(
+        m_settings.firstSampleFraction * static_cast<double>(selected->targetLatency.count())));
+    if (firstAge.count() > 0)
+        m_requestsInProgress.add({packet.flow, now, firstAge, selected->targetLatency});
+}
+
+void forwarder::sampleRequestsInProgress(monotonic_time now)
+{
+    while (auto request = m_requestsInProgress.takeDue(now)) {
+        const flow_entry *flow = m_flowTable.find(request->flow);
+        const bool isInProgress = flow != nullptr && flow->requestStartedAt == request->startedAt
+            && request->startedAt >= m_lastTakeoverAt;
+        if (!isInProgress)
+            continue;
+        // Without any answer since the request this instance's own link may be down.
+        if (m_lastAnswerAt > request->startedAt)
+            m_latencies.noteUnanswered(flow->upstream, now - request->startedAt, now);
+        request->nextAge *= 2;
+        if (request->nextAge <= request->maxAge)
+            m_requestsInProgress.add(*request);
     }
 }
 
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -12,6 +12,7 @@
 #include "health/latency_exchange_base.h"
 #include "health/upstream_health_base.h"
 #include "placement/placement_base.h"
+#include "request_watch_list_base.h"
 #include "routing/routing_base.h"
 
 #include <array>
@@ -85,9 +86,11 @@
     /// Flows that are idle for longer are no longer tracked.
     monotonic_time flowIdleTimeout = std::chrono::seconds(15);
     /// A request that its caller aborts after at least this time counts as a latency sample;
-    /// otherwise upstreams that never answer would seem as fast as before. Requests in progress are
-    /// not counted: their answers may be acknowledged through another instance.
+    /// otherwise upstreams that never answer would seem as fast as before.
     monotonic_time minAbortedRequestAge = std::chrono::milliseconds(500);
+    /// A request in progress counts as a latency sample at this fraction of its route's target
+    /// latency, then each time that its age has doubled, up to the target latency.
+    double firstSampleFraction = 0.25;
     /// Longer latencies are ignored: they indicate a lost packet rather than a slow upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
@@ -116,6 +119,13 @@
      */
     std::vector<caller_packet> extractFlowsOf(upstream_id upstream);
 
+    /**
+     * Records the ages of requests in progress, so that an upstream that accepts requests and never
+     * answers them loses its share before callers give up. Must not be called while packets are
+     * handled late: their answers may be in the socket.
+     */
+    void sampleRequestsInProgress(monotonic_time now);
+
     /** Stops tracking idle flows; called about once per second. */
     void expire(monotonic_time now);
 
@@ -142,6 +152,7 @@
                       packet_decision &decision);
     void trackRequest(const caller_packet &packet, flow_entry &flow, monotonic_time now,
                       packet_decision &decision);
+    void watchRequest(const caller_packet &packet, monotonic_time now);
 
     const routing_table &m_routes;
     const upstream_directory &m_directory;
@@ -150,6 +161,11 @@
     latency_exchange &m_latencies;
     forwarder_settings m_settings;
     flow_table m_flowTable;
+    request_watch_list m_requestsInProgress;
+    monotonic_time m_lastAnswerAt {0}; ///< of any upstream
+    /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
+    /// so answers to earlier requests may be acknowledged through another instance.
+    monotonic_time m_lastTakeoverAt {0};
 };
 
 } // namespace chicoryhead
--- a/src/health/latency_exchange.cpp
+++ b/src/health/latency_exchange.cpp
@@ -16,10 +16,10 @@
     addSample({upstream, latency, now});
 }
 
-void latency_exchange::noteAborted(upstream_id upstream, monotonic_time age, monotonic_time now)
+void latency_exchange::noteUnanswered(upstream_id upstream, monotonic_time age, monotonic_time now)
 {
-    m_placement.recordAbortedRequest(upstream, age, now);
-    addSample({upstream, age, now});
+    if (m_placement.recordUnansweredRequest(upstream, age, now))
+        addSample({upstream, age, now});
 }
 
 void latency_exchange::addSample(const sample &measured)
--- a/src/health/latency_exchange_base.h
+++ b/src/health/latency_exchange_base.h
@@ -48,10 +48,10 @@
     void noteAnswered(upstream_id upstream, monotonic_time latency, monotonic_time now);
 
     /**
-     * Records a request that its caller aborted without an answer.
+     * Records that a request is unanswered, or that its caller aborted it.
      * @param age time since the request was forwarded.
      */
-    void noteAborted(upstream_id upstream, monotonic_time age, monotonic_time now);
+    void noteUnanswered(upstream_id upstream, monotonic_time age, monotonic_time now);
 
     /** Returns the recent samples of this instance, newest first. */
     std::vector<latency_report> recentReports(monotonic_time now) const;
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -177,10 +177,10 @@
     return m_suspicion.recordConnectSuccess(upstream);
 }
 
-void domain_first_placement::recordAbortedRequest(upstream_id upstream, monotonic_time age,
-                                                  monotonic_time now)
+bool domain_first_placement::recordUnansweredRequest(upstream_id upstream, monotonic_time age,
+                                                     monotonic_time now)
 {
-    m_latencies.addLowerBound(upstream, age, now);
+    return m_latencies.addLowerBound(upstream, age, now);
 }
 
 void domain_first_placement::recordLatency(upstream_id upstream, monotonic_time latency,
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -41,8 +41,8 @@
                                       monotonic_time now) override;
     bool recordConnectFailure(upstream_id upstream, monotonic_time now) override;
     bool recordConnectSuccess(upstream_id upstream) override;
-    void recordAbortedRequest(upstream_id upstream, monotonic_time age,
-                              monotonic_time now) override;
+    bool recordUnansweredRequest(upstream_id upstream, monotonic_time age,
+                                 monotonic_time now) override;
     void recordLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
     void forget(upstream_id upstream) override;
     void markSuspected(upstream_id upstream, bool isDead, monotonic_time now) override;
--- a/src/placement/latency_tracker.cpp
+++ b/src/placement/latency_tracker.cpp
@@ -29,13 +29,14 @@
         updateBestLatency(*record, now);
 }
 
-void latency_tracker::addLowerBound(upstream_id upstream, monotonic_time age, monotonic_time now)
+bool latency_tracker::addLowerBound(upstream_id upstream, monotonic_time age, monotonic_time now)
 {
     const auto found = m_averages.find(upstream);
     const bool isSlower =
         found == m_averages.end() || static_cast<double>(age.count()) > found->second.latency;
     if (isSlower)
         addSample(upstream, age, now);
+    return isSlower;
 }
 
 monotonic_time latency_tracker::averageLatencyOf(upstream_id upstream, monotonic_time now) const
--- a/src/placement/latency_tracker_base.h
+++ b/src/placement/latency_tracker_base.h
@@ -28,8 +28,11 @@
 
     void addSample(upstream_id upstream, monotonic_time latency, monotonic_time now);
 
-    /** A request was unanswered for the time `age`, so its latency is at least that. */
-    void addLowerBound(upstream_id upstream, monotonic_time age, monotonic_time now);
+    /**
+     * A request was unanswered for the time `age`, so its latency is at least that.
+     * @return whether the age is above the average; it is ignored otherwise.
+     */
+    bool addLowerBound(upstream_id upstream, monotonic_time age, monotonic_time now);
 
     void forget(upstream_id upstream) { m_averages.erase(upstream); }
 
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -38,9 +38,12 @@
     /** An upstream answered an opening packet; returns whether it had left others unanswered. */
     virtual bool recordConnectSuccess(upstream_id upstream) = 0;
 
-    /** A caller aborted a request that had been unanswered for the time `age`. */
-    virtual void recordAbortedRequest(upstream_id upstream, monotonic_time age,
-                                      monotonic_time now) = 0;
+    /**
+     * A request has been unanswered for the time `age`.
+     * @return whether that is longer than the upstream's average latency, and counts.
+     */
+    virtual bool recordUnansweredRequest(upstream_id upstream, monotonic_time age,
+                                         monotonic_time now) = 0;
 
     /** An upstream answered a request after the time `latency`. */
     virtual void recordLatency(upstream_id upstream, monotonic_time latency,
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -301,6 +301,128 @@
     }
 }
 
+namespace {
+
+/** One request in progress since 1010 ms, by default at an upstream with an average of 40 ms. */
+struct hanging_request_fixture : forwarder_fixture
+{
+    hanging_request_fixture()
+    {
+        for (int i = 0; i < 4; ++i) {
+            const auto id = directory.find("i-d" + std::to_string(i))->id;
+            for (int sample = 0; sample < 8; ++sample)
+                placement.recordLatency(id, 40ms, 1s);
+        }
+        const auto opened = decide(makeOpening(1), 1s);
+        hanging = opened.upstream->id;
+        tag = opened.tag;
+        decide(makeData(1, tag, 1001, 500, 300), 1010ms);
+    }
+
+    /// Another upstream answers a request in 40 ms.
+    void answerElsewhere(std::uint16_t port, monotonic_time at)
+    {
+        const auto opened = decide(makeOpening(port), at - 50ms);
+        REQUIRE(opened.upstream->id != hanging);
+        decide(makeData(port, opened.tag, 1000U + port, 500, 300), at - 40ms);
+        decide(makeData(port, opened.tag, 1300U + port, 900, 0), at);
+    }
+
+    void sampleUntil(monotonic_time end)
+    {
+        for (monotonic_time now = 1020ms; now <= end; now += 50ms)
+            dataPath.sampleRequestsInProgress(now);
+    }
+
+    upstream_id hanging = noUpstream;
+    steering_tag tag = noTag;
+};
+
+} // namespace
+
+TEST_CASE("Hanging upstream: requests in progress lower its share before their callers give up",
+          "[forwarder]")
+{
+    // Guards against an upstream that accepts requests, never answers, and gets its whole share of
+    // the new flows until the first deadline has passed.
+    hanging_request_fixture fixture;
+    fixture.answerElsewhere(2, 1060ms);
+    fixture.sampleUntil(1250ms);
+    const auto average = fixture.placement.averageLatencyOf(fixture.hanging, 1250ms);
+    CHECK(average > 80ms);
+    unsigned placed = 0;
+    for (std::uint16_t port = 10; port < 110; ++port) {
+        if (fixture.decide(makeOpening(port), 1250ms).upstream->id == fixture.hanging)
+            ++placed;
+    }
+    CHECK(placed <= 10);
+    // Above the target latency the request is late, and its age counts when its caller gives up.
+    fixture.sampleUntil(3s);
+    CHECK(fixture.placement.averageLatencyOf(fixture.hanging, 3s) == average);
+}
+
+TEST_CASE("A request that was answered is not counted as in progress", "[forwarder]")
+{
+    hanging_request_fixture fixture;
+    fixture.answerElsewhere(2, 1060ms);
+    fixture.decide(makeData(1, fixture.tag, 1301, 900, 0), 1050ms);
+    fixture.sampleUntil(1300ms);
+    CHECK(fixture.placement.averageLatencyOf(fixture.hanging, 1300ms) == 40ms);
+    SECTION("the next request of the flow has its own age")
+    {
+        fixture.decide(makeData(1, fixture.tag, 1301, 900, 300), 1290ms);
+        fixture.sampleUntil(1330ms);
+        CHECK(fixture.placement.averageLatencyOf(fixture.hanging, 1330ms) == 40ms);
+    }
+}
+
+TEST_CASE("Requests in progress do not count while the cause may be the instance or the fabric",
+          "[forwarder]")
+{
+    // Guards against healthy upstreams that lose their share because the answers are acknowledged
+    // through another instance, or because this instance is cut off.
+    hanging_request_fixture fixture;
+    SECTION("no upstream has answered since the request") { }
+    SECTION("the fabric moved flows of another instance here")
+    {
+        fixture.answerElsewhere(2, 1060ms);
+        forwarder_fixture other;
+        const auto moved = other.decide(makeOpening(3), 1s);
+        fixture.decide(makeData(3, moved.tag, 1003, 500, 300), 1061ms);
+    }
+    fixture.sampleUntil(3s);
+    CHECK(fixture.placement.averageLatencyOf(fixture.hanging, 3s) == 40ms);
+}
+
+TEST_CASE("Requests of a route without a target latency are not counted while in progress",
+          "[forwarder]")
+{
+    forwarder_fixture fixture;
+    auto config = makeConfig(2);
+    config.routes[0].targetLatency = 0s;
+    fixture.routes.apply(config, 0s);
+    const auto opened = fixture.decide(makeOpening(1), 1s);
+    fixture.decide(makeData(1, opened.tag, 1001, 500, 300), 1010ms);
+    const auto answered = fixture.decide(makeOpening(2), 1s);
+    fixture.decide(makeData(2, answered.tag, 1002, 500, 300), 1010ms);
+    fixture.decide(makeData(2, answered.tag, 1302, 900, 0), 1050ms);
+    for (monotonic_time now = 1s; now < 3s; now += 50ms)
+        fixture.dataPath.sampleRequestsInProgress(now);
+    CHECK(fixture.placement.averageLatencyOf(opened.upstream->id, 3s) == 0s);
+}
+
+TEST_CASE("Watched requests are due in the order of their ages", "[forwarder]")
+{
+    request_watch_list requests;
+    requests.add({{{1, 1}, deskAddress, transport::Tcp}, 2s, 100ms, 400ms});
+    requests.add({{{2, 2}, deskAddress, transport::Tcp}, 1s, 1050ms, 2s});
+    CHECK_FALSE(requests.takeDue(2049ms));
+    CHECK(requests.takeDue(2100ms)->startedAt == 1s);
+    CHECK(requests.takeDue(2100ms)->startedAt == 2s);
+    CHECK_FALSE(requests.takeDue(10s));
+    CHECK(requests.size() == 0);
+}
+
 TEST_CASE("Reused port: the packets of each flow go to its own upstream", "[forwarder]")
 {
     // Guards against a caller that gets the answer to another caller's request, and against a reset
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -397,11 +397,11 @@
             fixture.placement.recordLatency(fixture.idOf(name), 40ms, 10s);
     }
     for (int i = 0; i < 4; ++i)
-        fixture.placement.recordAbortedRequest(fixture.idOf("i-a0"), 600ms, 10500ms);
+        fixture.placement.recordUnansweredRequest(fixture.idOf("i-a0"), 600ms, 10500ms);
     auto counts = fixture.placeMany(300, 10600ms);
     CHECK(counts["i-a0"] < 20);
     // An age below the average is ignored: the request may still be answered.
-    fixture.placement.recordAbortedRequest(fixture.idOf("i-a1"), 10ms, 10600ms);
+    fixture.placement.recordUnansweredRequest(fixture.idOf("i-a1"), 10ms, 10600ms);
     CHECK(fixture.placement.averageLatencyOf(fixture.idOf("i-a1"), 10600ms) == 40ms);
 }
 
--- a/tests/test_upstream_health.cpp
+++ b/tests/test_upstream_health.cpp
@@ -575,6 +575,21 @@
     CHECK(chosen * 18 < total / 3);
 }
 
+TEST_CASE("An unanswered request is reported to others only if its age is above the average",
+          "[health]")
+{
+    // Guards against reports that make a slow upstream seem faster on other instances.
+    health_fixture fixture;
+    domain_first_placement placement {fixture.directory, {"a", 3, 7}};
+    latency_exchange exchange {fixture.directory, placement};
+    placement.recordLatency(fixture.idOf("i-1"), 300ms, 10s);
+    exchange.noteUnanswered(fixture.idOf("i-1"), 100ms, 10s);
+    CHECK(exchange.recentReports(10s).empty());
+    exchange.noteUnanswered(fixture.idOf("i-1"), 400ms, 10s);
+    REQUIRE(exchange.recentReports(10s).size() == 1);
+    CHECK(exchange.recentReports(10s)[0].latencyMs == 400);
+}
+
 TEST_CASE("Reported latencies are limited in number, age and value", "[health]")
 {
     health_fixture fixture;
