--- a/tests/test_operator_access.cpp
+++ b/tests/test_operator_access.cpp
@@ -119,8 +119,9 @@
     access_fixture fixture;
     const std::string key = std::string(platform::names::evacuationPrefix) + "d1";
     const auto evacuations = [&] {
+        const auto fleet = fixture.access.readFleet();
         std::vector<std::string> domains;
-        for (const fleet_change &change : fixture.access.readFleet().value().changes) {
+        for (const fleet_change &change : fleet.value().changes) {
             if (const auto *evacuation = std::get_if<domain_evacuation>(&change))
                 domains.push_back(evacuation->domain);
         }
