Naming: epoch of the store, the field's term, instead of era

The platform's header is called Store-Era; the code, log lines, metrics and docs had taken the word over. A counter that sets apart two histories with the same numbers is an epoch elsewhere. The header keeps its name in platform/.

--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -65,7 +65,7 @@
         return fail(call, exit_code::Unknown,
                     "no response from the store; the change may still take effect, check the "
                     "version later");
-    if (now.value().text != text && now.value().revision.era != base.revision.era)
+    if (now.value().text != text && now.value().revision.epoch != base.revision.epoch)
         return fail(call, exit_code::Refused,
                     "the store was restored from a copy in the meantime and has version "
                         + std::to_string(now.value().decoded.version));
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -48,7 +48,7 @@
     std::uint64_t instances = 0;
     std::uint64_t storeItemsMalformed = 0;
     std::uint64_t storeAnswersIgnored = 0;
-    std::uint64_t storeEra = 0;
+    std::uint64_t storeEpoch = 0;
     std::uint64_t stateRevision = 0;
     std::uint64_t stateChecksum = 0;
     std::uint64_t logLinesDropped = 0;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -388,7 +388,7 @@
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
     gauges.storeAnswersIgnored = m_follower.answersIgnored();
-    gauges.storeEra = m_state.revision().era;
+    gauges.storeEpoch = m_state.revision().epoch;
     gauges.stateRevision = m_state.revision().number;
     gauges.stateChecksum = m_state.checksum();
     gauges.peerBytesSent = m_gossip.bytesSent();
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -262,7 +262,7 @@
         m_latencies.merge(digest.latencies, now);
         mergeReaders(digest);
     }
-    const bool isComplete = m_state.adoptEvacuations(digest.evacuations, now) && digest.hasEra;
+    const bool isComplete = m_state.adoptEvacuations(digest.evacuations, now) && digest.hasEpoch;
     const bool isBehind = digest.contentRevision > m_state.revision()
         || digest.configVersion > m_state.configVersion();
     if (isBehind) {
@@ -270,8 +270,8 @@
             requestState(from);
         return false;
     }
-    const bool isSameEra = digest.revision.era == m_state.revision().era;
-    if (isSameEra && digest.revision >= m_state.revision() && isComplete) {
+    const bool isSameEpoch = digest.revision.epoch == m_state.revision().epoch;
+    if (isSameEpoch && digest.revision >= m_state.revision() && isComplete) {
         const bool wasStale = m_state.isStale(now);
         m_state.confirm(digest.revision, now - std::chrono::milliseconds(digest.ageMs));
         m_state.logConfirmation(wasStale, toString(from), now);
@@ -310,9 +310,9 @@
     if (!m_state.isSynchronised())
         return;
     store_revision known = request.revision;
-    // Unless the store was restored, a requester of another release can only be in the same era.
-    if (!request.hasEra && !m_state.hasSeenRestore())
-        known.era = m_state.revision().era;
+    // Unless the store was restored, a requester of another release can only be in the same epoch.
+    if (!request.hasEpoch && !m_state.hasSeenRestore())
+        known.epoch = m_state.revision().epoch;
     auto state = m_state.snapshot(request.configVersion, known, m_clock.now());
     state.ageMs = ageMs(m_state.confirmedAt());
     m_transfers.enqueue(from, request.nonce, encodeState(state));
@@ -347,7 +347,7 @@
     m_log.write("state_adopted",
                 {{"from", toString(from)},
                  {"revision", toString(state.value().revision)},
-                 {"era", std::to_string(state.value().revision.era)},
+                 {"epoch", std::to_string(state.value().revision.epoch)},
                  {"base", toString(state.value().baseRevision)},
                  {"age_ms", std::to_string(state.value().ageMs)},
                  {"checksum", std::to_string(m_state.checksum())}});
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -153,23 +153,23 @@
 result<gossip_message> decodeDigest(std::span<const std::byte> bytes)
 {
     std::optional<evacuated_domains> evacuations;
-    std::optional<detail::era_extension> eras;
-    auto decoded = decodeExtended<gossip_digest>(gossipFormatVersion, bytes, evacuations, eras);
+    std::optional<detail::epoch_extension> epochs;
+    auto decoded = decodeExtended<gossip_digest>(gossipFormatVersion, bytes, evacuations, epochs);
     if (!decoded)
         return decoded.error();
     decoded.value().evacuations = std::move(evacuations);
-    detail::setEras(decoded.value(), eras);
+    detail::setEpochs(decoded.value(), epochs);
     return gossip_message(std::move(decoded.value()));
 }
 
 result<gossip_message> decodeStateRequest(std::span<const std::byte> bytes)
 {
-    std::optional<std::uint64_t> era;
-    auto decoded = decodeExtended<gossip_state_request>(gossipFormatVersion, bytes, era);
+    std::optional<std::uint64_t> epoch;
+    auto decoded = decodeExtended<gossip_state_request>(gossipFormatVersion, bytes, epoch);
     if (!decoded)
         return decoded.error();
-    decoded.value().hasEra = era.has_value();
-    decoded.value().revision.era = era.value_or(0);
+    decoded.value().hasEpoch = epoch.has_value();
+    decoded.value().revision.epoch = epoch.value_or(0);
     return gossip_message(decoded.value());
 }
 
@@ -177,18 +177,18 @@
 
 std::vector<std::byte> encodeGossip(const gossip_digest &message)
 {
-    std::optional<detail::era_extension> eras;
-    if (message.hasEra)
-        eras = detail::erasOf(message);
-    return encodeAs(message_type::Digest, message, message.evacuations, eras);
+    std::optional<detail::epoch_extension> epochs;
+    if (message.hasEpoch)
+        epochs = detail::epochsOf(message);
+    return encodeAs(message_type::Digest, message, message.evacuations, epochs);
 }
 
 std::vector<std::byte> encodeGossip(const gossip_state_request &message)
 {
-    std::optional<std::uint64_t> era;
-    if (message.hasEra)
-        era = message.revision.era;
-    return encodeAs(message_type::StateRequest, message, era);
+    std::optional<std::uint64_t> epoch;
+    if (message.hasEpoch)
+        epoch = message.revision.epoch;
+    return encodeAs(message_type::StateRequest, message, epoch);
 }
 
 std::vector<std::byte> encodeGossip(const gossip_state_fragment &message)
--- a/src/gossip/gossip_type.h
+++ b/src/gossip/gossip_type.h
@@ -30,7 +30,7 @@
     instance_registration sender;
     store_revision revision;               ///< latest one that its state includes
     store_revision contentRevision;        ///< of the last change that concerned this system
-    bool hasEra = true;                    ///< false if the sender's release does not report eras
+    bool hasEpoch = true;                  ///< false if the sender's release does not report epochs
     config_version configVersion = 0;      ///< of the active configuration
     std::uint32_t ageMs = 0;               ///< since the revision was confirmed to be current
     std::vector<reader_report> readers;    ///< of the sender's domain
@@ -53,7 +53,7 @@
     config_version configVersion = 0; ///< that the requester has; 0 for none
     store_revision revision;          ///< that the requester's state includes; 0 for none
     std::uint64_t nonce = 0;          ///< random; the response repeats it
-    bool hasEra = true;               ///< false if the requester's release does not report eras
+    bool hasEpoch = true;             ///< false if the requester's release does not report epochs
 };
 
 /** One fragment of an encoded state. */
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -112,10 +112,10 @@
 }
 
 /// Whether the store was restored after a revision of the confirmed state. A revision without an
-/// era comes from an instance of a release that does not report it.
+/// epoch comes from an instance of a release that does not report it.
 bool fleet_state::isRestoredSince(const store_revision &known, const store_revision &later) const
 {
-    return m_confirmedAt.count() > 0 && known.era > 0 && later.era > known.era;
+    return m_confirmedAt.count() > 0 && known.epoch > 0 && later.epoch > known.epoch;
 }
 
 void fleet_state::beginRestoreGrace(monotonic_time now)
@@ -134,11 +134,11 @@
 }
 
 /// Prepares the state for one of a restored store.
-void fleet_state::beginEra(const fleet_changes &fullState, monotonic_time now)
+void fleet_state::beginEpoch(const fleet_changes &fullState, monotonic_time now)
 {
     m_log.write("store_restored",
-                {{"era", std::to_string(fullState.revision.era)},
-                 {"before", std::to_string(m_revision.era)},
+                {{"epoch", std::to_string(fullState.revision.epoch)},
+                 {"before", std::to_string(m_revision.epoch)},
                  {"revision", toString(fullState.revision)},
                  {"state_revision", toString(m_revision)}});
     beginRestoreGrace(now);
@@ -188,7 +188,7 @@
 {
     detectOutage(isAfterOutage, now);
     if (isRestoredSince(m_revision, fullState.revision))
-        beginEra(fullState, now);
+        beginEpoch(fullState, now);
     std::set<std::string> upstreams;
     std::set<std::string> instances;
     for (const fleet_change &change : fullState.changes) {
@@ -246,7 +246,7 @@
     if (other.hasConfig && other.config.version > m_routes.version())
         applyOne(other.config, now);
     addMissing(other, now);
-    if (!adoptEvacuations(other.evacuations, now) || !other.hasEra)
+    if (!adoptEvacuations(other.evacuations, now) || !other.hasEpoch)
         confirmedAt = incompleteStateConfirmation;
     const bool isFirstConfirmation = isPreloaded() && other.revision == m_revision;
     if (other.revision == m_revision)
@@ -303,7 +303,7 @@
     snapshot.hasConfig = m_routes.version() > knownVersion;
     if (snapshot.hasConfig)
         snapshot.config = m_routes.config();
-    const bool isInHistory = knownRevision && knownRevision.era == m_revision.era
+    const bool isInHistory = knownRevision && knownRevision.epoch == m_revision.epoch
         && knownRevision >= m_compactedRevision && knownRevision <= m_revision;
     if (isInHistory) {
         snapshot.baseRevision = knownRevision;
@@ -372,7 +372,7 @@
     m_log.write("state_confirmed",
                 {{"from", std::string(source)},
                  {"revision", toString(m_revision)},
-                 {"era", std::to_string(m_revision.era)},
+                 {"epoch", std::to_string(m_revision.epoch)},
                  {"version", std::to_string(m_routes.version())},
                  {"checksum", std::to_string(checksum())}});
 }
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -48,7 +48,7 @@
     void addListener(upstream_listener &listener) { m_listeners.push_back(&listener); }
 
     /**
-     * Applies changes made after the current revision, in its era.
+     * Applies changes made after the current revision, in its epoch.
      * @param isAfterOutage whether the store was unavailable, so that a missing upstream may be
      * announced again.
      */
@@ -184,7 +184,7 @@
     bool isRestoredSince(const store_revision &known, const store_revision &later) const;
     void beginRestoreGrace(monotonic_time now);
     void endRestoreGrace(monotonic_time now);
-    void beginEra(const fleet_changes &fullState, monotonic_time now);
+    void beginEpoch(const fleet_changes &fullState, monotonic_time now);
     void replaceEntries(const fleet_changes &fullState, bool isAfterOutage, monotonic_time now);
     void notifyRemoved(upstream_id upstream);
     void withdraw(const std::string &name, std::string_view cause, bool mayReturn,
--- a/src/sync/fleet_store_base.h
+++ b/src/sync/fleet_store_base.h
@@ -127,7 +127,7 @@
 
     /**
      * Waits for changes after a revision; the answer is empty if there are none in time. A store
-     * that was restored since may answer with changes of its new era.
+     * that was restored since may answer with changes of its new epoch.
      */
     virtual void watch(store_revision after, std::chrono::milliseconds wait, handler done) = 0;
 
--- a/src/sync/registration_codec_func.h
+++ b/src/sync/registration_codec_func.h
@@ -21,37 +21,37 @@
 
 namespace detail {
 
-/** Eras of the revisions in a message, which itself has only their numbers. */
-struct era_extension
+/** Epochs of the revisions in a message, which itself has only their numbers. */
+struct epoch_extension
 {
     std::uint64_t state = 0;
     std::uint64_t evacuations = 0;
 };
 
 template<typename Archive>
-void serialize(Archive &archive, era_extension &value)
+void serialize(Archive &archive, epoch_extension &value)
 {
     archive(value.state, value.evacuations);
 }
 
-/** Eras of a digest or state. */
+/** Epochs of a digest or state. */
 template<typename Message>
-era_extension erasOf(const Message &message)
+epoch_extension epochsOf(const Message &message)
 {
-    return {message.revision.era, message.evacuations ? message.evacuations->revision.era : 0};
+    return {message.revision.epoch, message.evacuations ? message.evacuations->revision.epoch : 0};
 }
 
-/** Adds the eras to the revisions of a decoded digest or state. */
+/** Adds the epochs to the revisions of a decoded digest or state. */
 template<typename Message>
-void setEras(Message &message, const std::optional<era_extension> &eras)
+void setEpochs(Message &message, const std::optional<epoch_extension> &epochs)
 {
-    message.hasEra = eras.has_value();
-    if (!eras)
+    message.hasEpoch = epochs.has_value();
+    if (!epochs)
         return;
-    message.revision.era = eras->state;
-    message.contentRevision.era = eras->state;
+    message.revision.epoch = epochs->state;
+    message.contentRevision.epoch = epochs->state;
     if (message.evacuations)
-        message.evacuations->revision.era = eras->evacuations;
+        message.evacuations->revision.epoch = epochs->evacuations;
 }
 
 inline constexpr std::size_t maxEvacuatedDomains = 1024;
--- a/src/sync/snapshot_publisher.cpp
+++ b/src/sync/snapshot_publisher.cpp
@@ -36,7 +36,7 @@
 void snapshot_publisher::tick(bool isPrimaryReader)
 {
     // A snapshot from before a restore of the store needs a load after it.
-    if (std::exchange(m_era, m_state.revision().era) != m_state.revision().era)
+    if (std::exchange(m_epoch, m_state.revision().epoch) != m_state.revision().epoch)
         schedule(monotonic_time {0});
     const bool isPublisher =
         isPrimaryReader && m_settings.interval.count() > 0 && m_state.isSynchronised();
--- a/src/sync/snapshot_publisher_base.h
+++ b/src/sync/snapshot_publisher_base.h
@@ -72,7 +72,7 @@
     publisher_settings m_settings;
     bool m_isCallPending = false;    ///< a publication or a read of the snapshot is pending
     store_revision m_newestRevision; ///< of the newest known snapshot; 0 for none
-    std::uint64_t m_era = 0;         ///< of the state at the last tick
+    std::uint64_t m_epoch = 0;       ///< of the state at the last tick
     monotonic_time m_nextPublishAt {0};
 };
 
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -239,10 +239,10 @@
     std::optional<detail::state_extension> extension;
     if (state.evacuations)
         extension = detail::state_extension {*state.evacuations, state.config.warmupRates};
-    std::optional<detail::era_extension> eras;
-    if (state.hasEra)
-        eras = detail::erasOf(state);
-    return compressBytes(encodeExtended(stateFormatVersion, state, extension, eras));
+    std::optional<detail::epoch_extension> epochs;
+    if (state.hasEpoch)
+        epochs = detail::epochsOf(state);
+    return compressBytes(encodeExtended(stateFormatVersion, state, extension, epochs));
 }
 
 result<state_snapshot> decodeState(std::span<const std::byte> bytes)
@@ -251,18 +251,18 @@
     if (!restored)
         return restored.error();
     std::optional<detail::state_extension> extension;
-    std::optional<detail::era_extension> eras;
+    std::optional<detail::epoch_extension> epochs;
     auto state =
-        decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension, eras);
+        decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension, epochs);
     if (!state)
         return state;
     if (extension) {
         state.value().evacuations = std::move(extension->evacuations);
         state.value().config.warmupRates = std::move(extension->warmupRates);
     }
-    detail::setEras(state.value(), eras);
+    detail::setEpochs(state.value(), epochs);
     if (state.value().baseRevision)
-        state.value().baseRevision.era = state.value().revision.era;
+        state.value().baseRevision.epoch = state.value().revision.epoch;
     return state;
 }
 
--- a/src/sync/state_snapshot_type.h
+++ b/src/sync/state_snapshot_type.h
@@ -21,7 +21,7 @@
     store_revision baseRevision; ///< a delta has the changes after it; 0 for the full state
     store_revision revision;
     store_revision contentRevision;
-    bool hasEra = true;                 ///< false if the sender's release does not report eras
+    bool hasEpoch = true;               ///< false if the sender's release does not report epochs
     std::uint32_t ageMs = 0;            ///< time since the revision was confirmed
     monotonic_time outageGraceLeft {0}; ///< time in which missing upstreams may be announced again
     bool hasConfig = false;             ///< false if the requester has this configuration
--- a/src/sync/store_follower.cpp
+++ b/src/sync/store_follower.cpp
@@ -208,7 +208,7 @@
     }
     handleSuccess(now);
     const fleet_changes &changes = answer.value();
-    if (!isLoad && changes.revision.era != m_watchedRevision.era) {
+    if (!isLoad && changes.revision.epoch != m_watchedRevision.epoch) {
         // The changes are those of a restored store, whose state before them is not known here.
         handleHistoryLoss(now);
         tick();
@@ -237,9 +237,9 @@
         ++m_answersIgnored;
         m_log.write("store_answer_ignored",
                     {{"call", isLoad ? "load" : "watch"},
-                     {"era", std::to_string(changes.revision.era)},
+                     {"epoch", std::to_string(changes.revision.epoch)},
                      {"revision", toString(changes.revision)},
-                     {"state_era", std::to_string(m_state.revision().era)},
+                     {"state_epoch", std::to_string(m_state.revision().epoch)},
                      {"state_revision", toString(m_state.revision())}});
         return;
     }
@@ -279,7 +279,7 @@
 {
     m_log.write("store_history_lost",
                 {{"revision", toString(m_state.revision())},
-                 {"era", std::to_string(m_state.revision().era)}});
+                 {"epoch", std::to_string(m_state.revision().epoch)}});
     // Another instance may have supplied a newer state, which a watch may continue from.
     const auto revision = m_state.completeRevision();
     m_needsLoad = !revision || revision == m_watchedRevision;
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -144,9 +144,9 @@
         auto response = request->create_response(restinio::http_status_line_t(
             restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "Status"));
         response.append_header(restinio::http_field::content_type, "application/json");
-        if (sendsEra)
-            response.append_header(std::string(platform::names::storeEraHeader),
-                                   std::to_string(era));
+        if (sendsEpoch)
+            response.append_header(std::string(platform::names::storeEpochHeader),
+                                   std::to_string(epoch));
         response.set_body(body.dump());
         response.done();
     }
@@ -293,7 +293,7 @@
     void restore(const store_copy::content &copied)
     {
         content = copied;
-        ++era;
+        ++epoch;
         for (const pending_watch &watch : std::exchange(watches, {})) {
             watch.deadline->cancel();
             respond(watch.request, 410, json::object());
@@ -307,8 +307,8 @@
     std::list<pending_watch> watches;
     std::list<restinio::request_handle_t> unansweredRequests; ///< kept open
     std::map<std::string, std::size_t> calls;
-    bool sendsEra = true;
-    std::uint64_t era = 1; ///< counts up with each restore
+    bool sendsEpoch = true;
+    std::uint64_t epoch = 1; ///< counts up with each restore
     std::size_t pageSize = 500;
     store_behaviour behaviour = store_behaviour::Serving;
 };
@@ -359,14 +359,14 @@
     m_implementation->restore(*copied.kept);
 }
 
-std::uint64_t store_standin::era() const
+std::uint64_t store_standin::epoch() const
 {
-    return m_implementation->era;
+    return m_implementation->epoch;
 }
 
-void store_standin::setSendsEra(bool sendsEra)
+void store_standin::setSendsEpoch(bool sendsEpoch)
 {
-    m_implementation->sendsEra = sendsEra;
+    m_implementation->sendsEpoch = sendsEpoch;
 }
 
 std::uint64_t store_standin::revision() const
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -67,15 +67,15 @@
 
     /**
      * Replaces the content by a copy, as after a loss of data: later changes are undone, their
-     * revisions are given out again, and the era counts up. Waiting watches get status 410.
+     * revisions are given out again, and the epoch counts up. Waiting watches get status 410.
      */
     void restore(const store_copy &copied);
 
-    /** Era in the header of each answer. */
-    std::uint64_t era() const;
+    /** Epoch in the header of each answer. */
+    std::uint64_t epoch() const;
 
-    /** Sets whether answers have the header with the era. */
-    void setSendsEra(bool sendsEra);
+    /** Sets whether answers have the header with the epoch. */
+    void setSendsEpoch(bool sendsEpoch);
 
     /** Revision of the last change. */
     std::uint64_t revision() const;
--- a/tests/model_fleet.h
+++ b/tests/model_fleet.h
@@ -56,12 +56,12 @@
         return revision;
     }
 
-    /** Returns to the content of a copy; later numbers are given out again in a new era. */
+    /** Returns to the content of a copy; later numbers are given out again in a new epoch. */
     void restore(const model_store &copy)
     {
-        const auto era = revision.era + 1;
+        const auto epoch = revision.epoch + 1;
         *this = copy;
-        revision.era = era;
+        revision.epoch = epoch;
     }
 
     fleet_changes readAll() const
@@ -80,7 +80,7 @@
         return all;
     }
 
-    /** Changes after a number, whatever its era, or error::HistoryLost. */
+    /** Changes after a number, whatever its epoch, or error::HistoryLost. */
     result<fleet_changes> changesAfter(std::uint64_t after) const
     {
         if (after < m_compactedNumber || after > revision.number)
@@ -96,10 +96,10 @@
         return changes;
     }
 
-    /** Revision at which the snapshot was published, in the current era. */
+    /** Revision at which the snapshot was published, in the current epoch. */
     store_revision snapshotRevision() const
     {
-        return snapshot.revision ? store_revision {snapshot.revision.number, revision.era}
+        return snapshot.revision ? store_revision {snapshot.revision.number, revision.epoch}
                                  : store_revision {};
     }
 
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -37,7 +37,7 @@
     std::error_code writeError;        ///< result of a replacement
     bool appliesDespiteError = false;  ///< a replacement takes effect although it returns an error
     std::string concurrentReplacement; ///< written by another operator before each replacement
-    std::uint64_t concurrentEra = 0;   ///< of the store after concurrentReplacement
+    std::uint64_t concurrentEpoch = 0; ///< of the store after concurrentReplacement
     std::string concurrentEvacuation;  ///< started by another operator before each start
     std::function<void()> onReadFleet = [] {
     };
@@ -70,7 +70,7 @@
     {
         if (!m_store.concurrentReplacement.empty())
             write(m_store.concurrentReplacement);
-        m_store.revision.era = std::max(m_store.revision.era, m_store.concurrentEra);
+        m_store.revision.epoch = std::max(m_store.revision.epoch, m_store.concurrentEpoch);
         if (expected != m_store.revision && !m_store.writeError)
             return error::VersionConflict;
         if (!m_store.writeError || m_store.appliesDespiteError)
@@ -265,7 +265,7 @@
     cli_fixture fixture;
     fixture.store.writeError = error::OutcomeUnknown;
     fixture.store.concurrentReplacement = configText(3);
-    fixture.store.concurrentEra = 2;
+    fixture.store.concurrentEpoch = 2;
     CHECK(fixture.put(configText(5)) == exit_code::Refused);
     CHECK(contains(fixture.err.str(), "restored from a copy in the meantime and has version 3"));
 }
--- a/tests/test_operator_access.cpp
+++ b/tests/test_operator_access.cpp
@@ -96,11 +96,11 @@
     access_fixture fixture;
     REQUIRE_FALSE(fixture.access.replaceConfig(first, 0));
     const auto before = fixture.access.readConfig().value();
-    CHECK(before.revision.era == 1);
+    CHECK(before.revision.epoch == 1);
     fixture.inStore([&] { fixture.store->restore(fixture.store->copy()); });
     CHECK(fixture.access.replaceConfig(second, before.revision) == error::OutcomeUnknown);
     const auto after = fixture.access.readConfig().value();
-    CHECK(after.revision.era == 2);
+    CHECK(after.revision.epoch == 2);
     CHECK_FALSE(fixture.access.replaceConfig(first, after.revision));
 }
 
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -76,14 +76,14 @@
     CHECK(fixture.store.calls("/chicoryhead/kv-range") == 7);
 }
 
-TEST_CASE("The era of the store is decoded from the header of its answers", "[store]")
+TEST_CASE("The epoch of the store is decoded from the header of its answers", "[store]")
 {
     // Guards against a restored store that looks like the one before.
     store_fixture fixture;
     const auto copy = fixture.store.copy();
     fixture.store.put("servers/i-1", entryText);
-    CHECK(fixture.load().value().revision.era == 1);
-    CHECK(fixture.watch(100).value().revision.era == 1);
+    CHECK(fixture.load().value().revision.epoch == 1);
+    CHECK(fixture.watch(100).value().revision.epoch == 1);
     fixture.store.restore(copy);
     CHECK(fixture.watch(101).error() == error::HistoryLost);
     const auto loaded = fixture.load();
@@ -91,16 +91,16 @@
     CHECK(loaded.value().changes.empty());
 }
 
-TEST_CASE("An answer without an era is taken for one of the last era", "[store]")
+TEST_CASE("An answer without an epoch is taken for one of the last epoch", "[store]")
 {
     // Guards against answers that are never applied because they look older than the state.
     store_fixture fixture;
-    fixture.store.setSendsEra(false);
+    fixture.store.setSendsEpoch(false);
     CHECK(fixture.load().value().revision == store_revision {100, 0});
-    fixture.store.setSendsEra(true);
+    fixture.store.setSendsEpoch(true);
     fixture.store.restore(fixture.store.copy());
     CHECK(fixture.load().value().revision == store_revision {100, 2});
-    fixture.store.setSendsEra(false);
+    fixture.store.setSendsEpoch(false);
     fixture.store.put("servers/i-1", entryText);
     CHECK(fixture.watch(100).value().revision == store_revision {101, 2});
     CHECK(fixture.load().value().revision == store_revision {101, 2});
@@ -123,7 +123,7 @@
     CHECK(fixture.load().value().changes.size() == 9);
 }
 
-TEST_CASE("A snapshot has the era of the store that returned it", "[store]")
+TEST_CASE("A snapshot has the epoch of the store that returned it", "[store]")
 {
     store_fixture fixture;
     std::optional<std::error_code> published;
--- a/tests/test_state_changes.cpp
+++ b/tests/test_state_changes.cpp
@@ -50,7 +50,7 @@
         record(instance_deregistration {name}, name, "");
     }
 
-    /** Changes after a revision of the current era, as a watch returns them. */
+    /** Changes after a revision of the current epoch, as a watch returns them. */
     fleet_changes after(store_revision revision) const
     {
         fleet_changes changes {m_revision, {}};
@@ -59,24 +59,24 @@
         return changes;
     }
 
-    /** Returns to a number of the current era; the numbers after it are given out again. */
+    /** Returns to a number of the current epoch; the numbers after it are given out again. */
     void restore(std::uint64_t number)
     {
-        const store_revision restored {number, m_revision.era};
-        const store_revision next {number, m_revision.era + 1};
+        const store_revision restored {number, m_revision.epoch};
+        const store_revision next {number, m_revision.epoch + 1};
         m_contents[next] = m_contents.at(restored);
         const auto kept = m_changes.upper_bound(restored);
         std::map<store_revision, fleet_change> changes;
         std::map<store_revision, std::string> names;
         for (auto entry = m_changes.begin(); entry != kept; ++entry) {
-            const store_revision renamed {entry->first.number, next.era};
+            const store_revision renamed {entry->first.number, next.epoch};
             changes.emplace(renamed, entry->second);
             names.emplace(renamed, m_names.at(entry->first));
             m_contents[renamed] = m_contents.at(entry->first);
         }
         m_changes = std::move(changes);
         m_names = std::move(names);
-        m_contents[{100, next.era}] = {};
+        m_contents[{100, next.epoch}] = {};
         m_revision = next;
     }
 
@@ -221,13 +221,13 @@
             const replica &sender = *instances[random() % instances.size()];
             const auto before = receiver.state.revision();
             const auto action = random() % 20;
-            const bool isSameEra = sender.state.revision().era == before.era;
-            const bool isOldEra = before.era < store.revision().era;
-            if (!before || action == 0 || (isOldEra && action < 6))
+            const bool isSameEpoch = sender.state.revision().epoch == before.epoch;
+            const bool isOldEpoch = before.epoch < store.revision().epoch;
+            if (!before || action == 0 || (isOldEpoch && action < 6))
                 receiver.load(store);
             else if (action < 6)
                 receiver.watch(store);
-            else if (action < 9 && isSameEra && sender.state.contentRevision() <= before
+            else if (action < 9 && isSameEpoch && sender.state.contentRevision() <= before
                      && sender.state.revision() > before)
                 receiver.state.confirm(sender.state.revision(), receiver.now()); // as a digest does
             else if (action < 13 && sender.state.revision())
--- a/tests/test_store_eras.cpp
+++ b/tests/test_store_epochs.cpp
@@ -1,5 +1,5 @@
 /**
- * @file test_store_eras.cpp
+ * @file test_store_epochs.cpp
  * State, store follower, snapshots and gossip when the store was restored from a copy.
  */
 
@@ -30,10 +30,10 @@
     return announced;
 }
 
-/** A follower with a scripted store, whose state is at number 100 of era 1. */
-struct era_fixture
+/** A follower with a scripted store, whose state is at number 100 of epoch 1. */
+struct epoch_fixture
 {
-    era_fixture()
+    epoch_fixture()
     {
         follower.tick();
         store.answerSnapshot();
@@ -82,7 +82,7 @@
 
 } // namespace
 
-TEST_CASE("Revisions of different eras are ordered by their era", "[restore]")
+TEST_CASE("Revisions of different epochs are ordered by their epoch", "[restore]")
 {
     CHECK(store_revision {5, 2} > store_revision {100, 1});
     CHECK(store_revision {100, 1} < store_revision {100, 2});
@@ -94,7 +94,7 @@
 {
     // Guards against an instance that discards what the restored store has until its numbers have
     // caught up.
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.restore({makeConfig(6), announcementOf("i-2", 9), announcementOf("i-3", 1)});
     CHECK(fixture.state.revision() == store_revision {60, 2});
     CHECK(fixture.routes.version() == 6);
@@ -109,7 +109,7 @@
 {
     // Guards against a watch that goes on after a number that was given out again: the changes
     // before it would be missing for good.
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.store.answer(fleet_changes {{103, 2}, {announcementOf("i-9", 1)}});
     CHECK(fixture.directory.find("i-9") == nullptr);
     CHECK(fixture.state.revision() == store_revision {100, 1});
@@ -121,7 +121,7 @@
 TEST_CASE("An older configuration in a restored store does not replace the one in force",
           "[restore]")
 {
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.restore({makeConfig(3)});
     CHECK(fixture.routes.version() == 5);
     fixture.store.answer(fleet_changes {{61, 2}, {makeConfig(5)}});
@@ -135,7 +135,7 @@
           "[restore]")
 {
     // Guards against new flows to an upstream that said it leaves before the store was restored.
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.store.answer(fleet_changes {{101, 1}, {announcementOf("i-1", 8, true)}});
     fixture.step(400ms);
     fixture.restore({announcementOf("i-1", 7), announcementOf("i-2", 9)});
@@ -169,7 +169,7 @@
 TEST_CASE("An upstream that is gone is not used again because a restored store lists it",
           "[restore]")
 {
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.store.answer(fleet_changes {{101, 1}, {announcementOf("i-1", 8, true)}});
     fixture.step(400ms);
     fixture.store.answer(fleet_changes {{102, 1}, {upstream_withdrawal {"i-1"}}});
@@ -182,7 +182,7 @@
 TEST_CASE("Upstreams that a restored store lacks are missing until they could announce again",
           "[restore]")
 {
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.restore({announcementOf("i-1", 7)});
     CHECK(fixture.lifecycleOf("i-2") == lifecycle_state::Missing);
     fixture.step(4s);
@@ -193,7 +193,7 @@
 {
     // Guards against flows to an evacuated domain until the operator writes the evacuation again,
     // and against evacuations that the restored store adds later than others.
-    era_fixture fixture;
+    epoch_fixture fixture;
     REQUIRE(fixture.state.evacuatedDomains() == std::set<std::string> {"b"});
     fixture.restore({domain_evacuation {"c"}});
     CHECK(fixture.state.evacuatedDomains() == std::set<std::string> {"b", "c"});
@@ -220,7 +220,7 @@
           "[restore]")
 {
     // Guards against gossip that stops because the restored store lists no instance.
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.restore({makeConfig(5), fixture.peers.at(0)});
     CHECK(fixture.state.instances().size() == 1);
     CHECK(fixture.state.formerInstances().contains("f-2"));
@@ -246,7 +246,7 @@
 {
     // Guards against a load and a watch every 50 ms from each instance while the store refuses to
     // continue from what it has just returned.
-    era_fixture fixture;
+    epoch_fixture fixture;
     const auto before = fixture.follower.callsStarted();
     for (monotonic_time passed {0}; passed < 10s; passed += 10ms) {
         fixture.step(10ms);
@@ -263,8 +263,8 @@
 TEST_CASE("After a refused watch, a state from another instance replaces the load", "[restore]")
 {
     // Guards against one load per instance after a restore, when a few in each domain are enough.
-    era_fixture fixture;
-    era_fixture other;
+    epoch_fixture fixture;
+    epoch_fixture other;
     other.restore({makeConfig(6), announcementOf("i-1", 7)});
     fixture.state.adopt(other.state.snapshot(5, {100, 1}, other.clock.now()), fixture.clock.now(),
                         fixture.clock.now());
@@ -276,10 +276,10 @@
     CHECK(fixture.store.call().after == store_revision {60, 2});
 }
 
-TEST_CASE("A receiver at the same number of an older era gets the full state", "[restore]")
+TEST_CASE("A receiver at the same number of an older epoch gets the full state", "[restore]")
 {
     // Guards against a delta after a number that stands for another state.
-    era_fixture fixture;
+    epoch_fixture fixture;
     fixture.restore({makeConfig(6), announcementOf("i-1", 7)}, 100);
     const auto snapshot = fixture.state.snapshot(5, {100, 1}, fixture.clock.now());
     CHECK_FALSE(snapshot.baseRevision);
@@ -288,7 +288,7 @@
           == store_revision {100, 2});
 }
 
-TEST_CASE("A digest of another era confirms nothing, and a newer one leads to a state request",
+TEST_CASE("A digest of another epoch confirms nothing, and a newer one leads to a state request",
           "[restore]")
 {
     // Guards against a state that counts as current although another instance has a different one
@@ -308,7 +308,7 @@
     CHECK(fixture.instances[0]->state.revision() == store_revision {100, 2});
 }
 
-TEST_CASE("Messages carry eras, and those of releases without them are recognized", "[restore]")
+TEST_CASE("Messages carry epochs, and those of releases without them are recognized", "[restore]")
 {
     gossip_digest digest;
     digest.sender = {"f-1", "a", {1, 1}};
@@ -319,10 +319,10 @@
     CHECK(decoded.revision == digest.revision);
     CHECK(decoded.contentRevision == digest.contentRevision);
     CHECK(decoded.evacuations->revision == digest.evacuations->revision);
-    CHECK(decoded.hasEra);
-    digest.hasEra = false;
+    CHECK(decoded.hasEpoch);
+    digest.hasEpoch = false;
     const auto older = std::get<gossip_digest>(decodeGossip(encodeGossip(digest)).value());
-    CHECK_FALSE(older.hasEra);
+    CHECK_FALSE(older.hasEpoch);
     CHECK(older.revision == store_revision {100});
 
     const gossip_state_request request {4, {100, 3}, 77};
@@ -339,11 +339,11 @@
     const auto state = decodeState(encodeState(snapshot)).value();
     CHECK(state.baseRevision == snapshot.baseRevision);
     CHECK(state.revision == snapshot.revision);
-    snapshot.hasEra = false;
-    CHECK_FALSE(decodeState(encodeState(snapshot)).value().hasEra);
+    snapshot.hasEpoch = false;
+    CHECK_FALSE(decodeState(encodeState(snapshot)).value().hasEpoch);
 }
 
-TEST_CASE("A release without eras gets changes, and after a restore the full state", "[restore]")
+TEST_CASE("A release without epochs gets changes, and after a restore the full state", "[restore]")
 {
     // Guards against full states for each change while releases run side by side, and against a
     // delta after a number that was given out again.
@@ -377,12 +377,12 @@
     CHECK(countUpstreams() == 18);
 }
 
-TEST_CASE("A state of a release without eras is used, but confirms nothing", "[restore]")
+TEST_CASE("A state of a release without epochs is used, but confirms nothing", "[restore]")
 {
-    // Guards against a state of unknown era that keeps an instance from reading the store.
-    era_fixture source;
+    // Guards against a state of unknown epoch that keeps an instance from reading the store.
+    epoch_fixture source;
     auto snapshot = source.state.snapshot(0, {}, source.clock.now());
-    snapshot.hasEra = false;
+    snapshot.hasEpoch = false;
     const auto decoded = decodeState(encodeState(snapshot)).value();
     stepped_clock clock;
     clock.advance(60s);
@@ -404,9 +404,9 @@
 
 TEST_CASE("A snapshot is published soon after a restore, whatever the store has", "[restore]")
 {
-    // Guards against instances that start from a snapshot of the former era and all load the store,
-    // and against a publisher that expects a snapshot which the store has lost.
-    era_fixture fixture;
+    // Guards against instances that start from a snapshot of the former epoch and all load the
+    // store, and against a publisher that expects a snapshot which the store has lost.
+    epoch_fixture fixture;
     publisher_settings settings;
     settings.interval = 8s;
     settings.minEntries = 1;
