--- a/tests/process_deployment.h
+++ b/tests/process_deployment.h
@@ -23,7 +23,7 @@
 
 /// Slots for the tests; the demo and the soak use lower ones.
 inline constexpr unsigned restoredStoreSlot = 98;
-inline constexpr unsigned oddEntriesSlot = 97;
+inline constexpr unsigned malformedEntriesSlot = 97;
 
 using namespace std::chrono_literals;
 
--- a/tests/test_odd_entries.cpp
+++ b/tests/test_malformed_entries.cpp
@@ -1,5 +1,5 @@
 /**
- * @file test_odd_entries.cpp
+ * @file test_malformed_entries.cpp
  * Entries of other writers among those of upstreams, instances and operators: deeply nested, with
  * numbers out of range, or too long.
  */
@@ -41,7 +41,7 @@
 }
 
 /// Announcements that no upstream writes.
-std::vector<std::string> oddAnnouncements()
+std::vector<std::string> malformedAnnouncements()
 {
     const std::string nested = repeat("[", 200000);
     return {
@@ -80,11 +80,11 @@
 
 } // namespace
 
-TEST_CASE("An announcement that is accepted can be passed on to other instances", "[odd]")
+TEST_CASE("An announcement that is accepted can be passed on to other instances", "[malformed]")
 {
     // Guards against an entry that the readers of the store accept and that makes the states they
     // send unreadable for all others.
-    for (const std::string &text : oddAnnouncements()) {
+    for (const std::string &text : malformedAnnouncements()) {
         CAPTURE(text.substr(0, 300));
         const auto announced = platform::decodeAnnouncement("i-00ab12", text);
         if (!announced)
@@ -100,7 +100,7 @@
     }
 }
 
-TEST_CASE("A number out of range makes an announcement malformed", "[odd]")
+TEST_CASE("A number out of range makes an announcement malformed", "[malformed]")
 {
     // Guards against numbers that are cut to other ones, such as 2^32 slots to none, and times that
     // overflow.
@@ -121,7 +121,7 @@
     CHECK(platform::decodeAnnouncement("i-00ab12", announcementWith("ready", "ready")));
 }
 
-TEST_CASE("A configuration that is accepted can be passed on to other instances", "[odd]")
+TEST_CASE("A configuration that is accepted can be passed on to other instances", "[malformed]")
 {
     // Guards against a field of the configuration that makes the states of the readers unreadable.
     const auto routeWith = [](const std::string &fields) {
@@ -155,11 +155,12 @@
     }
 }
 
-TEST_CASE("Instances follow the store while other writers leave odd entries in it", "[odd]")
+TEST_CASE("Instances follow the store while other writers leave malformed entries in it",
+          "[malformed]")
 {
     // Guards against instances that end again and again, or that stop following the list of
     // upstreams, because of a single entry.
-    process_deployment processes(oddEntriesSlot);
+    process_deployment processes(malformedEntriesSlot);
     auto &deployment = processes.deployment();
     auto &store = deployment.store();
     const auto upstream = deployment.upstreamsOf(0).front();
@@ -168,14 +169,14 @@
     processes.runFor(4s);
 
     unsigned number = 0;
-    for (const std::string &text : oddAnnouncements()) {
+    for (const std::string &text : malformedAnnouncements()) {
         store.put("servers/i-0dd" + std::to_string(++number), text);
-        store.put("chicoryhead/instances/odd-" + std::to_string(number), text);
+        store.put("chicoryhead/instances/other-" + std::to_string(number), text);
     }
     store.put("servers/", announcementWith("ready", "ready"));
     store.put("servers/no-upstream", announcementWith("ready", "ready"));
     store.put("servers/i-" + repeat("a", 180), announcementWith("ready", "ready"));
-    store.put("chicoryhead/instances/odd",
+    store.put("chicoryhead/instances/other",
               R"({"domain":")" + repeat("d", 70000) + R"(","peer_address":"127.97.9.2:7720"})");
     store.put("op/evacuate/" + repeat("z", 180), "");
     processes.runFor(500ms);
