Tests: one fixture for the state with a scripted store

The same seven members stood in four test files, and test_store_epochs.cpp had written the follower's fixture of test_sync.cpp again.

--- a/tests/test_instance_registrar.cpp
+++ b/tests/test_instance_registrar.cpp
@@ -4,19 +4,17 @@
  */
 
 #include "entry/instance_registrar_base.h"
-#include "entry_support.h"
+#include "state_support.h"
 
 #include <catch2/catch.hpp>
 
-#include <fcntl.h>
-
 using namespace chicoryhead;
 using namespace chicoryhead::test;
 
 namespace {
 
 /** The registrar of an instance that has a configuration. */
-struct registrar_fixture
+struct registrar_fixture : state_fixture
 {
     registrar_fixture() { setRegistrations({}); }
 
@@ -48,14 +46,6 @@
         return count;
     }
 
-    stepped_clock clock;
-    seeded_random random {3};
-    event_log log {::open("/dev/null", O_WRONLY), clock};
-    routing_table routes;
-    upstream_directory directory;
-    domain_first_placement placement {directory, {"a", 3, 7}};
-    fleet_state state {routes, directory, placement, log};
-    scripted_store store;
     std::uint64_t revision = 0;
     const instance_registration own {"f-1", "a", {0x0a000001, 7720}};
     instance_registrar registrar {own, store, state, clock, random, log};
--- a/tests/test_start_at_scale.cpp
+++ b/tests/test_start_at_scale.cpp
@@ -7,6 +7,7 @@
 #include "gossip/transfer_queue_base.h"
 #include "gossip_support.h"
 #include "platform/standin_codec.h"
+#include "state_support.h"
 #include "sync/snapshot_publisher_base.h"
 #include "sync/state_codec_func.h"
 
@@ -43,7 +44,7 @@
 }
 
 /** A primary reader of domain "b" with the state of a large fleet. */
-struct publisher_fixture
+struct publisher_fixture : state_fixture
 {
     publisher_fixture()
     {
@@ -74,13 +75,6 @@
         return count;
     }
 
-    stepped_clock clock;
-    event_log log {::open("/dev/null", O_WRONLY), clock};
-    routing_table routes;
-    upstream_directory directory;
-    domain_first_placement placement {directory, {"b", 2, 7}};
-    fleet_state state {routes, directory, placement, log};
-    scripted_store store;
     publisher_settings settings;
     snapshot_publisher publisher {"b", store, state, clock, log, settings};
 };
--- a/tests/test_store_epochs.cpp
+++ b/tests/test_store_epochs.cpp
@@ -6,9 +6,9 @@
 #include "entry/instance_registrar_base.h"
 #include "gossip/gossip_codec_func.h"
 #include "gossip_support.h"
+#include "state_support.h"
 #include "sync/snapshot_publisher_base.h"
 #include "sync/state_codec_func.h"
-#include "sync/store_follower_base.h"
 
 #include <catch2/catch.hpp>
 
@@ -31,12 +31,10 @@
 }
 
 /** A follower with a scripted store, whose state is at number 100 of epoch 1. */
-struct epoch_fixture
+struct epoch_fixture : follower_fixture
 {
     epoch_fixture()
     {
-        follower.tick();
-        store.answerSnapshot();
         store.answer(
             fleet_changes {{100, 1},
                            {makeConfig(5), announcementOf("i-1", 7), announcementOf("i-2", 9),
@@ -62,22 +60,8 @@
         store.answer(fleet_changes {{number, 2}, std::move(content)});
     }
 
-    lifecycle_state lifecycleOf(const std::string &name) const
-    {
-        return directory.find(name)->lifecycle;
-    }
-
     const std::vector<instance_registration> peers {{"f-1", "a", {0x0a000001, 7720}},
                                                     {"f-2", "a", {0x0a000002, 7720}}};
-    stepped_clock clock;
-    seeded_random random {1};
-    event_log log {::open("/dev/null", O_WRONLY), clock};
-    routing_table routes;
-    upstream_directory directory;
-    domain_first_placement placement {directory, {"a", 3, 1}};
-    fleet_state state {routes, directory, placement, log};
-    scripted_store store;
-    store_follower follower {store, state, clock, random, log};
 };
 
 } // namespace
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -3,15 +3,11 @@
  * Tests of the store follower and of the state that it keeps synchronised with the store.
  */
 
-#include "entry_support.h"
+#include "state_support.h"
 #include "sync/state_codec_func.h"
-#include "sync/store_follower_base.h"
 
 #include <catch2/catch.hpp>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 using namespace chicoryhead;
 using namespace chicoryhead::test;
 
@@ -30,15 +26,9 @@
     return snapshot;
 }
 
-/** A follower with a scripted store; its first read of a snapshot has found none. */
-struct follower_fixture
+/** A follower whose steps are as long as a test needs. */
+struct sync_fixture : follower_fixture
 {
-    follower_fixture()
-    {
-        follower.tick();
-        store.answerSnapshot();
-    }
-
     void step(monotonic_time duration)
     {
         clock.advance(duration);
@@ -63,29 +53,13 @@
         }
         return waited;
     }
-
-    lifecycle_state lifecycleOf(const std::string &name) const
-    {
-        return directory.find(name)->lifecycle;
-    }
-
-    int sink = ::open("/dev/null", O_WRONLY);
-    stepped_clock clock;
-    seeded_random random {1};
-    event_log log {sink, clock};
-    routing_table routes;
-    upstream_directory directory;
-    domain_first_placement placement {directory, {"a", 3, 1}};
-    fleet_state state {routes, directory, placement, log};
-    scripted_store store;
-    store_follower follower {store, state, clock, random, log};
 };
 
 } // namespace
 
 TEST_CASE("The follower loads the state once, then watches from its revision", "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     REQUIRE(fixture.store.call().kind == scripted_store::call_kind::Load);
     CHECK_FALSE(fixture.state.isSynchronised());
     fixture.synchronise();
@@ -99,7 +73,7 @@
 
 TEST_CASE("Changes are applied, and the next watch is delayed to batch more of them", "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     auto draining = makeUpstream("i-1", "desk", "a");
     draining.isDraining = true;
@@ -114,7 +88,7 @@
 TEST_CASE("The state is loaded again when the store dropped the history", "[sync]")
 {
     // Guards against a state that stays old because the store dropped the changes in between.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     fixture.store.answer(error::HistoryLost);
     fixture.follower.tick();
@@ -129,7 +103,7 @@
 
 TEST_CASE("Calls to an unresponsive store back off to one per second", "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     monotonic_time total {0};
     int calls = 0;
@@ -150,7 +124,7 @@
 TEST_CASE("Upstreams whose announcements expired in an outage of the store are missing, not gone",
           "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     fixture.store.answer(error::StoreUnavailable);
     fixture.waitForCall();
@@ -173,7 +147,7 @@
 
 TEST_CASE("An upstream whose announcement is removed without an outage is gone at once", "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     fixture.store.answer(fleet_changes {110, {upstream_withdrawal {"i-1", false}}});
     CHECK(fixture.lifecycleOf("i-1") == lifecycle_state::Gone);
@@ -184,7 +158,7 @@
 
 TEST_CASE("A malformed announcement removes its upstream, also after an outage", "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     fixture.store.answer(error::StoreUnavailable);
     fixture.waitForCall();
@@ -195,7 +169,7 @@
 TEST_CASE("A process that was suspended cancels its watch and calls the store at once", "[sync]")
 {
     // Guards against waiting on a connection that died during the suspension.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     fixture.clock.advance(5s);
     fixture.follower.refresh();
@@ -208,7 +182,7 @@
 {
     std::set<monotonic_time> pauses;
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
-        follower_fixture fixture;
+        sync_fixture fixture;
         fixture.random = seeded_random(seed);
         for (int failure = 0; failure < 5; ++failure) {
             fixture.store.answer(error::Throttled);
@@ -223,7 +197,7 @@
 TEST_CASE("An instance that is no reader does not call the store while its state is fresh",
           "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     auto role = reader_role::Primary;
     fixture.follower.setRolePolicy([&] { return role; });
     fixture.synchronise();
@@ -255,7 +229,7 @@
           "[sync]")
 {
     // Guards against new flows to an upstream that was removed after the snapshot was taken.
-    follower_fixture fixture;
+    sync_fixture fixture;
     store_follower follower(fixture.store, fixture.state, fixture.clock, fixture.random,
                             fixture.log);
     fixture.store.cancel();
@@ -315,7 +289,7 @@
           "[sync]")
 {
     // Guards against polling by hundreds of instances until operators store a configuration.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.store.answer(fleet_changes {100, {makeUpstream("i-1", "desk", "a")}});
     REQUIRE(fixture.store.isCalled());
     CHECK(fixture.store.call().kind == scripted_store::call_kind::Watch);
@@ -326,7 +300,7 @@
 
 TEST_CASE("Without a usable snapshot a start loads the full state", "[sync]")
 {
-    follower_fixture fixture;
+    sync_fixture fixture;
     store_follower follower(fixture.store, fixture.state, fixture.clock, fixture.random,
                             fixture.log);
     fixture.store.cancel();
@@ -366,7 +340,7 @@
     // shortly after a new configuration.
     std::map<int, int> instancesByDelay; // by step of 40 ms
     for (std::uint64_t seed = 0; seed < 200; ++seed) {
-        follower_fixture fixture;
+        sync_fixture fixture;
         seeded_random random(seed + 77);
         store_follower follower(fixture.store, fixture.state, fixture.clock, random, fixture.log);
         follower.setPeerCountProvider([] { return std::size_t {199}; });
@@ -393,7 +367,7 @@
 {
     // Guards against many calls by hundreds of instances whose state is stale because the store
     // refuses them; the store counts each call.
-    follower_fixture fixture;
+    sync_fixture fixture;
     auto role = reader_role::Primary;
     fixture.follower.setRolePolicy([&] { return role; });
     const auto callsWithin = [&](monotonic_time duration) {
@@ -433,7 +407,7 @@
 TEST_CASE("A watch answer that is older than the adopted state changes nothing", "[sync]")
 {
     // Guards against an upstream's state that reverts to an older one until its next change.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     REQUIRE(fixture.store.call().after == 100);
     auto draining = makeUpstream("i-1", "desk", "a");
@@ -455,7 +429,7 @@
 {
     // Guards against one call per change: 150 upstreams that warmed up changed their announcements
     // more than a hundred times per second.
-    follower_fixture fixture;
+    sync_fixture fixture;
     auto role = reader_role::Primary;
     std::uint64_t maxCalls = 0;
     SECTION("the primary reader")
@@ -486,7 +460,7 @@
 {
     // Guards against a backup reader with short watches, because the batch delay from before the
     // outage is still subtracted from the timeout.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.follower.setRolePolicy([] { return reader_role::Backup; });
     fixture.synchronise();
     fixture.store.answer(fleet_changes {101, {makeUpstream("i-1", "desk", "a")}});
@@ -499,7 +473,7 @@
 TEST_CASE("The batch delay of a backup does not extend the time between two answers", "[sync]")
 {
     // Guards against a third instance that becomes a reader because it takes the backup for failed.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.follower.setRolePolicy([] { return reader_role::Backup; });
     fixture.synchronise();
     const follower_settings settings;
@@ -514,7 +488,7 @@
 {
     // Guards against open flows that wait for a configuration that they do not need: with 2,000
     // routes on a link of 10 Mbit/s loading it took 0.45 s.
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.step(30ms);
     CHECK_FALSE(fixture.store.upstreamsDone);
     fixture.step(20ms);
@@ -557,7 +531,7 @@
     // Guards against losing upstreams whose leases expired while the store did not answer: an
     // instance that starts when the store recovers loads a list without them and sends it to
     // instances that ran before (incident inc-aad3: 17 of 18 upstreams were gone at once).
-    follower_fixture fixture;
+    sync_fixture fixture;
     fixture.synchronise();
     state_snapshot emptySnapshot;
     emptySnapshot.revision = 120;
@@ -595,15 +569,15 @@
 {
     // Guards against a grace period that each change or each message of another instance restarts:
     // an upstream that crashed would stay missing and never be gone.
-    follower_fixture one;
-    follower_fixture other;
+    sync_fixture one;
+    sync_fixture other;
     one.synchronise();
     other.synchronise();
     one.state.apply({110, {}}, true, one.clock.now());
     std::uint64_t revision = 110;
     for (int second = 0; second < 12; ++second) {
-        follower_fixture &sender = second % 2 == 0 ? one : other;
-        follower_fixture &receiver = second % 2 == 0 ? other : one;
+        sync_fixture &sender = second % 2 == 0 ? one : other;
+        sync_fixture &receiver = second % 2 == 0 ? other : one;
         ++revision;
         sender.state.apply({revision, {makeUpstream("i-2", "desk", "a")}}, false,
                            sender.clock.now());
@@ -620,14 +594,14 @@
           "[sync]")
 {
     // Guards against open flows whose upstream is unknown to an instance that has just started.
-    follower_fixture before;
+    sync_fixture before;
     before.synchronise();
     before.store.answer(error::StoreUnavailable);
     before.waitForCall();
     before.store.answer(fleet_changes {110, {upstream_withdrawal {"i-1", false}}});
     REQUIRE(before.lifecycleOf("i-1") == lifecycle_state::Missing);
 
-    follower_fixture started;
+    sync_fixture started;
     started.store.answer(fleet_changes {110, {makeConfig(1), makeUpstream("i-2", "desk", "a")}});
     REQUIRE(started.directory.find("i-1") == nullptr);
     const auto snapshot = before.state.snapshot(1, 110, before.clock.now());
