--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -40,6 +40,16 @@
     return fail(call, exit_code::Unavailable, "can't read the store: " + code.message());
 }
 
+exit_code withFleet(const command_call &call,
+                    const std::function<exit_code(operator_store &, const fleet_changes &)> &run)
+{
+    const auto store = openStore(call);
+    if (store == nullptr)
+        return exit_code::Usage;
+    const auto fleet = store->readFleet();
+    return fleet ? run(*store, fleet.value()) : failStore(call, fleet.error());
+}
+
 result<std::string> readTextFile(const command_call &call, const std::string &path)
 {
     if (path == "-")
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -8,6 +8,7 @@
 #include "cli_base.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -47,6 +48,10 @@
  */
 std::unique_ptr<operator_store> openStore(const command_call &call);
 
+/** Reads the fleet and calls a function with the store and the fleet; prints why that failed. */
+exit_code withFleet(const command_call &call,
+                    const std::function<exit_code(operator_store &, const fleet_changes &)> &run);
+
 /** Prints why the store could not be read, and returns Unavailable. */
 exit_code failStore(const command_call &call, std::error_code code);
 
--- a/src/cli/command_evacuate.cpp
+++ b/src/cli/command_evacuate.cpp
@@ -47,14 +47,6 @@
     return overview;
 }
 
-std::string join(const std::set<std::string> &words)
-{
-    std::string text;
-    for (const std::string &word : words)
-        text += (text.empty() ? "" : " ") + word;
-    return text;
-}
-
 /// Services that only the domain serves, apart from evacuated ones.
 std::set<std::string> servicesWithoutAlternative(const domain_overview &overview,
                                                  const std::string &domain)
@@ -83,11 +75,11 @@
         return fail(call, exit_code::Refused, domain + " is being evacuated already");
     if (!overview.known.contains(domain))
         return fail(call, exit_code::Invalid,
-                    "unknown failure domain " + domain + "; known: " + join(overview.known));
+                    "unknown failure domain " + domain + "; known: " + join(overview.known, " "));
     const auto services = servicesWithoutAlternative(overview, domain);
     if (!services.empty() && !FLAGS_force)
         return fail(call, exit_code::Refused,
-                    "no upstreams would be left for: " + join(services)
+                    "no upstreams would be left for: " + join(services, " ")
                         + "; --force evacuates nevertheless");
     return exit_code::Done;
 }
@@ -179,7 +171,7 @@
         if (call.environment.now() >= deadline) {
             if (!progress.lagging.empty())
                 return fail(call, exit_code::Timeout,
-                            "behind or not answering: " + join(progress.lagging));
+                            "behind or not answering: " + join(progress.lagging, " "));
             return fail(call, exit_code::Timeout,
                         progress.instances == 0 ? "no instance is registered"
                                                 : "flows are left in " + domain);
@@ -193,36 +185,28 @@
 exit_code runEvacuate(const command_call &call)
 {
     const std::string &domain = call.operands[0];
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto fleet = store->readFleet();
-    if (!fleet)
-        return failStore(call, fleet.error());
-    if (const auto code = checkChange(call, summariseDomains(fleet.value()), domain);
-        code != exit_code::Done)
-        return code;
-    if (const auto code = submit(call, *store, domain); code != exit_code::Done)
-        return code;
-    return FLAGS_wait ? waitForInstances(call, *store, domain) : exit_code::Done;
+    return withFleet(call, [&](operator_store &store, const fleet_changes &fleet) {
+        if (const auto code = checkChange(call, summariseDomains(fleet), domain);
+            code != exit_code::Done)
+            return code;
+        if (const auto code = submit(call, store, domain); code != exit_code::Done)
+            return code;
+        return FLAGS_wait ? waitForInstances(call, store, domain) : exit_code::Done;
+    });
 }
 
 exit_code runEvacuations(const command_call &call)
 {
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto fleet = store->readFleet();
-    if (!fleet)
-        return failStore(call, fleet.error());
-    text_table table({"DOMAIN", "INSTANCES", "FOLLOWING", "FLOWS"});
-    for (const std::string &domain : summariseDomains(fleet.value()).evacuated) {
-        const auto progress = readProgress(call, fleet.value(), domain, true);
-        table.addRow({domain, std::to_string(progress.instances),
-                      std::to_string(progress.following), std::to_string(progress.flows)});
-    }
-    table.print(call.environment.out);
-    return exit_code::Done;
+    return withFleet(call, [&call](operator_store & /*store*/, const fleet_changes &fleet) {
+        text_table table({"DOMAIN", "INSTANCES", "FOLLOWING", "FLOWS"});
+        for (const std::string &domain : summariseDomains(fleet).evacuated) {
+            const auto progress = readProgress(call, fleet, domain, true);
+            table.addRow({domain, std::to_string(progress.instances),
+                          std::to_string(progress.following), std::to_string(progress.flows)});
+        }
+        table.print(call.environment.out);
+        return exit_code::Done;
+    });
 }
 
 } // namespace chicoryhead
--- a/src/cli/command_fleet.cpp
+++ b/src/cli/command_fleet.cpp
@@ -97,14 +97,6 @@
     upstream.deadTo += row.verdict == "dead" ? 1 : 0;
 }
 
-std::string join(const std::set<std::string> &words)
-{
-    std::string text;
-    for (const std::string &word : words)
-        text += (text.empty() ? "" : ",") + word;
-    return text;
-}
-
 } // namespace
 
 exit_code runDomains(const command_call &call)
@@ -153,7 +145,7 @@
                       "SILENT_TO", "DEAD_TO"});
     for (const auto &[key, upstream] : upstreams) {
         if (upstream.avoidedBy + upstream.silentTo + upstream.deadTo > 0)
-            table.addRow({key.first, key.second, upstream.domain, join(upstream.standings),
+            table.addRow({key.first, key.second, upstream.domain, join(upstream.standings, ","),
                           std::to_string(upstream.knownTo), std::to_string(upstream.avoidedBy),
                           std::to_string(upstream.silentTo), std::to_string(upstream.deadTo)});
     }
@@ -187,30 +179,26 @@
 
 exit_code runUpstreams(const command_call &call)
 {
-    const auto store = openStore(call);
-    if (store == nullptr)
-        return exit_code::Usage;
-    const auto fleet = store->readFleet();
-    if (!fleet)
-        return failStore(call, fleet.error());
-    std::vector<upstream_announcement> rows;
-    for (const fleet_change &change : fleet.value().changes) {
-        const auto *announced = std::get_if<upstream_announcement>(&change);
-        if (announced != nullptr && isSelected(call, announced->service))
-            rows.push_back(*announced);
-        const auto *withdrawn = std::get_if<upstream_withdrawal>(&change);
-        if (withdrawn != nullptr && withdrawn->isMalformed)
-            warn(call, "the announcement of " + withdrawn->name + " is malformed");
-    }
-    std::sort(rows.begin(), rows.end(), [](const auto &a, const auto &b) {
-        return std::tie(a.service, a.domain, a.name) < std::tie(b.service, b.domain, b.name);
+    return withFleet(call, [&call](operator_store & /*store*/, const fleet_changes &fleet) {
+        std::vector<upstream_announcement> rows;
+        for (const fleet_change &change : fleet.changes) {
+            const auto *announced = std::get_if<upstream_announcement>(&change);
+            if (announced != nullptr && isSelected(call, announced->service))
+                rows.push_back(*announced);
+            const auto *withdrawn = std::get_if<upstream_withdrawal>(&change);
+            if (withdrawn != nullptr && withdrawn->isMalformed)
+                warn(call, "the announcement of " + withdrawn->name + " is malformed");
+        }
+        std::sort(rows.begin(), rows.end(), [](const auto &a, const auto &b) {
+            return std::tie(a.service, a.domain, a.name) < std::tie(b.service, b.domain, b.name);
+        });
+        text_table table({"SERVICE", "UPSTREAM", "DOMAIN", "ADDRESS", "SLOTS", "STATE"});
+        for (const upstream_announcement &row : rows)
+            table.addRow({row.service, row.name, row.domain, toString(row.address),
+                          std::to_string(row.slots), row.isDraining ? "draining" : "ready"});
+        table.print(call.environment.out);
+        return exit_code::Done;
     });
-    text_table table({"SERVICE", "UPSTREAM", "DOMAIN", "ADDRESS", "SLOTS", "STATE"});
-    for (const upstream_announcement &row : rows)
-        table.addRow({row.service, row.name, row.domain, toString(row.address),
-                      std::to_string(row.slots), row.isDraining ? "draining" : "ready"});
-    table.print(call.environment.out);
-    return exit_code::Done;
 }
 
 exit_code runFlows(const command_call &call)
--- a/src/cli/text_table.cpp
+++ b/src/cli/text_table.cpp
@@ -11,6 +11,17 @@
 
 namespace chicoryhead {
 
+std::string join(const std::set<std::string> &words, std::string_view separator)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        if (!text.empty())
+            text += separator;
+        text += word;
+    }
+    return text;
+}
+
 text_table::text_table(std::vector<std::string> heading)
 {
     m_rows.push_back(std::move(heading));
--- a/src/cli/text_table.h
+++ b/src/cli/text_table.h
@@ -6,11 +6,16 @@
 #pragma once
 
 #include <ostream>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chicoryhead {
 
+/** Concatenates words, with a separator between them. */
+std::string join(const std::set<std::string> &words, std::string_view separator);
+
 /** A table of text cells; columns are padded to the widest cell. The first row is the heading. */
 class text_table
 {
