--- a/src/entry/derived_settings.cpp
+++ b/src/entry/derived_settings.cpp
@@ -5,6 +5,8 @@
 
 #include "derived_settings.h"
 
+#include "sync/restore_grace_base.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -86,9 +88,8 @@
 /// The store removes the announcement of an upstream that is gone after three intervals.
 monotonic_time deriveRestoreGracePeriod(const entry_settings &settings)
 {
-    constexpr monotonic_time defaultPeriod = std::chrono::seconds(5);
     return settings.announcementInterval.count() > 0 ? settings.announcementInterval * 4
-                                                     : defaultPeriod;
+                                                     : defaultRestoreGracePeriod;
 }
 
 } // namespace chicoryhead
--- a/src/sync/restore_grace_base.h
+++ b/src/sync/restore_grace_base.h
@@ -16,6 +16,9 @@
 
 namespace chicoryhead {
 
+/// Duration of the period if the settings do not say how often upstreams announce themselves.
+inline constexpr monotonic_time defaultRestoreGracePeriod = std::chrono::seconds(5);
+
 /** A period after a restore, with the entries that do not follow the restored store yet. */
 class restore_grace
 {
@@ -41,7 +44,7 @@
     /** Whether a running period is over. */
     bool isOver(monotonic_time now) const { return isRunning() && now >= m_end; }
 
-    /** Ends the period and forgets the former instances; returns the announcements held back. */
+    /** Ends the period and removes the former instances; returns the announcements held back. */
     announcement_map end()
     {
         m_end = monotonic_time {0};
@@ -55,10 +58,10 @@
         m_heldBack[announced.name] = announced;
     }
 
-    /** Forgets the announcement that was held back for an upstream. */
+    /** Removes the announcement that was held back for an upstream. */
     void discard(const std::string &upstream) { m_heldBack.erase(upstream); }
 
-    /** Forgets the announcements of all upstreams that a condition does not accept. */
+    /** Removes the announcements held back for upstreams that a condition does not accept. */
     template<typename Condition>
     void discardUnless(Condition isListed)
     {
@@ -71,7 +74,7 @@
     /** Keeps registrations that the restored store may lack. */
     void keepInstances(registration_map instances) { m_formerInstances.merge(instances); }
 
-    /** Forgets an instance that registered again or was removed. */
+    /** Removes an instance that registered again or was removed from the store. */
     void discardInstance(const std::string &name) { m_formerInstances.erase(name); }
 
     /** Instances that are still peers although the restored store does not list them. */
@@ -80,7 +83,7 @@
 private:
     announcement_map m_heldBack;
     registration_map m_formerInstances;
-    monotonic_time m_period = std::chrono::seconds(5);
+    monotonic_time m_period = defaultRestoreGracePeriod;
     monotonic_time m_end {0}; ///< 0 if no period is running
     bool m_hasBegun = false;
 };
