--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -16,7 +16,7 @@
 
 constexpr unsigned sessions = 0; ///< service whose callers keep flows open
 constexpr unsigned steady = 1;   ///< service with continuous requests
-constexpr std::size_t maxConnections = 2000;
+constexpr std::size_t maxConnections = 3200;
 constexpr std::size_t fullUpstreams = 2;
 constexpr auto openInterval = 1ms;
 /// Share of the capacity that is used without the burst, and the attempts with it.
@@ -28,6 +28,7 @@
     scenario_plan plan;
     plan.services = 2;
     plan.maxConnections = maxConnections;
+    plan.boundMs = 5000;
     scenario played(plan, folder);
     played.putConfig();
     for (std::size_t i = 0; i < fullUpstreams; ++i)
--- a/review/scenario.cpp
+++ b/review/scenario.cpp
@@ -223,6 +223,14 @@
     record("instance " + started.name + " started");
 }
 
+void scenario::renameInstance(std::size_t index, const std::string &name)
+{
+    instance &renamed = m_instances.at(index);
+    record("the settings of instance " + renamed.name + " change its name to " + name);
+    renamed.name = name;
+    writeSettings(renamed);
+}
+
 void scenario::signalInstance(std::size_t index, int number)
 {
     const instance &target = m_instances.at(index);
--- a/review/scenario.h
+++ b/review/scenario.h
@@ -132,6 +132,8 @@
     bool hasTrouble() const { return m_hasTrouble; }
 
     void startInstance(std::size_t index);
+    /** Writes a new settings file with another name; it takes effect at the next start. */
+    void renameInstance(std::size_t index, const std::string &name);
     void signalInstance(std::size_t index, int number);
     /** Whether the process of an instance has ended; collects its status. */
     bool hasEnded(std::size_t index);
