--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,7 @@
 /**
  * @file case.cpp
- * FLOW: many callers connect at once, until the upstreams of a service are full.
+ * FLOW: many callers of one domain connect at once, until its upstreams of a service are full.
+ * Those of the other domain have room.
  */
 
 #include "scenario.h"
@@ -17,22 +18,25 @@
 constexpr unsigned sessions = 0; ///< service whose callers keep flows open
 constexpr unsigned steady = 1;   ///< service with continuous requests
 constexpr std::size_t maxConnections = 3200;
-constexpr std::size_t fullUpstreams = 2;
+constexpr std::size_t upstreamsPerDomain = 2;
 constexpr auto openInterval = 1ms;
-/// Share of the capacity that is used without the burst, and the attempts with it.
+/// Share of the domain's capacity that is used without the burst, and the attempts with it.
 constexpr double usualLoad = 0.8;
 constexpr double burstLoad = 1.15;
 
 int play(const char *folder)
 {
     scenario_plan plan;
+    plan.domains = 2;
     plan.services = 2;
     plan.maxConnections = maxConnections;
     plan.boundMs = 5000;
     scenario played(plan, folder);
     played.putConfig();
-    for (std::size_t i = 0; i < fullUpstreams; ++i)
+    for (std::size_t i = 0; i < upstreamsPerDomain; ++i) {
         played.addUpstream(sessions, 0);
+        played.addUpstream(sessions, 1);
+    }
     played.addUpstream(steady, 0);
     for (std::size_t i = 0; i < played.instances().size(); ++i)
         played.startInstance(i);
@@ -47,9 +51,11 @@
 
     const double load = played.hasTrouble() ? burstLoad : usualLoad;
     const auto attempts =
-        static_cast<std::size_t>(load * static_cast<double>(maxConnections * fullUpstreams));
-    played.record("callers open " + std::to_string(attempts) + " flows; the upstreams hold "
-                  + std::to_string(maxConnections * fullUpstreams));
+        static_cast<std::size_t>(load * static_cast<double>(maxConnections * upstreamsPerDomain));
+    played.record("callers open " + std::to_string(attempts)
+                  + " flows; the upstreams of their domain hold "
+                  + std::to_string(maxConnections * upstreamsPerDomain)
+                  + ", those of the other domain as many");
     std::size_t opened = 0;
     auto nextAt = played.now();
     while (opened < attempts) {
--- a/review/scenario.cpp
+++ b/review/scenario.cpp
@@ -475,10 +475,11 @@
         finish(flow, flow.isOpen ? "reset while it was open" : "refused with a reset");
         return;
     }
+    // A caller places the last tag that it received on the flow in its own packets.
+    flow.tag = packet.tag;
     if (packet.isOpening) {
         if (flow.isOpen)
             return;
-        flow.tag = packet.tag;
         flow.isOpen = true;
         flow.upstream = packet.data;
         record("flow " + toString(flow.key.caller) + " is open at " + flow.upstream);
@@ -492,7 +493,6 @@
         tickFlow(flow);
         return;
     }
-    flow.tag = packet.tag;
     if (flow.request.empty() || !packet.data.starts_with(flow.request + ' '))
         return;
     flow.next += static_cast<std::uint32_t>(flow.request.size());
@@ -527,14 +527,18 @@
             return;
         }
         if (known == receiver.flows.end() || known->second.callerStart != packet.sequence) {
-            receiver.flows[key] = {packet.sequence, random(), 0, 0, {}, false};
+            auto &added = receiver.flows[key];
+            added = {};
+            added.callerStart = packet.sequence;
+            added.start = random();
             receiver.openings.emplace_back(now(), key);
+            record("upstream " + receiver.announced.name + " gets the opening packet of flow "
+                   + toString(key.caller));
         }
-        answer.isOpening = true;
-        answer.sequence = receiver.flows[key].start;
-        answer.acknowledged = packet.sequence + 1;
-        answer.data = receiver.announced.name;
-        reply(receiver, packet, answer);
+        auto &flow = receiver.flows[key];
+        flow.tag = packet.tag;
+        flow.retryDelay = initialRetryDelay;
+        answerOpening(receiver, key);
         return;
     }
     const auto found = receiver.flows.find(key);
@@ -549,6 +553,18 @@
         return;
     }
     auto &flow = found->second;
+    if (!flow.isOpen && packet.acknowledged != flow.start + 1) {
+        // The caller opened the flow at another upstream, so this one does not hold it.
+        receiver.flows.erase(found);
+        answer.isAck = false;
+        answer.isReset = true;
+        answer.sequence = packet.acknowledged;
+        receiver.resetFlows.insert(key);
+        record("upstream " + receiver.announced.name + " resets flow " + toString(key.caller)
+               + ", which is open at another one");
+        reply(receiver, packet, answer);
+        return;
+    }
     flow.isOpen = true;
     if (packet.isFin) {
         receiver.flows.erase(found);
@@ -569,6 +585,32 @@
     reply(receiver, packet, answer);
 }
 
+/// An answer that is not acknowledged is a missing packet, which is sent again up to eight times.
+void scenario::answerOpening(upstream &sender, const flow_key &key)
+{
+    auto &flow = sender.flows.at(key);
+    flow.answerAgainAt = now() + flow.retryDelay;
+    flow.retryDelay = std::min(flow.retryDelay * 2, maxRetryDelay);
+    ++flow.answersSent;
+    if (sender.answersToLose > 0) {
+        --sender.answersToLose;
+        record("the network loses the answer of " + sender.announced.name
+               + " to the opening packet of flow " + toString(key.caller));
+        return;
+    }
+    platform::wire_packet to;
+    to.source = key.caller;
+    to.target = key.service;
+    to.tag = flow.tag;
+    platform::wire_packet answer;
+    answer.isOpening = true;
+    answer.isAck = true;
+    answer.sequence = flow.start;
+    answer.acknowledged = flow.callerStart + 1;
+    answer.data = sender.announced.name;
+    reply(sender, to, answer);
+}
+
 void scenario::reply(upstream &sender, const platform::wire_packet &to,
                      platform::wire_packet answer)
 {
@@ -586,6 +628,13 @@
         if (!m_flows[i]->isOver)
             tickFlow(*m_flows[i]);
     }
+    for (const auto &answering : m_upstreams) {
+        constexpr unsigned maxAnswers = 9;
+        for (auto &[key, flow] : answering->flows) {
+            if (!flow.isOpen && flow.answersSent < maxAnswers && at >= flow.answerAgainAt)
+                answerOpening(*answering, key);
+        }
+    }
     if (at >= m_nextBeatAt) {
         m_nextBeatAt = at + heartbeat;
         for (const auto &beating : m_upstreams) {
--- a/review/scenario.h
+++ b/review/scenario.h
@@ -75,8 +75,13 @@
         std::uint32_t answered = 0; ///< sequence number of the request answered last
         std::string answer;
         bool isOpen = false;
+        unsigned answersSent = 0; ///< to the opening packet
+        monotonic_time answerAgainAt {0};
+        monotonic_time retryDelay {0};
+        std::uint32_t tag = 0;
     };
     std::map<flow_key, held_flow> flows;
+    unsigned answersToLose = 0; ///< answers to opening packets that the network loses
     std::vector<std::pair<monotonic_time, flow_key>>
         openings; ///< first opening packet of each flow
     std::unique_ptr<udp_socket> socket;
@@ -178,6 +183,7 @@
     void sendFromCaller(const caller_flow &flow, platform::wire_packet packet);
     void onCallerDatagram(std::span<const std::byte> bytes);
     void onUpstreamDatagram(upstream &receiver, std::span<const std::byte> bytes);
+    void answerOpening(upstream &sender, const flow_key &key);
     void reply(upstream &sender, const platform::wire_packet &to, platform::wire_packet answer);
     void finish(caller_flow &flow, const std::string &reason);
 
