--- a/review/scenario.cpp
+++ b/review/scenario.cpp
@@ -57,8 +57,6 @@
 /// A caller accepts a reset of an open flow if its number is this close to its acknowledgement.
 constexpr std::int32_t resetWindow = 76800;
 
-constexpr const char *entryProgram = "target/src/entry/chicoryhead-entry";
-
 std::uint64_t prefixOf(std::span<const std::byte> bytes)
 {
     std::uint64_t prefix = 0;
@@ -204,7 +202,8 @@
     const std::string log = m_folder / (started.name + ".out");
     const std::string variable = std::string(platform::names::settingsVariable) + "="
         + (m_folder / (started.name + ".json")).string();
-    const std::array<const char *, 4> arguments {entryProgram, "--metrics_port", "9102", nullptr};
+    const std::array<const char *, 4> arguments {started.program.c_str(), "--metrics_port", "9102",
+                                                 nullptr};
     const std::array<const char *, 2> environment {variable.c_str(), nullptr};
     started.failedChecks = 2;
     started.process = ::fork();
@@ -216,7 +215,7 @@
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::close_range(STDERR_FILENO + 1, ~0U, 0);
-        ::execve(entryProgram, const_cast<char *const *>(arguments.data()),
+        ::execve(arguments[0], const_cast<char *const *>(arguments.data()),
                  const_cast<char *const *>(environment.data()));
         ::_exit(127);
     }
--- a/review/scenario.h
+++ b/review/scenario.h
@@ -116,6 +116,7 @@
 {
     std::string name;
     std::string domain;
+    std::string program = "target/src/entry/chicoryhead-entry";
     endpoint dataAddress;
     endpoint statusAddress;
     pid_t process = 0;
