--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,6 @@
 /**
  * @file case.cpp
- * FLOW: many callers of one domain connect at once, until its upstreams of a service are full.
- * Those of the other domain have room.
+ * FLOW: many callers connect at once, until the upstreams of a service are full.
  */
 
 #include "scenario.h"
@@ -18,24 +17,23 @@
 constexpr unsigned sessions = 0; ///< service whose callers keep flows open
 constexpr unsigned steady = 1;   ///< service with continuous requests
 constexpr std::size_t maxConnections = 3200;
-constexpr std::size_t upstreamsPerDomain = 2;
-constexpr auto openInterval = 1ms;
-/// Share of the domain's capacity that is used without the burst, and the attempts with it.
-constexpr double usualLoad = 0.8;
-constexpr double burstLoad = 1.15;
+constexpr std::size_t sessionUpstreams = 2;
+constexpr auto connectTime = 8s;     ///< in which the callers of the sessions connect
+constexpr double connectsPerS = 680; ///< 85% of the capacity in that time
+constexpr double burstFactor = 1.7;  ///< of the burst at the end of it
+constexpr auto burstTime = 3s;
 
-int play(const char *folder)
+int play(const scenario_arguments &arguments)
 {
     scenario_plan plan;
-    plan.domains = 2;
     plan.services = 2;
     plan.maxConnections = maxConnections;
+    plan.contactMs = 5000;
     plan.boundMs = 5000;
-    scenario played(plan, folder);
+    scenario played(plan, arguments);
     played.putConfig();
-    for (std::size_t i = 0; i < upstreamsPerDomain; ++i) {
+    for (std::size_t i = 0; i < sessionUpstreams; ++i) {
         played.addUpstream(sessions, 0);
-        played.addUpstream(sessions, 1);
     }
     played.addUpstream(steady, 0);
     for (std::size_t i = 0; i < played.instances().size(); ++i)
@@ -49,24 +47,21 @@
         played.open(steady, 0, requestsWithoutEnd, 100ms);
     played.run(1s);
 
-    const double load = played.hasTrouble() ? burstLoad : usualLoad;
-    const auto attempts =
-        static_cast<std::size_t>(load * static_cast<double>(maxConnections * upstreamsPerDomain));
-    played.record("callers open " + std::to_string(attempts)
-                  + " flows; the upstreams of their domain hold "
-                  + std::to_string(maxConnections * upstreamsPerDomain)
-                  + ", those of the other domain as many");
-    std::size_t opened = 0;
-    auto nextAt = played.now();
-    while (opened < attempts) {
-        played.run(5ms, [&] {
-            while (opened < attempts && nextAt <= played.now()) {
-                nextAt += openInterval;
-                ++opened;
-                played.open(sessions, 0, 0);
-            }
-        });
-    }
+    played.record("the upstreams hold " + std::to_string(maxConnections * sessionUpstreams)
+                  + " flows");
+    const auto end = played.now() + connectTime;
+    monotonic_time nextAt = played.now();
+    std::size_t attempts = 0;
+    played.run(connectTime, [&] {
+        const bool isBurst = played.hasTrouble() && played.now() >= end - burstTime;
+        const double rate = isBurst ? connectsPerS * burstFactor : connectsPerS;
+        while (nextAt <= played.now()) {
+            nextAt += monotonic_time(static_cast<monotonic_time::rep>(1e6 / rate));
+            ++attempts;
+            played.open(sessions, 0, 1);
+        }
+    });
+    played.record("callers tried to open " + std::to_string(attempts) + " flows");
     played.run(4s);
 
     std::size_t openFlows = 0;
@@ -99,7 +94,7 @@
 int main(int argc, char **argv)
 {
     try {
-        return play(argc > 1 ? argv[1] : ".");
+        return play(parseArguments(argc, argv));
     } catch (const std::exception &failure) {
         std::cerr << failure.what() << '\n';
         return exitNotRun;
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -31,9 +31,9 @@
     }
 }
 
-int play(const char *folder)
+int play(const scenario_arguments &arguments)
 {
-    scenario played((scenario_plan()), folder);
+    scenario played((scenario_plan()), arguments);
     played.putConfig();
     for (int i = 0; i < 4; ++i)
         played.addUpstream(0, 0);
@@ -92,7 +92,7 @@
 int main(int argc, char **argv)
 {
     try {
-        return play(argc > 1 ? argv[1] : ".");
+        return play(parseArguments(argc, argv));
     } catch (const std::exception &failure) {
         std::cerr << failure.what() << '\n';
         return exitNotRun;
