Logs: unanswered requests apart from opening packets, and what a reset rests on

upstream_judged said how many packets an upstream left unanswered, but not of which kind, and flow_ended did not say what it rests on.

Now upstream_judged has unanswered_requests (packets on open flows; the others were opening packets) and request_age_ms, and flow_ended has request_age_ms, the age of the latest request that the upstream left unanswered. Reports between instances carry both as an extension, which the former release reads past. A message takes 16 reports instead of 24, as each is longer.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -261,7 +261,9 @@
          {"verdict", std::string(toString(change.state))},
          {"witnesses", std::to_string(change.reporters)},
          {"unanswered_packets", std::to_string(change.retransmissions)},
+         {"unanswered_requests", std::to_string(change.requests)},
          {"silent_ms", formatMilliseconds(change.silentFor)},
+         {"request_age_ms", formatMilliseconds(change.requestAge)},
          {"flows_ended", std::to_string(flowsEnded)}});
 }
 
--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -61,6 +61,8 @@
          {"unanswered_by",
           decision.unansweredBy != nullptr ? decision.unansweredBy->announced.name : "none"},
          {"copy", packet.isOpening ? std::to_string(packet.acknowledged) : "none"},
+         {"request_age_ms",
+          decision.evidenceAge.count() > 0 ? formatMilliseconds(decision.evidenceAge) : "none"},
          {"version", std::to_string(m_routes.version())},
          {"state_age_ms", stateAge(now)}});
 }
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -32,12 +32,16 @@
     std::uint32_t openingSequence = 0;
     std::array<upstream_id, maxTried> tried {}; ///< upstreams that the opening packet was sent to
     std::uint8_t triedCount = 0;
-    bool isOpen = false;               ///< a packet with a steering tag was seen
+    bool isOpen = false; ///< a packet with a steering tag was seen
+    /// The upstream has accepted the flow: it answered a request, or another instance saw the flow
+    /// being opened.
+    bool isAccepted = false;
     upstream_id upstream = noUpstream; ///< upstream that the last packet was sent to
     monotonic_time placedAt {0};       ///< when an upstream was last selected for the flow
     monotonic_time lastSeenAt {0};
     /// When the request in progress was first seen; 0 for none.
     monotonic_time requestStartedAt {0};
+    monotonic_time requestSentAt {0};  ///< when the request in progress was last forwarded
     std::uint32_t requestSequence = 0; ///< sequence number of the first data of the latest request
     std::uint32_t acknowledged = 0;    ///< highest acknowledgement number from the caller
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -108,7 +108,8 @@
         if (const upstream_record *upstream = retransmissionTarget(*flow, now))
             return forwardTo(packet, *upstream, packet_reason::Repeated);
         isNewlySuspected = m_placement.recordConnectFailure(flow->upstream, now);
-        m_health.noteRetransmission(flow->upstream, flow->placedAt, now);
+        m_health.noteRetransmission(flow->upstream,
+                                    {packet_kind::Opening, flow->placedAt, flow->placedAt}, now);
         unansweredBy = m_directory.find(flow->upstream);
     }
     const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
@@ -164,6 +165,7 @@
     m_flowTable.remove(packet.flow);
     packet_decision ended {packet_action::Reset, packet_reason::UpstreamDead, nullptr, noTag};
     ended.unansweredBy = upstream;
+    ended.evidenceAge = m_health.requestAgeOf(upstream->id, now);
     return ended;
 }
 
@@ -203,6 +205,7 @@
         if (flow == nullptr)
             return;
         flow->acknowledged = packet.acknowledged;
+        flow->isAccepted = true;
     }
     // The caller reused its port, and this is a late packet of the former flow or the first packet
     // seen of the new one.
@@ -230,6 +233,7 @@
         return;
     const upstream_id upstream = decision.upstream->id;
     flow.acknowledged = packet.acknowledged;
+    flow.isAccepted = true;
     m_lastAnswerAt = now;
     // Only a packet without data is a timely answer: the acknowledgement in a new request may refer
     // to an answer from long before.
@@ -263,12 +267,16 @@
     const bool isWaiting = flow.requestStartedAt.count() > 0;
     if (isWaiting && packet.sequence == flow.requestSequence) {
         decision.unansweredFor = now - flow.requestStartedAt;
-        m_health.noteRetransmission(decision.upstream->id, flow.requestStartedAt, now);
+        const auto kind = flow.isAccepted ? packet_kind::Request : packet_kind::Opening;
+        m_health.noteRetransmission(decision.upstream->id,
+                                    {kind, flow.requestStartedAt, flow.requestSentAt}, now);
+        flow.requestSentAt = now;
     }
     decision.isFirstRequestPacket = !isWaiting
         && (flow.requestSequence == 0 || isSequenceAfter(packet.sequence, flow.requestSequence));
     if (decision.isFirstRequestPacket) {
         flow.requestStartedAt = now;
+        flow.requestSentAt = now;
         flow.requestSequence = packet.sequence;
         watchRequest(packet, now);
     }
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -69,6 +69,9 @@
     bool isFirstRequestPacket = false; ///< first data of a request, as seen by this instance
     /// For retransmitted data of a request, the time since it was first seen; 0 otherwise.
     monotonic_time unansweredFor {0};
+    /// For a flow whose upstream is dead, the time since the latest request that the upstream left
+    /// unanswered; 0 if none is known.
+    monotonic_time evidenceAge {0};
     /// Latency of the request whose answer this packet acknowledges; 0 for none.
     monotonic_time latency {0};
 };
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -37,6 +37,67 @@
 /// Encodes that no answer of the upstream is known.
 constexpr std::uint32_t neverAnswered = UINT32_MAX;
 
+/** Requests among the unanswered packets of a reporter. */
+struct unanswered_requests
+{
+    std::uint8_t count = 0;
+    std::uint32_t ageMs = 0;
+};
+
+template<typename Archive>
+void serialize(Archive &archive, unanswered_requests &value)
+{
+    archive(value.count, value.ageMs);
+}
+
+/** Extension of liveness reports: one element for each reporter, in the order of the message. */
+struct requests_extension
+{
+    std::vector<unanswered_requests> reporters;
+};
+
+template<typename Archive>
+void save(Archive &archive, const requests_extension &value)
+{
+    saveBounded(archive, value.reporters);
+}
+
+template<typename Archive>
+void load(Archive &archive, requests_extension &value)
+{
+    loadBounded(archive, value.reporters, maxReports * maxReporters);
+}
+
+/// Empty if no reporter has unanswered requests.
+std::optional<requests_extension> requestsOf(const std::vector<liveness_report> &reports)
+{
+    requests_extension extension;
+    bool hasRequests = false;
+    for (const liveness_report &report : reports) {
+        for (const failure_reporter &reporter : report.reporters) {
+            extension.reporters.push_back({reporter.requests, reporter.requestAgeMs});
+            hasRequests = hasRequests || reporter.requests > 0;
+        }
+    }
+    return hasRequests ? std::optional(extension) : std::nullopt;
+}
+
+/// Returns whether the extension has an element for each reporter.
+bool setRequests(std::vector<liveness_report> &reports, const requests_extension &extension)
+{
+    auto next = extension.reporters.begin();
+    for (liveness_report &report : reports) {
+        for (failure_reporter &reporter : report.reporters) {
+            if (next == extension.reporters.end())
+                return false;
+            reporter.requests = next->count;
+            reporter.requestAgeMs = next->ageMs;
+            ++next;
+        }
+    }
+    return next == extension.reporters.end();
+}
+
 } // namespace
 
 template<typename Archive>
@@ -173,6 +234,17 @@
     return gossip_message(decoded.value());
 }
 
+result<gossip_message> decodeLivenessReports(std::span<const std::byte> bytes)
+{
+    std::optional<requests_extension> requests;
+    auto decoded = decodeExtended<gossip_liveness_reports>(gossipFormatVersion, bytes, requests);
+    if (!decoded)
+        return decoded.error();
+    if (requests && !setRequests(decoded.value().reports, *requests))
+        return error::Malformed;
+    return gossip_message(std::move(decoded.value()));
+}
+
 } // namespace
 
 std::vector<std::byte> encodeGossip(const gossip_digest &message)
@@ -198,7 +270,7 @@
 
 std::vector<std::byte> encodeGossip(const gossip_liveness_reports &message)
 {
-    return encodeAs(message_type::LivenessReports, message);
+    return encodeAs(message_type::LivenessReports, message, requestsOf(message.reports));
 }
 
 result<gossip_message> decodeGossip(std::span<const std::byte> datagram)
@@ -213,7 +285,7 @@
     case message_type::StateFragment:
         return decodeAs<gossip_state_fragment>(datagram.subspan(1));
     case message_type::LivenessReports:
-        return decodeAs<gossip_liveness_reports>(datagram.subspan(1));
+        return decodeLivenessReports(datagram.subspan(1));
     }
     return error::Malformed;
 }
--- a/src/health/liveness_report_type.h
+++ b/src/health/liveness_report_type.h
@@ -23,6 +23,9 @@
     reporter_id instance = 0;
     std::uint8_t retransmissions = 0; ///< packets retransmitted for lack of an answer
     std::uint32_t ageMs = 0;          ///< since the first of these packets was first forwarded
+    /// Those of the packets that were requests on open flows; 0 from releases that don't tell.
+    std::uint8_t requests = 0;
+    std::uint32_t requestAgeMs = 0; ///< since the latest of these requests was forwarded
 
     bool operator==(const failure_reporter &) const = default;
 };
--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -32,6 +32,12 @@
         std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+/// Time since an event; 0 if it has not happened.
+monotonic_time elapsedSince(monotonic_time at, monotonic_time now)
+{
+    return at.count() > 0 ? now - at : monotonic_time {0};
+}
+
 } // namespace
 
 std::string_view toString(health_state state)
@@ -57,15 +63,19 @@
 {
 }
 
-void upstream_health::noteRetransmission(upstream_id upstream, monotonic_time firstSentAt,
+void upstream_health::noteRetransmission(upstream_id upstream, const unanswered_packet &packet,
                                          monotonic_time now)
 {
     // If no upstream has answered this instance since then, its own link may be down.
-    const bool isLocalFault = !m_isLocallyHealthy || m_lastLocalAnswerAt < firstSentAt;
-    if (isLocalFault || now - firstSentAt < m_limits.minRetransmissionDelay)
+    const bool isLocalFault = !m_isLocallyHealthy || m_lastLocalAnswerAt < packet.firstSentAt;
+    if (isLocalFault || now - packet.lastSentAt < m_limits.minRetransmissionDelay)
         return;
+    const bool isRequest = packet.kind == packet_kind::Request;
     health_entry &entry = m_entries[upstream];
-    addReporter(entry, {m_ownId, 1, firstSentAt, now}, upstream);
+    addReporter(entry,
+                {m_ownId, 1, isRequest ? 1U : 0U, packet.firstSentAt,
+                 isRequest ? packet.lastSentAt : monotonic_time {0}, now},
+                upstream);
 }
 
 void upstream_health::noteAnswered(upstream_id upstream, monotonic_time now)
@@ -98,6 +108,13 @@
     return found == m_entries.end() ? health_state::Answering : found->second.state;
 }
 
+monotonic_time upstream_health::requestAgeOf(upstream_id upstream, monotonic_time now) const
+{
+    const auto found = m_entries.find(upstream);
+    return found == m_entries.end() ? monotonic_time {0}
+                                    : elapsedSince(summarize(found->second).lastRequestAt, now);
+}
+
 void upstream_health::forget(upstream_id upstream)
 {
     m_entries.erase(upstream);
@@ -123,13 +140,17 @@
         queueReport(upstream);
         return;
     }
-    const unsigned retransmissions = seen.instance == m_ownId
-        ? found->retransmissions + seen.retransmissions
-        : seen.retransmissions;
+    const bool isOwn = seen.instance == m_ownId;
+    const unsigned retransmissions =
+        std::min(seen.retransmissions + (isOwn ? found->retransmissions : 0), maxRetransmissions);
+    const unsigned requests =
+        std::min(seen.requests + (isOwn ? found->requests : 0), maxRetransmissions);
     found->lastReportedAt = std::max(found->lastReportedAt, seen.lastReportedAt);
-    if (std::min(retransmissions, maxRetransmissions) <= found->retransmissions)
+    found->lastRequestAt = std::max(found->lastRequestAt, seen.lastRequestAt);
+    found->requests = std::max(found->requests, requests);
+    if (retransmissions <= found->retransmissions)
         return;
-    found->retransmissions = std::min(retransmissions, maxRetransmissions);
+    found->retransmissions = retransmissions;
     // Retransmissions beyond the threshold don't change the state.
     if (found->retransmissions <= m_limits.deadThreshold)
         queueReport(upstream);
@@ -179,7 +200,13 @@
         // The sender does not know of an answer that this instance knows of.
         if (since <= entry.answeredAt + m_limits.ageSlack && reportedAnswerAt < entry.answeredAt)
             queueReport(record.id);
-        addReporter(entry, {other.instance, other.retransmissions, since, now}, record.id);
+        const auto lastRequestAt = other.requests > 0
+            ? now - std::chrono::milliseconds(other.requestAgeMs)
+            : monotonic_time {0};
+        addReporter(
+            entry,
+            {other.instance, other.retransmissions, other.requests, since, lastRequestAt, now},
+            record.id);
     }
 }
 
@@ -199,9 +226,10 @@
         const auto before = entry.state;
         setState(upstream, entry, computeState(entry, *record, summary, now), now);
         if (entry.state != before)
-            changes.push_back(
-                {upstream, before, entry.state, summary.reporters, summary.retransmissions,
-                 summary.since.count() > 0 ? now - summary.since : monotonic_time {0}});
+            changes.push_back({upstream, before, entry.state, summary.reporters,
+                               summary.retransmissions, summary.requests,
+                               elapsedSince(summary.since, now),
+                               elapsedSince(summary.lastRequestAt, now)});
         if (entry.reporters.empty() && entry.state == health_state::Answering)
             idle.push_back(upstream);
     }
@@ -243,6 +271,8 @@
     summary.reporters = entry.reporters.size();
     for (const reporter &seen : entry.reporters) {
         summary.retransmissions += seen.retransmissions;
+        summary.requests += seen.requests;
+        summary.lastRequestAt = std::max(summary.lastRequestAt, seen.lastRequestAt);
         if (summary.since.count() == 0 || seen.since < summary.since)
             summary.since = seen.since;
     }
@@ -292,9 +322,15 @@
     report.upstream = record.tag;
     if (entry.answeredAt.count() > 0)
         report.answeredAgeMs = ageMs(entry.answeredAt - m_limits.relayDelayAllowance, now);
-    for (const reporter &seen : entry.reporters)
-        report.reporters.push_back({seen.instance, static_cast<std::uint8_t>(seen.retransmissions),
-                                    ageMs(seen.since, now)});
+    for (const reporter &seen : entry.reporters) {
+        failure_reporter sent {seen.instance, static_cast<std::uint8_t>(seen.retransmissions),
+                               ageMs(seen.since, now)};
+        if (seen.requests > 0) {
+            sent.requests = static_cast<std::uint8_t>(seen.requests);
+            sent.requestAgeMs = ageMs(seen.lastRequestAt, now);
+        }
+        report.reporters.push_back(sent);
+    }
     return report;
 }
 
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -36,12 +36,26 @@
 /** Name of a health state in logs and on status pages. */
 std::string_view toString(health_state state);
 
+/** Kind of a packet that its caller sent again. */
+enum class packet_kind : std::uint8_t {
+    Opening, ///< opens a flow, or is sent on one that the upstream may not have accepted
+    Request, ///< sent on an open flow
+};
+
+/** A packet that its caller sent again because it was not acknowledged. */
+struct unanswered_packet
+{
+    packet_kind kind = packet_kind::Opening;
+    monotonic_time firstSentAt {0}; ///< when this instance first forwarded it
+    monotonic_time lastSentAt {0};  ///< when it was last forwarded before it was sent again
+};
+
 /** Thresholds and timeouts of upstream_health. */
 struct health_limits
 {
     /// A packet counts as unanswered if its caller retransmits it at least this long after it was
-    /// forwarded. Callers wait 200 ms before they retransmit; packets that were queued together at
-    /// this instance arrive closer together than that.
+    /// last forwarded. Callers wait 200 ms before they retransmit; packets that were queued
+    /// together at this instance arrive closer together than that.
     monotonic_time minRetransmissionDelay = std::chrono::milliseconds(150);
     /// Unanswered packets after which an upstream is Silent. One is not enough, as every network
     /// loses single datagrams.
@@ -65,7 +79,7 @@
     /// Time after which a dead upstream that is still announced is tried again.
     monotonic_time deadRetryDelay = std::chrono::seconds(10);
     std::size_t maxReporters = 4; ///< kept per upstream
-    std::size_t maxReports = 24;  ///< per message, so that a message fits into one datagram
+    std::size_t maxReports = 16;  ///< per message, so that a message fits into one datagram
     /// Number of messages in which each update is sent. With a fan-out of three, this reaches all
     /// instances of a failure domain.
     unsigned reportTransmissions = 2;
@@ -78,8 +92,10 @@
     health_state before = health_state::Answering;
     health_state state = health_state::Answering;
     std::size_t reporters = 0;
-    unsigned retransmissions = 0; ///< sum over all reporters
-    monotonic_time silentFor {0}; ///< since the first unanswered packet was forwarded
+    unsigned retransmissions = 0;  ///< sum over all reporters
+    unsigned requests = 0;         ///< retransmissions of requests, sum over all reporters
+    monotonic_time silentFor {0};  ///< since the first unanswered packet was forwarded
+    monotonic_time requestAge {0}; ///< since the latest unanswered request was forwarded
 };
 
 /** Failure detector that combines observations of this instance with reports from its peers. */
@@ -93,11 +109,9 @@
     upstream_health(const upstream_directory &directory, const std::string &ownName,
                     const std::string &ownDomain, health_limits limits = {});
 
-    /**
-     * Records that a caller retransmitted a packet.
-     * @param firstSentAt when the packet was first forwarded.
-     */
-    void noteRetransmission(upstream_id upstream, monotonic_time firstSentAt, monotonic_time now);
+    /** Records that a caller retransmitted a packet. */
+    void noteRetransmission(upstream_id upstream, const unanswered_packet &packet,
+                            monotonic_time now);
 
     /** Records that a caller has just acknowledged data from an upstream. */
     void noteAnswered(upstream_id upstream, monotonic_time now);
@@ -114,6 +128,9 @@
 
     health_state healthOf(upstream_id upstream) const;
 
+    /** Time since the latest unanswered request was forwarded; 0 if none is known. */
+    monotonic_time requestAgeOf(upstream_id upstream, monotonic_time now) const;
+
     void forget(upstream_id upstream) override;
 
     /**
@@ -161,7 +178,9 @@
     {
         reporter_id instance = 0;
         unsigned retransmissions = 0;
+        unsigned requests = 0;             ///< retransmissions of requests
         monotonic_time since {0};          ///< when the first unanswered packet was forwarded
+        monotonic_time lastRequestAt {0};  ///< when the latest unanswered request was forwarded
         monotonic_time lastReportedAt {0}; ///< last observation or report
     };
 
@@ -182,7 +201,9 @@
     {
         std::size_t reporters = 0;
         unsigned retransmissions = 0;
-        monotonic_time since {0}; ///< earliest of all reporters; 0 if there is none
+        unsigned requests = 0;
+        monotonic_time since {0};         ///< earliest of all reporters; 0 if there is none
+        monotonic_time lastRequestAt {0}; ///< latest of all reporters; 0 if there is none
     };
 
     void addReporter(health_entry &entry, const reporter &seen, upstream_id upstream);
--- a/tests/fuzz/fuzz_target.cpp
+++ b/tests/fuzz/fuzz_target.cpp
@@ -223,7 +223,7 @@
     digest.readers = {{7, 100}, {9, 200}};
     digest.latencies = {{0x01020304, 40}};
     const gossip_liveness_reports reports {
-        "a", false, {{0x01020304, 50U, {{1, 2, 210}, {3, 1, 220}}}, {5, std::nullopt, {}}}};
+        "a", false, {{0x01020304, 50U, {{1, 2, 210, 1, 180}, {3, 1, 220}}}, {5, std::nullopt, {}}}};
     return {toText(encodeGossip(digest)), toText(encodeGossip(reports)),
             toText(encodeGossip(gossip_state_request {7, 900, 42})),
             toText(encodeGossip(gossip_state_fragment {42, 0, 2, {1, 2, 3}}))};
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -71,6 +71,31 @@
     CHECK(refused > 20'000);
 }
 
+TEST_CASE("Liveness reports tell requests from opening packets, also beside a former release",
+          "[gossip]")
+{
+    // Guards against unanswered opening packets that pass for unanswered requests.
+    gossip_liveness_reports message {
+        "a",
+        false,
+        {{0x01020304, 50U, {{1, 2, 210}, {3, 1, 220}}}, {0x01020305, std::nullopt, {{1, 3, 400}}}}};
+    const auto former = encodeGossip(message);
+    const auto decodedFormer = decodeGossip(former);
+    REQUIRE(decodedFormer);
+    CHECK(std::get<gossip_liveness_reports>(decodedFormer.value()).reports == message.reports);
+    message.reports[0].reporters[1].requests = 1;
+    message.reports[0].reporters[1].requestAgeMs = 220;
+    auto current = encodeGossip(message);
+    // The former release decodes the leading part and ignores what follows.
+    REQUIRE(current.size() > former.size());
+    CHECK(std::equal(former.begin(), former.end(), current.begin()));
+    const auto decoded = decodeGossip(current);
+    REQUIRE(decoded);
+    CHECK(std::get<gossip_liveness_reports>(decoded.value()).reports == message.reports);
+    current.pop_back();
+    CHECK_FALSE(decodeGossip(current));
+}
+
 TEST_CASE("A change received by one instance reaches all instances within a second", "[gossip]")
 {
     for (const std::size_t count : {15, 134}) {
--- a/tests/test_upstream_health.cpp
+++ b/tests/test_upstream_health.cpp
@@ -20,6 +20,12 @@
 
 namespace {
 
+/// A request that was forwarded once before its caller sent it again.
+unanswered_packet requestSentAt(monotonic_time at)
+{
+    return {packet_kind::Request, at, at};
+}
+
 /** Health checks of a single instance in failure domain "a", without peers. */
 struct health_fixture
 {
@@ -32,13 +38,14 @@
 
     upstream_id idOf(const std::string &name) const { return directory.find(name)->id; }
 
-    /// A report from another instance about packets that it first forwarded some time ago.
+    /// A report from another instance about requests that it first forwarded some time ago.
     static liveness_report report(const std::string &upstream, const std::string &instance,
                                   unsigned retransmissions, std::uint32_t ageMs)
     {
+        const auto count = static_cast<std::uint8_t>(retransmissions);
         return {tagOfName(upstream),
                 std::nullopt,
-                {{reporterIdOf(instance), static_cast<std::uint8_t>(retransmissions), ageMs}}};
+                {{reporterIdOf(instance), count, ageMs, count, ageMs}}};
     }
 
     /// Evaluates until the time for refutations has passed.
@@ -60,7 +67,7 @@
 {
     const auto id = fixture.idOf(upstream);
     fixture.health.noteAnswered(fixture.idOf("i-2"), now - 10ms);
-    fixture.health.noteRetransmission(id, now - 210ms, now);
+    fixture.health.noteRetransmission(id, requestSentAt(now - 210ms), now);
     fixture.health.merge({fixture.report(upstream, "f-2", 2, 300)}, true, now);
     fixture.settle(now);
 }
@@ -84,6 +91,7 @@
         std::string upstream;
         monotonic_time sentAt;
         int transmissions = 0; ///< number of times sent so far
+        monotonic_time lastSentAt {0};
     };
 
     double draw() { return std::uniform_real_distribution<double>()(random); }
@@ -96,7 +104,9 @@
         if (next.transmissions == 0)
             next.sentAt = now;
         else
-            health.noteRetransmission(record->id, next.sentAt, now);
+            health.noteRetransmission(record->id,
+                                      {packet_kind::Request, next.sentAt, next.lastSentAt}, now);
+        next.lastSentAt = now;
         // Either the packet or its acknowledgement is lost.
         const bool isLost = isDead[next.upstream] || draw() < lossRate;
         constexpr std::array<monotonic_time, 3> waits {200ms, 400ms, 800ms};
@@ -192,7 +202,7 @@
     {
         for (int i = 0; i < 50; ++i) {
             fixture.health.noteAnswered(fixture.idOf("i-2"), 10s + i * 10ms - 1ms);
-            fixture.health.noteRetransmission(fixture.idOf("i-1"), 9800ms + i * 10ms,
+            fixture.health.noteRetransmission(fixture.idOf("i-1"), requestSentAt(9800ms + i * 10ms),
                                               10s + i * 10ms);
         }
     }
@@ -212,7 +222,7 @@
     health_fixture fixture;
     const auto upstream = fixture.idOf("i-1");
     fixture.health.noteAnswered(fixture.idOf("i-2"), 9990ms);
-    fixture.health.noteRetransmission(upstream, 9790ms, 10s);
+    fixture.health.noteRetransmission(upstream, requestSentAt(9790ms), 10s);
     fixture.health.merge({fixture.report("i-1", "f-2", 2, 300)}, true, 10s);
     SECTION("seen by this instance")
     {
@@ -282,17 +292,17 @@
     {
         fixture.health.noteAnswered(fixture.idOf("i-2"), 9990ms);
         fixture.health.setLocalHealth(false);
-        fixture.health.noteRetransmission(upstream, 9700ms, 10s);
+        fixture.health.noteRetransmission(upstream, requestSentAt(9700ms), 10s);
     }
     SECTION("packets were queued while the instance was suspended")
     {
         fixture.health.noteAnswered(fixture.idOf("i-2"), 9999ms);
-        fixture.health.noteRetransmission(upstream, 9998ms, 10s);
+        fixture.health.noteRetransmission(upstream, requestSentAt(9998ms), 10s);
     }
     SECTION("no upstream answers the instance")
     {
         fixture.health.noteAnswered(fixture.idOf("i-2"), 9s);
-        fixture.health.noteRetransmission(upstream, 9700ms, 10s);
+        fixture.health.noteRetransmission(upstream, requestSentAt(9700ms), 10s);
     }
     CHECK_FALSE(fixture.health.hasPendingReports());
     fixture.settle(10s);
@@ -321,7 +331,7 @@
     fixture.settle(9500ms);
     CHECK_FALSE(fixture.health.isDead(upstream));
     fixture.health.noteAnswered(fixture.idOf("i-2"), 9990ms);
-    fixture.health.noteRetransmission(upstream, 9790ms, 10s);
+    fixture.health.noteRetransmission(upstream, requestSentAt(9790ms), 10s);
     fixture.settle(10s);
     CHECK(fixture.health.isDead(upstream));
     SECTION("stays dead while it is gone")
