Fix: unanswered opening packets are no evidence against open flows

Cause: the failure detector had one kind of evidence. A full upstream ignores opening packets, their callers repeat them, and three repeats seen by two instances declared it dead. Ruled out: lost requests (none was repeated), late instances (no suspension logged).

Change: only requests on open flows that stay unanswered make an upstream dead: three of them, reported by two instances, or one of them once its announcement was removed. Opening packets make it silent as before, so that new flows avoid it. A request on a flow that no answer has come on counts like an opening packet, as the upstream may have become full during the handshake. Why it works: an upstream acknowledges a request on a flow that it holds, full or not, so only death, a cut or loss leaves it unanswered.

--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -133,7 +133,7 @@
         std::find_if(entry.reporters.begin(), entry.reporters.end(),
                      [&](const reporter &other) { return other.instance == seen.instance; });
     if (found == entry.reporters.end()) {
-        if (entry.reporters.size() >= m_limits.maxReporters)
+        if (!makeRoomFor(entry, seen))
             return;
         entry.reporters.push_back(seen);
         m_watched.insert(upstream);
@@ -147,15 +147,32 @@
         std::min(seen.requests + (isOwn ? found->requests : 0), maxRetransmissions);
     found->lastReportedAt = std::max(found->lastReportedAt, seen.lastReportedAt);
     found->lastRequestAt = std::max(found->lastRequestAt, seen.lastRequestAt);
+    // Retransmissions beyond the thresholds don't change the state.
+    const bool mayChangeState =
+        (retransmissions > found->retransmissions && retransmissions <= m_limits.silentThreshold)
+        || (requests > found->requests && requests <= m_limits.deadThreshold);
+    found->retransmissions = std::max(found->retransmissions, retransmissions);
     found->requests = std::max(found->requests, requests);
-    if (retransmissions <= found->retransmissions)
-        return;
-    found->retransmissions = retransmissions;
-    // Retransmissions beyond the threshold don't change the state.
-    if (found->retransmissions <= m_limits.deadThreshold)
+    if (mayChangeState)
         queueReport(upstream);
 }
 
+/// The number of reporters is limited. Those of unanswered requests take the places of others.
+bool upstream_health::makeRoomFor(health_entry &entry, const reporter &seen) const
+{
+    if (entry.reporters.size() < m_limits.maxReporters)
+        return true;
+    if (seen.requests == 0)
+        return false;
+    const auto replaceable =
+        std::find_if(entry.reporters.begin(), entry.reporters.end(),
+                     [](const reporter &other) { return other.requests == 0; });
+    if (replaceable == entry.reporters.end())
+        return false;
+    entry.reporters.erase(replaceable);
+    return true;
+}
+
 void upstream_health::recordAnswer(health_entry &entry, monotonic_time answeredAt)
 {
     if (answeredAt <= entry.answeredAt)
@@ -249,12 +266,12 @@
         if (isGone || !isRetryDue)
             return health_state::Dead;
     }
-    // The announcement was removed as well, so one unanswered packet is enough.
-    entry.isDeadByWithdrawal = isGone && (entry.isAddressReused || summary.reporters > 0);
+    // The announcement was removed as well, so one unanswered request is enough.
+    entry.isDeadByWithdrawal = isGone && (entry.isAddressReused || summary.requestReporters > 0);
     if (entry.isDeadByWithdrawal)
         return health_state::Dead;
-    const bool isSuspected = summary.retransmissions >= m_limits.deadThreshold
-        && summary.reporters >= m_limits.minDeadReporters;
+    const bool isSuspected = summary.requests >= m_limits.deadThreshold
+        && summary.requestReporters >= m_limits.minDeadReporters;
     if (!isSuspected)
         entry.suspectedAt = monotonic_time {0};
     else if (entry.suspectedAt.count() == 0)
@@ -272,6 +289,7 @@
     for (const reporter &seen : entry.reporters) {
         summary.retransmissions += seen.retransmissions;
         summary.requests += seen.requests;
+        summary.requestReporters += seen.requests > 0 ? 1 : 0;
         summary.lastRequestAt = std::max(summary.lastRequestAt, seen.lastRequestAt);
         if (summary.since.count() == 0 || seen.since < summary.since)
             summary.since = seen.since;
@@ -350,8 +368,11 @@
                 const auto since = now - std::chrono::milliseconds(seen.ageMs);
                 return since <= entry->second.answeredAt + m_limits.ageSlack;
             });
+        const auto requestReporters = static_cast<std::size_t>(
+            std::count_if(report.reporters.begin(), report.reporters.end(),
+                          [](const failure_reporter &seen) { return seen.requests > 0; }));
         const bool isConfirmation = entry->second.state == health_state::Dead
-            && report.reporters.size() < m_limits.minDeadReporters;
+            && requestReporters < m_limits.minDeadReporters;
         if (isRefutation || isConfirmation)
             replies.push_back(makeReport(*record, entry->second, now));
     }
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -3,8 +3,9 @@
  * Passive health checks: detects failed upstreams from caller traffic seen by all instances.
  *
  * An instance sees only the packets that callers send, not those of upstreams. A caller retransmits
- * a packet that was not acknowledged, and a live upstream acknowledges at once, however long it
- * takes to process a request. With hundreds of instances, each one sees few packets to each
+ * a packet that was not acknowledged, and a live upstream acknowledges a request at once, however
+ * long it takes to process it. Opening packets say less: an upstream that takes no further flows
+ * ignores them. With hundreds of instances, each one sees few packets to each
  * upstream, so instances share their observations: a few retransmissions seen anywhere are enough
  * to protect the callers of every instance.
  */
@@ -30,7 +31,7 @@
 enum class health_state : std::uint8_t {
     Answering,
     Silent, ///< left some packets unacknowledged; gets no new flows for a while
-    Dead,   ///< acknowledges no caller's packets; its flows are terminated
+    Dead,   ///< acknowledges no caller's requests; its flows are terminated
 };
 
 /** Name of a health state in logs and on status pages. */
@@ -60,10 +61,11 @@
     /// Unanswered packets after which an upstream is Silent. One is not enough, as every network
     /// loses single datagrams.
     unsigned silentThreshold = 2;
-    /// Unanswered packets after which an upstream is Dead.
+    /// Unanswered requests after which an upstream is Dead. Unanswered opening packets don't count:
+    /// an upstream that takes no further flows ignores them, and serves its open flows.
     unsigned deadThreshold = 3;
-    /// Instances that must have reported them, so that a single instance behind a bad link cannot
-    /// declare an upstream dead.
+    /// Instances that must have reported unanswered requests, so that a single instance behind a
+    /// bad link cannot declare an upstream dead.
     unsigned minDeadReporters = 2;
     /// How long instances that saw answers may refute the suspicion before an upstream is declared
     /// dead.
@@ -200,6 +202,7 @@
     struct failure_summary
     {
         std::size_t reporters = 0;
+        std::size_t requestReporters = 0; ///< reporters of unanswered requests
         unsigned retransmissions = 0;
         unsigned requests = 0;
         monotonic_time since {0};         ///< earliest of all reporters; 0 if there is none
@@ -207,6 +210,7 @@
     };
 
     void addReporter(health_entry &entry, const reporter &seen, upstream_id upstream);
+    bool makeRoomFor(health_entry &entry, const reporter &seen) const;
     void recordAnswer(health_entry &entry, monotonic_time answeredAt);
     void mergeReport(const upstream_record &record, const liveness_report &report,
                      monotonic_time now);
--- a/standin/caller_standin.h
+++ b/standin/caller_standin.h
@@ -12,6 +12,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -29,8 +30,12 @@
     caller_standin(asio::io_context &context, const endpoint &address, router route,
                    const clock_source &clock, random_source &random, deployment_observer &observer);
 
-    /** Opens a flow, which is closed after the given number of answered requests. */
-    void open(const endpoint &service, unsigned requests);
+    /**
+     * Opens a flow, which is closed after the given number of answered requests.
+     * @param thinkTime between an answer and the next request.
+     */
+    void open(const endpoint &service, unsigned requests,
+              monotonic_time thinkTime = defaultThinkTime);
 
     /** Sends due packets and retransmissions; must be called every few milliseconds. */
     void tick();
@@ -40,6 +45,8 @@
 
     std::size_t flows() const { return m_flows.size(); }
 
+    static constexpr monotonic_time defaultThinkTime = std::chrono::milliseconds(120);
+
     /** Stops echoing the steering tag, to verify that broken flows are detected. */
     void omitTags() { m_omitsTags = true; }
 
@@ -54,7 +61,8 @@
         unsigned copies = 0;    ///< opening packets sent
         std::string upstream;   ///< empty until the flow is open
         unsigned remaining = 0; ///< requests still to be answered
-        std::string request;    ///< in flight; empty between requests
+        monotonic_time thinkTime {0};
+        std::string request; ///< in flight; empty between requests
         monotonic_time startedAt {0};
         monotonic_time requestAt {0};
         monotonic_time nextSendAt {0}; ///< time of the next request or retransmission
--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -216,7 +216,7 @@
     m_store->remove(platform::announcementKey(name));
 }
 
-const upstream_standin *deployment_standin::findUpstream(const std::string &name) const
+upstream_standin *deployment_standin::findUpstream(const std::string &name) const
 {
     for (const auto &upstream : m_upstreams) {
         if (upstream->announced().name == name)
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -92,7 +92,7 @@
     void withdrawUpstream(const std::string &name);
 
     /** Finds an upstream by name; null if it has been stopped. */
-    const upstream_standin *findUpstream(const std::string &name) const;
+    upstream_standin *findUpstream(const std::string &name) const;
 
     std::vector<std::string> upstreamsOf(unsigned service) const;
 
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -13,6 +13,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -43,6 +45,15 @@
 
     const upstream_announcement &announced() const { return m_announced; }
 
+    /** Sets the number of flows above which opening packets are ignored. */
+    void setMaxFlows(std::size_t maxFlows) { m_maxFlows = maxFlows; }
+
+    /** Cuts the upstream off from all instances and callers, or connects it again. */
+    void setCut(bool isCut) { m_isCut = isCut; }
+
+    /** Number of flows that it holds. */
+    std::size_t countFlows() const { return m_flows.size(); }
+
 private:
     /** State of an open flow. */
     struct held_flow
@@ -65,6 +76,8 @@
     random_source &m_random;
     deployment_observer &m_observer;
     std::map<flow_key, held_flow> m_flows;
+    std::size_t m_maxFlows = SIZE_MAX;
+    bool m_isCut = false;
     udp_socket m_socket;
 };
 
--- /dev/null
+++ b/tests/test_open_flows.cpp
@@ -0,0 +1,111 @@
+/**
+ * @file test_open_flows.cpp
+ * Instances as processes with upstreams that leave packets unanswered and still hold their flows.
+ */
+
+#include "process_deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace chicoryhead;
+using namespace chicoryhead::test;
+
+namespace {
+
+constexpr unsigned sessionService = 0; ///< its callers keep flows open and pause
+constexpr unsigned steadyService = 1;  ///< its callers send requests without a pause
+constexpr unsigned manyRequests = 100000;
+
+/** Records the flows of the service with sessions. */
+class session_recorder : public ignoring_observer
+{
+public:
+    void setService(const endpoint &service) { m_service = service; }
+
+    void onOpened(const flow_key &flow, const std::string &upstream) override
+    {
+        if (flow.service == m_service)
+            openFlows[flow] = upstream;
+    }
+    void onNotOpened(const flow_key &flow, bool /*isRefused*/) override
+    {
+        if (flow.service == m_service)
+            ++notOpened;
+    }
+    void onBroken(const flow_key &flow, const std::string &upstream,
+                  const std::string & /*reason*/) override
+    {
+        if (openFlows.erase(flow) > 0)
+            ++brokenFlows[upstream];
+    }
+
+    std::map<flow_key, std::string> openFlows;
+    std::map<std::string, unsigned> brokenFlows; ///< by upstream
+    unsigned notOpened = 0;
+
+private:
+    endpoint m_service;
+};
+
+/** Three instances with two services; upstreams of one of them are always busy. */
+struct session_deployment
+{
+    session_deployment() : processes(openFlowsSlot, 2, recorder)
+    {
+        recorder.setService(deployment().serviceAddress(sessionService));
+    }
+
+    standin::deployment_standin &deployment() { return processes.deployment(); }
+
+    bool awaitReady()
+    {
+        const auto upstream = deployment().upstreamsOf(sessionService).front();
+        const auto version = deployment().config().version;
+        return processes.awaitInForce(10s, version, upstream, "ready");
+    }
+
+    void openSteadyFlows(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i)
+            deployment().callers().front()->open(deployment().serviceAddress(steadyService),
+                                                 manyRequests);
+    }
+
+    /// The caller sends one request, then another one after the pause.
+    void openSession(monotonic_time pause)
+    {
+        deployment().callers().front()->open(deployment().serviceAddress(sessionService),
+                                             manyRequests, pause);
+    }
+
+    session_recorder recorder;
+    process_deployment processes;
+};
+
+} // namespace
+
+TEST_CASE("Open flows of full upstreams are kept while more callers connect", "[flows]")
+{
+    // Guards against a reset of all flows of upstreams that ignore opening packets because they
+    // take no further flows.
+    session_deployment sessions;
+    REQUIRE(sessions.awaitReady());
+    constexpr std::size_t maxFlows = 30;
+    const auto upstreams = sessions.deployment().upstreamsOf(sessionService);
+    for (const auto &name : upstreams)
+        sessions.deployment().findUpstream(name)->setMaxFlows(maxFlows);
+    sessions.processes.runFor(1s);
+    sessions.openSteadyFlows(30);
+    for (int i = 0; i < 40; ++i) {
+        for (int opened = 0; opened < 6; ++opened)
+            sessions.openSession(60s);
+        sessions.processes.runFor(100ms);
+    }
+    for (const auto &name : upstreams)
+        CHECK(sessions.deployment().findUpstream(name)->countFlows() == maxFlows);
+    CHECK(sessions.recorder.notOpened > 0);
+    CHECK(sessions.recorder.brokenFlows.empty());
+    CHECK(sessions.recorder.openFlows.size() == maxFlows * upstreams.size());
+}
--- a/tests/test_upstream_health.cpp
+++ b/tests/test_upstream_health.cpp
@@ -216,6 +216,54 @@
     CHECK(fixture.health.healthOf(fixture.idOf("i-1")) == health_state::Silent);
 }
 
+TEST_CASE("Opening packets that a full upstream leaves unanswered never end its open flows",
+          "[health]")
+{
+    // Guards against an upstream that takes no further flows being declared dead, with a reset of
+    // all flows that it serves.
+    health_fixture fixture;
+    const auto upstream = fixture.idOf("i-1");
+    const auto reporter = [](const char *instance) {
+        return failure_reporter {reporterIdOf(instance), 8, 300};
+    };
+    for (int i = 0; i < 50; ++i) {
+        const auto now = 10s + i * 20ms;
+        fixture.health.noteAnswered(fixture.idOf("i-2"), now - 1ms);
+        fixture.health.noteRetransmission(upstream,
+                                          {packet_kind::Opening, now - 200ms, now - 200ms}, now);
+        fixture.health.merge({{tagOfName("i-1"), std::nullopt, {reporter("f-2"), reporter("f-3")}}},
+                             true, now);
+    }
+    fixture.settle(11s);
+    CHECK_FALSE(fixture.health.isDead(upstream));
+    // New flows avoid it.
+    CHECK(fixture.health.healthOf(upstream) == health_state::Silent);
+    SECTION("it is declared dead once it leaves requests unanswered")
+    {
+        // Also by instances beyond those whose opening packets it left unanswered.
+        fixture.health.noteAnswered(fixture.idOf("i-2"), 11190ms);
+        fixture.health.noteRetransmission(upstream, requestSentAt(11s), 11200ms);
+        for (const char *instance : {"f-4", "f-5", "f-6"})
+            fixture.health.merge({fixture.report("i-1", instance, 1, 200)}, true, 11200ms);
+        fixture.settle(11200ms);
+        CHECK(fixture.health.isDead(upstream));
+    }
+}
+
+TEST_CASE("Unanswered opening packets don't end the open flows of an upstream whose announcement "
+          "lapsed",
+          "[health]")
+{
+    // Guards against a full upstream that loses its flows in an outage of the store.
+    health_fixture fixture;
+    const auto upstream = fixture.idOf("i-1");
+    fixture.health.noteAnswered(fixture.idOf("i-2"), 9990ms);
+    fixture.health.noteRetransmission(upstream, {packet_kind::Opening, 9790ms, 9790ms}, 10s);
+    fixture.directory.withdraw("i-1", false, 10s);
+    fixture.settle(10s);
+    CHECK_FALSE(fixture.health.isDead(upstream));
+}
+
 TEST_CASE("An answer seen by any instance refutes earlier reports of unanswered packets",
           "[health]")
 {
@@ -453,6 +501,43 @@
     CHECK(path.decide(closing, true, 11s).action == packet_action::Forward);
 }
 
+TEST_CASE("A request on a flow that no answer has come on counts like an opening packet",
+          "[health][forwarder]")
+{
+    // Guards against an upstream that became full during the handshake and is taken for dead.
+    health_fixture fixture;
+    routing_table routes;
+    routes.apply(makeConfig(1), 0s);
+    domain_first_placement placement {fixture.directory, {"a", 3, 7}};
+    latency_exchange latencies {fixture.directory, placement};
+    forwarder path {routes, fixture.directory, placement, fixture.health, latencies};
+    const auto opened = path.decide(makeOpening(1), true, 9s);
+    bool hasAnswered = false;
+    std::uint32_t acknowledged = 500;
+    path.decide(makeData(1, opened.tag, 1001, acknowledged, 0), true, 9010ms);
+    SECTION("no answer has come") { }
+    SECTION("an answer has come")
+    {
+        hasAnswered = true;
+        path.decide(makeData(1, opened.tag, 1001, acknowledged, 90), true, 9020ms);
+        acknowledged = 900;
+        path.decide(makeData(1, opened.tag, 1091, acknowledged, 0), true, 9030ms);
+    }
+    const auto request = makeData(1, opened.tag, 1091, acknowledged, 90);
+    path.decide(request, true, 9100ms);
+    for (const auto id : {fixture.idOf("i-1"), fixture.idOf("i-2")}) {
+        if (id != opened.upstream->id)
+            fixture.health.noteAnswered(id, 9200ms);
+    }
+    path.decide(request, true, 9300ms);
+    const auto reports = fixture.health.takePendingReports(9300ms);
+    REQUIRE(reports.size() == 1);
+    REQUIRE(reports[0].reporters.size() == 1);
+    CHECK(reports[0].reporters[0].retransmissions == 1);
+    CHECK(reports[0].reporters[0].requests == (hasAnswered ? 1 : 0));
+    CHECK(reports[0].reporters[0].requestAgeMs == (hasAnswered ? 200 : 0));
+}
+
 TEST_CASE("Idle flows of a dead upstream are reset at the last acknowledged position",
           "[health][forwarder]")
 {
