Fix: a dead upstream is one that left recent requests unanswered

Callers saw: an upstream loses its link for one second, and four to ten seconds after it is back, instances still reset its open flows, also flows opened after the cut through another instance.

Cause: a verdict had a lifetime of its own, 10 s, made for new flows, and outlived its evidence. While it stood, each packet of an open flow was reset instead of forwarded, so that no answer could end it, and an instance that saw answers told nobody unless it suspected the upstream itself. Ruled out: a second verdict on requests sent after the cut. Once an announcement was removed, one unanswered packet did the same for a minute.

Change: an upstream is dead only while its unanswered requests were forwarded less than three quarters of the window ago in which flows may be reset for a disruption (bounds.contact_ms, a new optional setting of the entry process). Why it works: an unanswered request shows that the upstream was disrupted when it was sent, so the reset falls into the window. New flows avoid the upstream for 10 s as before. Instances report a dead upstream every 500 ms, and who saw a newer answer replies. An upstream whose announcement lapses while it is dead stays dead until it is announced again or answers.

--- a/src/entry/derived_settings.cpp
+++ b/src/entry/derived_settings.cpp
@@ -77,6 +77,15 @@
     return derived;
 }
 
+/// A quarter of the window is left for reports in transit and for the reset itself.
+health_limits deriveHealthLimits(const entry_settings &settings)
+{
+    health_limits derived;
+    if (settings.disruptionWindow.count() > 0)
+        derived.maxRequestAge = std::min(derived.maxEvidenceAge, settings.disruptionWindow * 3 / 4);
+    return derived;
+}
+
 /// Three quarters of the link rate are left for caller packets.
 transfer_limits deriveTransferLimits(const entry_settings &settings)
 {
--- a/src/entry/derived_settings.h
+++ b/src/entry/derived_settings.h
@@ -8,6 +8,7 @@
 #include "directory/directory_base.h"
 #include "gossip/gossip_base.h"
 #include "graceful_shutdown_base.h"
+#include "health/upstream_health_base.h"
 #include "platform/platform_store.h"
 #include "settings/entry_settings_type.h"
 #include "sync/snapshot_publisher_base.h"
@@ -24,6 +25,7 @@
 follower_settings deriveFollowerSettings(const entry_settings &settings);
 gossip_settings deriveGossipSettings(const entry_settings &settings);
 publisher_settings derivePublisherSettings(const entry_settings &settings);
+health_limits deriveHealthLimits(const entry_settings &settings);
 transfer_limits deriveTransferLimits(const entry_settings &settings);
 
 /** Time after a restore of the store in which upstreams and operators write again what it lost. */
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -42,7 +42,7 @@
     , m_directory(deriveDirectorySettings(settings))
     , m_placement(m_directory,
                   {settings.domain, settings.domainCount, placementSeedOf(settings.name)})
-    , m_health(m_directory, settings.name, settings.domain)
+    , m_health(m_directory, settings.name, settings.domain, deriveHealthLimits(settings))
     , m_latencies(m_directory, m_placement)
     , m_forwarder(m_routes, m_directory, m_placement, m_health, m_latencies)
     , m_state(m_routes, m_directory, m_placement, m_log)
@@ -318,6 +318,7 @@
     m_settings.configBound = changed.configBound;
     m_settings.drainBound = changed.drainBound;
     m_settings.evacuationBound = changed.evacuationBound;
+    m_settings.disruptionWindow = changed.disruptionWindow;
     m_settings.announcementInterval = changed.announcementInterval;
     m_settings.stopGrace = changed.stopGrace;
     m_settings.flowLifetime = changed.flowLifetime;
@@ -333,6 +334,7 @@
     m_gossip.setTransferLimits(deriveTransferLimits(m_settings));
     m_publisher.setSettings(derivePublisherSettings(m_settings));
     m_directory.setSettings(deriveDirectorySettings(m_settings));
+    m_health.setLimits(deriveHealthLimits(m_settings));
     m_shutdown.setSettings(deriveShutdownSettings(m_settings));
     m_packetProcessor.setStalenessBound(propagationBound(m_settings));
     m_log.write("settings_reloaded",
--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -111,8 +111,9 @@
 monotonic_time upstream_health::requestAgeOf(upstream_id upstream, monotonic_time now) const
 {
     const auto found = m_entries.find(upstream);
-    return found == m_entries.end() ? monotonic_time {0}
-                                    : elapsedSince(summarize(found->second).lastRequestAt, now);
+    return found == m_entries.end()
+        ? monotonic_time {0}
+        : elapsedSince(summarize(found->second, now).lastRequestAt, now);
 }
 
 void upstream_health::forget(upstream_id upstream)
@@ -136,6 +137,7 @@
         if (!makeRoomFor(entry, seen))
             return;
         entry.reporters.push_back(seen);
+        entry.reporters.back().queuedRequestAt = seen.lastRequestAt;
         m_watched.insert(upstream);
         queueReport(upstream);
         return;
@@ -151,10 +153,13 @@
     const bool mayChangeState =
         (retransmissions > found->retransmissions && retransmissions <= m_limits.silentThreshold)
         || (requests > found->requests && requests <= m_limits.deadThreshold);
+    const bool isRenewed = found->lastRequestAt - found->queuedRequestAt >= m_limits.reportInterval;
     found->retransmissions = std::max(found->retransmissions, retransmissions);
     found->requests = std::max(found->requests, requests);
-    if (mayChangeState)
-        queueReport(upstream);
+    if (!mayChangeState && !isRenewed)
+        return;
+    found->queuedRequestAt = found->lastRequestAt;
+    queueReport(upstream);
 }
 
 /// The number of reporters is limited. Those of unanswered requests take the places of others.
@@ -212,14 +217,14 @@
         if (other.instance == m_ownId)
             continue;
         const auto since = now - std::chrono::milliseconds(other.ageMs);
-        if (now - since > m_limits.maxEvidenceAge)
+        const auto lastRequestAt = other.requests > 0
+            ? now - std::chrono::milliseconds(other.requestAgeMs)
+            : monotonic_time {0};
+        if (now - std::max(since, lastRequestAt) > m_limits.maxEvidenceAge)
             continue;
         // The sender does not know of an answer that this instance knows of.
         if (since <= entry.answeredAt + m_limits.ageSlack && reportedAnswerAt < entry.answeredAt)
             queueReport(record.id);
-        const auto lastRequestAt = other.requests > 0
-            ? now - std::chrono::milliseconds(other.requestAgeMs)
-            : monotonic_time {0};
         addReporter(
             entry,
             {other.instance, other.retransmissions, other.requests, since, lastRequestAt, now},
@@ -239,9 +244,14 @@
         }
         health_entry &entry = m_entries[upstream];
         expire(entry, now);
-        const auto summary = summarize(entry);
+        const auto summary = summarize(entry, now);
         const auto before = entry.state;
-        setState(upstream, entry, computeState(entry, *record, summary, now), now);
+        setState(*record, entry, computeState(entry, *record, summary, now), now);
+        const bool hasEvidence = !entry.reporters.empty();
+        if (entry.state == health_state::Dead && hasEvidence && now >= entry.nextReportAt) {
+            entry.nextReportAt = now + m_limits.reportInterval;
+            queueReport(upstream);
+        }
         if (entry.state != before)
             changes.push_back({upstream, before, entry.state, summary.reporters,
                                summary.retransmissions, summary.requests,
@@ -259,40 +269,50 @@
                                            const failure_summary &summary, monotonic_time now) const
 {
     const bool isGone = record.lifecycle == lifecycle_state::Gone;
-    const bool hasAnsweredSince = entry.answeredAt > entry.stateChangedAt;
-    if (entry.state == health_state::Dead && !hasAnsweredSince) {
-        const bool isRetryDue =
-            now - entry.stateChangedAt > m_limits.deadRetryDelay || entry.isDeadByWithdrawal;
-        if (isGone || !isRetryDue)
+    const bool hasAnswered = entry.answeredAt > entry.diedAt;
+    // An upstream that was cut off announces itself again once it is reachable, so one whose
+    // announcement lapses while it is dead stays dead until then.
+    const bool hasLapsed = entry.state == health_state::Dead && entry.diedAnnounced && !hasAnswered;
+    if (isGone && (entry.isAddressReused || hasLapsed))
+        return health_state::Dead;
+    if (!isDeadBy(summary, isGone)) {
+        entry.suspectedAt = monotonic_time {0};
+    } else {
+        if (entry.suspectedAt.count() == 0)
+            entry.suspectedAt = now;
+        if (isGone || now - entry.suspectedAt >= m_limits.refutationTime)
             return health_state::Dead;
     }
+    const bool wasDead =
+        entry.diedAt.count() > 0 && !hasAnswered && now - entry.diedAt <= m_limits.deadRetryDelay;
+    return wasDead || summary.retransmissions >= m_limits.silentThreshold ? health_state::Silent
+                                                                          : health_state::Answering;
+}
+
+bool upstream_health::isDeadBy(const failure_summary &summary, bool isGone) const
+{
     // The announcement was removed as well, so one unanswered request is enough.
-    entry.isDeadByWithdrawal = isGone && (entry.isAddressReused || summary.requestReporters > 0);
-    if (entry.isDeadByWithdrawal)
-        return health_state::Dead;
-    const bool isSuspected = summary.requests >= m_limits.deadThreshold
-        && summary.requestReporters >= m_limits.minDeadReporters;
-    if (!isSuspected)
-        entry.suspectedAt = monotonic_time {0};
-    else if (entry.suspectedAt.count() == 0)
-        entry.suspectedAt = now;
-    if (isSuspected && now - entry.suspectedAt >= m_limits.refutationTime)
-        return health_state::Dead;
-    return summary.retransmissions >= m_limits.silentThreshold ? health_state::Silent
-                                                               : health_state::Answering;
+    if (isGone)
+        return summary.recentReporters > 0;
+    return summary.recentRequests >= m_limits.deadThreshold
+        && summary.recentReporters >= m_limits.minDeadReporters;
 }
 
-upstream_health::failure_summary upstream_health::summarize(const health_entry &entry)
+upstream_health::failure_summary upstream_health::summarize(const health_entry &entry,
+                                                            monotonic_time now) const
 {
     failure_summary summary;
     summary.reporters = entry.reporters.size();
     for (const reporter &seen : entry.reporters) {
         summary.retransmissions += seen.retransmissions;
         summary.requests += seen.requests;
-        summary.requestReporters += seen.requests > 0 ? 1 : 0;
         summary.lastRequestAt = std::max(summary.lastRequestAt, seen.lastRequestAt);
         if (summary.since.count() == 0 || seen.since < summary.since)
             summary.since = seen.since;
+        if (seen.requests > 0 && now - seen.lastRequestAt <= m_limits.maxRequestAge) {
+            ++summary.recentReporters;
+            summary.recentRequests += seen.requests;
+        }
     }
     return summary;
 }
@@ -304,17 +324,20 @@
     });
 }
 
-void upstream_health::setState(upstream_id upstream, health_entry &entry, health_state state,
-                               monotonic_time now)
+void upstream_health::setState(const upstream_record &record, health_entry &entry,
+                               health_state state, monotonic_time now)
 {
     if (state == entry.state)
         return;
     entry.state = state;
-    entry.stateChangedAt = now;
-    if (state == health_state::Dead)
-        m_dead.insert(upstream);
-    else
-        m_dead.erase(upstream);
+    if (state == health_state::Dead) {
+        m_dead.insert(record.id);
+        entry.diedAt = now;
+        entry.diedAnnounced = record.lifecycle != lifecycle_state::Gone;
+        entry.nextReportAt = now + m_limits.reportInterval;
+    } else {
+        m_dead.erase(record.id);
+    }
 }
 
 std::vector<liveness_report> upstream_health::takePendingReports(monotonic_time now)
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -78,8 +78,15 @@
     monotonic_time relayDelayAllowance = std::chrono::milliseconds(10);
     /// Older observations are discarded as outdated. Callers retransmit at most 1.6 s apart.
     monotonic_time maxEvidenceAge = std::chrono::seconds(4);
-    /// Time after which a dead upstream that is still announced is tried again.
+    /// An upstream is dead only while the unanswered requests were forwarded at most this long ago.
+    /// Less than the time after a disruption in which flows may be reset for it, as the upstream
+    /// may be reachable again since the latest of them.
+    monotonic_time maxRequestAge = std::chrono::seconds(3);
+    /// Time for which an upstream that was dead gets no new flows unless it answers.
     monotonic_time deadRetryDelay = std::chrono::seconds(10);
+    /// Pause between two reports about the same dead upstream, in which an instance asks others for
+    /// answers that they saw, and between reports about further unanswered requests.
+    monotonic_time reportInterval = std::chrono::milliseconds(500);
     std::size_t maxReporters = 4; ///< kept per upstream
     std::size_t maxReports = 16;  ///< per message, so that a message fits into one datagram
     /// Number of messages in which each update is sent. With a fan-out of three, this reaches all
@@ -125,6 +132,9 @@
      */
     void setLocalHealth(bool isHealthy) { m_isLocallyHealthy = isHealthy; }
 
+    /** Replaces the thresholds and timeouts. */
+    void setLimits(const health_limits &limits) { m_limits = limits; }
+
     /** Whether the flows of an upstream are to be terminated. */
     bool isDead(upstream_id upstream) const { return !m_dead.empty() && m_dead.contains(upstream); }
 
@@ -180,10 +190,11 @@
     {
         reporter_id instance = 0;
         unsigned retransmissions = 0;
-        unsigned requests = 0;             ///< retransmissions of requests
-        monotonic_time since {0};          ///< when the first unanswered packet was forwarded
-        monotonic_time lastRequestAt {0};  ///< when the latest unanswered request was forwarded
-        monotonic_time lastReportedAt {0}; ///< last observation or report
+        unsigned requests = 0;              ///< retransmissions of requests
+        monotonic_time since {0};           ///< when the first unanswered packet was forwarded
+        monotonic_time lastRequestAt {0};   ///< when the latest unanswered request was forwarded
+        monotonic_time lastReportedAt {0};  ///< last observation or report
+        monotonic_time queuedRequestAt {0}; ///< lastRequestAt when an update was last queued
     };
 
     /** Health data of one upstream. */
@@ -192,21 +203,25 @@
         monotonic_time answeredAt {0};   ///< last known answer; 0 if there is none
         std::vector<reporter> reporters; ///< those without an answer since answeredAt
         health_state state = health_state::Answering;
-        monotonic_time stateChangedAt {0}; ///< when the state last changed
-        bool isAddressReused = false;      ///< another upstream announced its address
-        bool isDeadByWithdrawal = false;   ///< dead because its announcement was removed too
-        monotonic_time suspectedAt {0};    ///< when the thresholds for Dead were reached; 0 if not
+        monotonic_time diedAt {0};       ///< when it last became Dead; 0 for never
+        bool diedAnnounced = false;      ///< it was announced when it last became Dead
+        bool isAddressReused = false;    ///< another upstream announced its address
+        monotonic_time suspectedAt {0};  ///< when the thresholds for Dead were reached; 0 if not
+        monotonic_time nextReportAt {0}; ///< of a dead upstream
     };
 
     /** Totals over all reporters of an upstream. */
     struct failure_summary
     {
         std::size_t reporters = 0;
-        std::size_t requestReporters = 0; ///< reporters of unanswered requests
         unsigned retransmissions = 0;
         unsigned requests = 0;
         monotonic_time since {0};         ///< earliest of all reporters; 0 if there is none
         monotonic_time lastRequestAt {0}; ///< latest of all reporters; 0 if there is none
+        /// Reporters whose latest unanswered request is not older than maxRequestAge, and their
+        /// requests.
+        std::size_t recentReporters = 0;
+        unsigned recentRequests = 0;
     };
 
     void addReporter(health_entry &entry, const reporter &seen, upstream_id upstream);
@@ -216,9 +231,10 @@
                      monotonic_time now);
     health_state computeState(health_entry &entry, const upstream_record &record,
                               const failure_summary &summary, monotonic_time now) const;
-    static failure_summary summarize(const health_entry &entry);
+    bool isDeadBy(const failure_summary &summary, bool isGone) const;
+    failure_summary summarize(const health_entry &entry, monotonic_time now) const;
     void expire(health_entry &entry, monotonic_time now) const;
-    void setState(upstream_id upstream, health_entry &entry, health_state state,
+    void setState(const upstream_record &record, health_entry &entry, health_state state,
                   monotonic_time now);
     liveness_report makeReport(const upstream_record &record, const health_entry &entry,
                                monotonic_time now) const;
--- a/src/settings/entry_settings_type.h
+++ b/src/settings/entry_settings_type.h
@@ -31,6 +31,8 @@
     monotonic_time drainBound {0};  ///< time after which a draining upstream may get no new flows
     /// Time after which an evacuated failure domain may get no new flows; 0 if there is no bound.
     monotonic_time evacuationBound {0};
+    /// Time after a disruption of an upstream in which its flows may be reset; 0 if unknown.
+    monotonic_time disruptionWindow {0};
     monotonic_time announcementInterval {0}; ///< between announcements of an upstream; 0 if unknown
     monotonic_time stopGrace {0};    ///< time from the stop request until the process is killed
     monotonic_time flowLifetime {0}; ///< maximum age of a flow
--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -100,6 +100,7 @@
     settings.metricsPort = pagesPort;
     settings.configBound = 3s;
     settings.drainBound = 3s;
+    settings.disruptionWindow = disruptionWindow;
     settings.stopGrace = 6s;
     settings.flowLifetime = 60s;
     return settings;
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -19,6 +19,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -28,6 +29,9 @@
 
 namespace chicoryhead::standin {
 
+/** Time after a disruption of an upstream in which its flows may be reset. */
+inline constexpr std::chrono::seconds disruptionWindow {4};
+
 /** Size, files and addresses of a deployment. */
 struct deployment_plan
 {
--- a/tests/test_derived_settings.cpp
+++ b/tests/test_derived_settings.cpp
@@ -47,6 +47,23 @@
     }
 }
 
+TEST_CASE("A verdict ends within each window in which flows may be reset for a disruption",
+          "[settings]")
+{
+    // Guards against resets after the window of a deployment with a shorter one than others.
+    for (const monotonic_time window : {1000ms, 2500ms, 4000ms, 6000ms, 60000ms}) {
+        auto settings = settingsWith(3s, 6s);
+        settings.disruptionWindow = window;
+        const auto limits = deriveHealthLimits(settings);
+        INFO("window " << window.count() / 1'000'000 << " ms");
+        CHECK(limits.maxRequestAge < window);
+        CHECK(limits.maxRequestAge <= limits.maxEvidenceAge);
+        // A request is known to be unanswered when its caller repeats it.
+        CHECK(limits.maxRequestAge > 2 * limits.minRetransmissionDelay + limits.refutationTime);
+    }
+    CHECK(deriveHealthLimits(settingsWith(3s, 6s)).maxRequestAge == 3s);
+}
+
 TEST_CASE("A shutdown outlasts removal from rotation under each grace period that allows it",
           "[settings]")
 {
