Fix: one lost datagram does not end the flows of an upstream that is no longer announced

What callers would have seen: an upstream drains, its announcement lapses in an outage of the store, and one request of any caller is lost on the way; all open flows of the upstream are reset.

Once an announcement is removed, one unanswered request was enough, at once, without time for a refutation. An announcement is also removed while its upstream lives: a draining one at once when it lapses in an outage, any other when it is not back after the grace period.

Change: two unanswered requests, and the time for refutations as for announced upstreams.

--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -280,7 +280,7 @@
     } else {
         if (entry.suspectedAt.count() == 0)
             entry.suspectedAt = now;
-        if (isGone || now - entry.suspectedAt >= m_limits.refutationTime)
+        if (now - entry.suspectedAt >= m_limits.refutationTime)
             return health_state::Dead;
     }
     const bool wasDead =
@@ -291,9 +291,9 @@
 
 bool upstream_health::isDeadBy(const failure_summary &summary, bool isGone) const
 {
-    // The announcement was removed as well, so one unanswered request is enough.
+    // The removal of the announcement stands for a second reporter.
     if (isGone)
-        return summary.recentReporters > 0;
+        return summary.recentRequests >= m_limits.unannouncedDeadThreshold;
     return summary.recentRequests >= m_limits.deadThreshold
         && summary.recentReporters >= m_limits.minDeadReporters;
 }
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -64,6 +64,9 @@
     /// Unanswered requests after which an upstream is Dead. Unanswered opening packets don't count:
     /// an upstream that takes no further flows ignores them, and serves its open flows.
     unsigned deadThreshold = 3;
+    /// The same for an upstream whose announcement was removed. It may still live: announcements
+    /// lapse in outages of the store.
+    unsigned unannouncedDeadThreshold = 2;
     /// Instances that must have reported unanswered requests, so that a single instance behind a
     /// bad link cannot declare an upstream dead.
     unsigned minDeadReporters = 2;
