Fix: an instance that was suspended ends no flows on what it knew from before

What callers would have seen: an instance freezes for seconds and wakes, and the first packets of open flows that it reads are reset, on a verdict that is as old as the freeze; or it reads reports that were queued meanwhile, takes them for recent, and declares an upstream dead that has answered since.

The age in a report is relative to its arrival, so time in the socket buffer of a suspended process doesn't count.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -136,7 +136,7 @@
     const auto gap = m_suspensionDetector.recordActivity(m_clock.now());
     if (!gap)
         return;
-    m_health.setLocalHealth(false);
+    m_health.noteResumed(m_suspensionDetector.lastActivityAt());
     m_log.write("resumed", {{"gap_ms", formatMilliseconds(*gap)}});
 }
 
--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -92,6 +92,19 @@
     queueReport(upstream);
 }
 
+void upstream_health::noteResumed(monotonic_time now)
+{
+    m_isLocallyHealthy = false;
+    m_resumedAt = now;
+    m_areVerdictsOutdated = true;
+}
+
+/// For as long as queued reports are read, and others may refute what was known before.
+bool upstream_health::hasJustResumed(monotonic_time now) const
+{
+    return m_resumedAt && now - *m_resumedAt < m_limits.refutationTime;
+}
+
 void upstream_health::noteAddressReused(const std::vector<upstream_id> &upstreams)
 {
     for (const upstream_id upstream : upstreams) {
@@ -191,6 +204,8 @@
 void upstream_health::merge(const std::vector<liveness_report> &reports, bool isOwnDomain,
                             monotonic_time now)
 {
+    if (hasJustResumed(now))
+        return;
     for (const liveness_report &report : reports) {
         const auto *record = m_directory.findByTag(report.upstream);
         if (record == nullptr)
@@ -234,6 +249,7 @@
 
 std::vector<health_change> upstream_health::evaluate(monotonic_time now)
 {
+    m_areVerdictsOutdated = false;
     std::vector<health_change> changes;
     std::vector<upstream_id> idle;
     for (const upstream_id upstream : m_watched) {
@@ -278,7 +294,7 @@
     if (!isDeadBy(summary, isGone)) {
         entry.suspectedAt = monotonic_time {0};
     } else {
-        if (entry.suspectedAt.count() == 0)
+        if (entry.suspectedAt.count() == 0 || hasJustResumed(now))
             entry.suspectedAt = now;
         if (now - entry.suspectedAt >= m_limits.refutationTime)
             return health_state::Dead;
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -20,6 +20,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -135,11 +136,20 @@
      */
     void setLocalHealth(bool isHealthy) { m_isLocallyHealthy = isHealthy; }
 
+    /**
+     * Records that the process was suspended until now. Verdicts from before don't hold until the
+     * next evaluation, and reports that were queued meanwhile are ignored, as they look recent.
+     */
+    void noteResumed(monotonic_time now);
+
     /** Replaces the thresholds and timeouts. */
     void setLimits(const health_limits &limits) { m_limits = limits; }
 
     /** Whether the flows of an upstream are to be terminated. */
-    bool isDead(upstream_id upstream) const { return !m_dead.empty() && m_dead.contains(upstream); }
+    bool isDead(upstream_id upstream) const
+    {
+        return !m_areVerdictsOutdated && m_dead.contains(upstream);
+    }
 
     health_state healthOf(upstream_id upstream) const;
 
@@ -235,6 +245,7 @@
     health_state computeState(health_entry &entry, const upstream_record &record,
                               const failure_summary &summary, monotonic_time now) const;
     bool isDeadBy(const failure_summary &summary, bool isGone) const;
+    bool hasJustResumed(monotonic_time now) const;
     failure_summary summarize(const health_entry &entry, monotonic_time now) const;
     void expire(health_entry &entry, monotonic_time now) const;
     void setState(const upstream_record &record, health_entry &entry, health_state state,
@@ -252,6 +263,8 @@
     health_limits m_limits;
     bool m_isLocallyHealthy = true;
     monotonic_time m_lastLocalAnswerAt {0}; ///< last answer of any upstream seen by this instance
+    std::optional<monotonic_time> m_resumedAt; ///< when the process last resumed
+    bool m_areVerdictsOutdated = false; ///< the process was suspended since the last evaluation
     std::unordered_map<upstream_id, health_entry> m_entries;
     std::unordered_set<upstream_id> m_watched; ///< have reporters, or are not Answering
     std::unordered_set<upstream_id> m_dead;    ///< in state Dead
--- a/tests/test_upstream_health.cpp
+++ b/tests/test_upstream_health.cpp
@@ -359,6 +359,50 @@
     CHECK(fixture.health.healthOf(upstream) == health_state::Answering);
 }
 
+TEST_CASE("An instance that was suspended ends no flows on what it knew or received meanwhile",
+          "[health]")
+{
+    // Guards against resets of open flows by an instance that wakes up: its verdicts are as old as
+    // the suspension, and reports that were queued look recent.
+    health_fixture fixture;
+    const auto upstream = fixture.idOf("i-1");
+    SECTION("a verdict from before")
+    {
+        declareDead(fixture, "i-1", 10s);
+        REQUIRE(fixture.health.isDead(upstream));
+        fixture.health.noteResumed(15s);
+        CHECK_FALSE(fixture.health.isDead(upstream));
+    }
+    SECTION("queued reports")
+    {
+        fixture.health.noteResumed(15s);
+        fixture.health.merge(
+            {fixture.report("i-1", "f-2", 3, 300), fixture.report("i-1", "f-3", 3, 300)}, true,
+            15010ms);
+    }
+    SECTION("a suspicion that is refuted by a queued report")
+    {
+        fixture.health.merge(
+            {fixture.report("i-1", "f-2", 3, 300), fixture.report("i-1", "f-3", 3, 300)}, true,
+            14s);
+        fixture.health.evaluate(14s);
+        fixture.health.noteResumed(15s);
+        fixture.health.evaluate(15s);
+        CHECK_FALSE(fixture.health.isDead(upstream));
+        fixture.health.noteAnswered(upstream, 15010ms);
+    }
+    fixture.settle(15050ms);
+    CHECK_FALSE(fixture.health.isDead(upstream));
+    SECTION("reports count again later")
+    {
+        fixture.health.merge(
+            {fixture.report("i-1", "f-2", 3, 300), fixture.report("i-1", "f-3", 3, 300)}, true,
+            16s);
+        fixture.settle(16s);
+        CHECK(fixture.health.isDead(upstream));
+    }
+}
+
 TEST_CASE("Reports from another domain count only for upstreams in that domain", "[health]")
 {
     // Guards against a network partition between two domains that terminates flows in a third one.
