Soak: upstreams are cut off for a moment, or take no further flows

Both are a series of their own now, drawn apart from the other faults, so that the faults of a seed stay the same.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -43,9 +43,11 @@
     , m_check(check)
     , m_seedSource(seed)
     , m_random(seed)
+    , m_upstreamRandom(~seed)
     , m_log(log)
     , m_startedAt(deployment.clock().now())
     , m_nextFault(m_startedAt + firstFaultDelay)
+    , m_nextUpstreamFault(m_nextFault)
 {
     for (std::size_t i = 0; i < instances().size(); ++i)
         m_restartRandom.emplace_back(m_seedSource.next());
@@ -81,6 +83,8 @@
         callback();
     }
     restartExited();
+    if (!m_hasEnded && now >= m_nextUpstreamFault)
+        disturbUpstream();
     if (m_hasEnded || now < m_nextFault)
         return;
     m_random = standin::seeded_random(m_seedSource.next());
@@ -342,6 +346,48 @@
     });
 }
 
+/// A series beside the other faults. Flows on the upstream stay open, so it must not be one that
+/// crashes meanwhile.
+void fault_injector::disturbUpstream()
+{
+    const auto drawn = [this](unsigned below) {
+        return static_cast<unsigned>(m_upstreamRandom.next() % below);
+    };
+    m_nextUpstreamFault += std::chrono::milliseconds(1500 + drawn(6000));
+    const auto names = m_deployment.upstreamsOf(drawn(m_deployment.plan().services));
+    const std::string name = names[drawn(static_cast<unsigned>(names.size()))];
+    const auto duration = std::chrono::milliseconds(200 + drawn(2800));
+    if (drawn(2) == 0)
+        cutUpstream(name, duration);
+    else
+        fillUpstream(name, duration);
+}
+
+void fault_injector::cutUpstream(const std::string &name, monotonic_time duration)
+{
+    logEvent("upstream " + name + " is cut off");
+    m_deployment.findUpstream(name)->setCut(true);
+    m_check.recordCut(name, m_deployment.clock().now() + duration);
+    schedule(duration, [this, name] {
+        logEvent("upstream " + name + " is reachable");
+        m_check.recordCut(name, m_deployment.clock().now());
+        if (auto *upstream = m_deployment.findUpstream(name))
+            upstream->setCut(false);
+    });
+}
+
+void fault_injector::fillUpstream(const std::string &name, monotonic_time duration)
+{
+    logEvent("upstream " + name + " is full");
+    auto *filled = m_deployment.findUpstream(name);
+    filled->setMaxFlows(filled->countFlows());
+    schedule(duration, [this, name] {
+        logEvent("upstream " + name + " has room");
+        if (auto *upstream = m_deployment.findUpstream(name))
+            upstream->setMaxFlows(SIZE_MAX);
+    });
+}
+
 void fault_injector::changeConfig()
 {
     const auto changes = draw(4) == 0 ? 5U : 1U;
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -65,6 +65,9 @@
     std::string drawUpstream(unsigned service);
     void drainUpstream();
     void crashUpstream();
+    void disturbUpstream();
+    void cutUpstream(const std::string &name, monotonic_time duration);
+    void fillUpstream(const std::string &name, monotonic_time duration);
     void changeConfig();
     void startPlannedMaintenance();
     void updateStoreStability();
@@ -75,9 +78,11 @@
                                          ///< faults of a seed does not depend on timing
     standin::seeded_random m_random;     ///< for the current fault
     std::vector<standin::seeded_random> m_restartRandom; ///< for restart delays, by instance
+    standin::seeded_random m_upstreamRandom;             ///< for upstreams cut off or full
     std::ostream &m_log;
     monotonic_time m_startedAt;
     monotonic_time m_nextFault; ///< scheduled time; the fault may be injected slightly later
+    monotonic_time m_nextUpstreamFault;
     std::multimap<monotonic_time, std::function<void()>> m_scheduled;
     std::map<std::size_t, monotonic_time> m_restartTimes; ///< of exited processes, by instance
     bool m_hasEnded = false;
--- a/tests/soak/invariant_check.cpp
+++ b/tests/soak/invariant_check.cpp
@@ -109,6 +109,12 @@
     m_drainStarts.emplace(upstream, at);
 }
 
+void invariant_check::recordCut(const std::string &upstream, monotonic_time until)
+{
+    m_disturbedAt = m_deployment->clock().now();
+    m_cutEnds[upstream] = until;
+}
+
 void invariant_check::recordStop(std::size_t instance)
 {
     recordDisturbance(instance);
@@ -305,6 +311,10 @@
 {
     if (m_deployment->findUpstream(upstream) == nullptr)
         return;
+    const auto cut = m_cutEnds.find(upstream);
+    if (cut != m_cutEnds.end()
+        && m_deployment->clock().now() <= cut->second + standin::disruptionWindow)
+        return;
     // A missing answer is a violation only if a healthy instance could have forwarded the caller's
     // retransmissions.
     const bool isSilence = reason == "request without answer";
--- a/tests/soak/invariant_check.h
+++ b/tests/soak/invariant_check.h
@@ -82,6 +82,9 @@
     /** Records that an upstream announced in the store that it is draining. */
     void recordDrain(const std::string &upstream, monotonic_time at);
 
+    /** Records until when an upstream is cut off. */
+    void recordCut(const std::string &upstream, monotonic_time until);
+
     /** Records that a process was told to stop. */
     void recordStop(std::size_t instance);
 
@@ -160,6 +163,7 @@
     std::vector<violation> m_violations;
     std::array<std::uint64_t, invariantNames.size()> m_checkCounts {};
     std::map<std::string, monotonic_time> m_drainStarts; ///< by upstream
+    std::map<std::string, monotonic_time> m_cutEnds;     ///< end of the last cut, by upstream
     std::set<std::string> m_countedDrains;               ///< upstreams included in m_checkCounts
     std::deque<expected_config> m_expectedConfigs;
     std::deque<opening_window> m_windows;
