Fix: instances abort when peers in their failure domain are renamed

What callers saw: two of five instances get another name; two others abort at once, and again after each restart for a minute, so that a failure domain has too few instances.

Cause: the place of an instance among its peers counted ranks by name and peers by address. A renamed instance has two registrations with one address, so the index could reach the number of places, which an assertion forbids. Ruled out: a wrong rank (ranks are distinct by name).

Change: both count registrations. An instance that finds its own address under a former name does not take it for a peer.

Test: "The place of an instance among its peers is valid while one of them has two names"; the index it bounds is the one that the assertion checked.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -160,9 +160,9 @@
 
 void entry_process::onStateUpdated()
 {
-    if (m_gossip.countLocalPeers() > 0)
+    if (m_gossip.countRegisteredPeers() > 0)
         m_placement.setInstanceIndex(m_gossip.countLowerRankedPeers(),
-                                     m_gossip.countLocalPeers() + 1);
+                                     m_gossip.countRegisteredPeers() + 1);
     m_placement.setWarmupLimits(m_routes.config().warmupRates,
                                 m_state.instances().size() + m_state.formerInstances().size());
     m_gossip.announceChanges();
--- a/src/gossip/gossip_base.h
+++ b/src/gossip/gossip_base.h
@@ -110,10 +110,19 @@
     /** How long this instance should leave the store to lower ranks when its state is old. */
     monotonic_time storeReadDelay() const;
 
-    /** Number of other registered instances of the local domain. */
+    /** Number of other instances of the local domain, by address. */
     std::size_t countLocalPeers() const { return m_view.localPeers().size(); }
 
-    /** Number of local peers with a lower rank; no two instances of a domain have the same. */
+    /**
+     * Number of other registrations in the local domain. An instance that was renamed has two until
+     * the former one is removed.
+     */
+    std::size_t countRegisteredPeers() const { return m_view.countLocalRegistrations(); }
+
+    /**
+     * Number of other registrations in the local domain with a lower rank; no two instances of a
+     * domain have the same.
+     */
     std::size_t countLowerRankedPeers() const { return m_view.lowerRanks().size(); }
 
     /** Bytes sent to other instances. */
--- a/src/gossip/peer_view.cpp
+++ b/src/gossip/peer_view.cpp
@@ -39,6 +39,7 @@
     m_instancesVersion = m_state.instancesVersion();
     m_localPeers.clear();
     m_remotePeers.clear();
+    m_localRegistrations = 0;
     m_lowerRanks.clear();
     for (const auto &[name, registration] : m_state.instances())
         add(registration);
@@ -54,8 +55,13 @@
     if (registration.name == m_self.name)
         return;
     const bool isLocalDomain = registration.domain == m_self.domain;
-    (isLocalDomain ? m_localPeers : m_remotePeers).push_back(registration.peerAddress);
-    if (isLocalDomain && rankOf(registration.name) < rankOf(m_self.name))
+    // A former name of this instance has its address.
+    if (registration.peerAddress != m_self.peerAddress)
+        (isLocalDomain ? m_localPeers : m_remotePeers).push_back(registration.peerAddress);
+    if (!isLocalDomain)
+        return;
+    ++m_localRegistrations;
+    if (rankOf(registration.name) < rankOf(m_self.name))
         m_lowerRanks.push_back(rankOf(registration.name));
 }
 
--- a/src/gossip/peer_view_base.h
+++ b/src/gossip/peer_view_base.h
@@ -35,7 +35,10 @@
     /** Whether an address belongs to a registered instance. */
     bool contains(const endpoint &address) const;
 
-    /** Ranks of local peers that are lower than that of this instance. */
+    /** Number of registrations in the local domain, without this instance's own. */
+    std::size_t countLocalRegistrations() const { return refreshed().m_localRegistrations; }
+
+    /** Ranks of these registrations that are lower than that of this instance. */
     const std::vector<std::uint64_t> &lowerRanks() const { return refreshed().m_lowerRanks; }
 
 private:
@@ -47,7 +50,8 @@
     mutable std::uint64_t m_instancesVersion = 0; ///< that the lists were built from
     mutable std::vector<endpoint> m_localPeers;
     mutable std::vector<endpoint> m_remotePeers;
-    mutable std::vector<std::uint64_t> m_lowerRanks;
+    mutable std::size_t m_localRegistrations = 0;
+    mutable std::vector<std::uint64_t> m_lowerRanks; ///< at most m_localRegistrations
 };
 
 } // namespace chicoryhead
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -272,6 +272,27 @@
     }
 }
 
+TEST_CASE("The place of an instance among its peers is valid while one of them has two names",
+          "[gossip]")
+{
+    // Guards against instances that abort because a renamed instance has two ranks and one address.
+    gossip_fixture fixture(3);
+    auto &instance = *fixture.instances[0];
+    fleet_changes content;
+    content.revision = 100;
+    content.changes.emplace_back(makeConfig(1));
+    const bool isOwnAddress = GENERATE(false, true);
+    const endpoint address =
+        isOwnAddress ? fixture.registrations[0].peerAddress : endpoint {0x0a0000ff, 7720};
+    for (int i = 0; i < 20; ++i)
+        content.changes.emplace_back(
+            instance_registration {"renamed-" + std::to_string(i), "a", address});
+    fixture.applyStoreContent(instance, content);
+    CHECK(instance.gossip.countLowerRankedPeers() > 0);
+    CHECK(instance.gossip.countLowerRankedPeers() <= instance.gossip.countRegisteredPeers());
+    CHECK(instance.gossip.countLocalPeers() == (isOwnAddress ? 0 : 1));
+}
+
 TEST_CASE("An instance without a registration requests the state from others", "[gossip]")
 {
     // The store can refuse a third of the instances and revoke their registrations. Digests are
