Fix: a flow stays at its upstream when a second one answers its opening packet

Cause: the copy of an opening packet goes to another upstream after 150 ms. If only the answer of the first was lost, both answer and repeat their answers until they are acknowledged; a caller sends the tag of the answer that it received last, and the instance followed it. Ruled out: a wrong placement of the first packets (the flow was open and answered requests before).

Change: an instance that placed the opening packet sends a packet with the tag of another upstream that it was sent to on to the one that the flow is open at, if the acknowledgement number continues that flow, and puts the tag of that one into it; logged as tag_replaced. An instance that did not see the flow being opened can only follow the tag; that remains.

--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -40,7 +40,12 @@
 void packet_log::logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
                              const packet_decision &decision, monotonic_time now)
 {
-    if (decision.reason == packet_reason::Steered)
+    const bool isTagReplaced = decision.reason == packet_reason::TagReplaced;
+    if (isTagReplaced)
+        m_log.write(
+            "tag_replaced",
+            {{"flow", toString(packet.flow)}, {"upstream", decision.upstream->announced.name}});
+    if (isTagReplaced || decision.reason == packet_reason::Steered)
         logRequest(packet, bytes, decision, now);
     else
         logFlow(packet, decision, now);
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -12,6 +12,7 @@
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -46,6 +47,13 @@
     std::uint32_t acknowledged = 0;    ///< highest acknowledgement number from the caller
 
     std::span<const upstream_id> triedUpstreams() const { return {tried.data(), triedCount}; }
+
+    /** Whether the opening packet was sent to an upstream. */
+    bool hasTried(upstream_id id) const
+    {
+        const auto upstreams = triedUpstreams();
+        return std::find(upstreams.begin(), upstreams.end(), id) != upstreams.end();
+    }
 };
 
 /** Bounded table of flows. */
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::array<std::pair<packet_reason, std::string_view>, packetReasonCount> reasonNames {{
     {packet_reason::Steered, "steered"},
+    {packet_reason::TagReplaced, "tag_replaced"},
     {packet_reason::Placed, "placed"},
     {packet_reason::PlacedAgain, "placed_again"},
     {packet_reason::Repeated, "repeated"},
@@ -158,7 +159,12 @@
         m_directory.findByTag(bindTag(packet.tag, packet.flow.service));
     if (upstream == nullptr)
         return makeDrop(packet_reason::UnknownTag);
-    auto decision = forwardTo(packet, *upstream, packet_reason::Steered);
+    auto reason = packet_reason::Steered;
+    if (const upstream_record *holder = findOtherHolder(packet, upstream->id)) {
+        upstream = holder;
+        reason = packet_reason::TagReplaced;
+    }
+    auto decision = forwardTo(packet, *upstream, reason);
     trackOpenFlow(packet, now, decision);
     if (packet.isReset || !m_health.isDead(upstream->id))
         return decision;
@@ -169,6 +175,21 @@
     return ended;
 }
 
+/// If the answer to an opening packet was lost, two upstreams answer its copies, and each repeats
+/// its answer until it is acknowledged. A caller sends the tag of the answer that it received last,
+/// but acknowledges the data of the upstream that the flow is open at.
+const upstream_record *forwarder::findOtherHolder(const caller_packet &packet, upstream_id tagged)
+{
+    const flow_entry *flow = m_flowTable.find(packet.flow);
+    if (flow == nullptr || !flow->isOpen || flow->upstream == tagged)
+        return nullptr;
+    const bool isContinued =
+        packet.acknowledged - flow->acknowledged <= m_settings.maxAcknowledgedBytes;
+    if (!isContinued || !flow->hasTried(tagged) || !flow->hasTried(flow->upstream))
+        return nullptr;
+    return m_directory.find(flow->upstream);
+}
+
 std::vector<caller_packet> forwarder::extractFlowsOf(upstream_id upstream)
 {
     std::vector<caller_packet> extracted;
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -34,6 +34,8 @@
 /** Reason of a forwarding decision. */
 enum class packet_reason : std::uint8_t {
     Steered,         ///< forwarded to the upstream that its tag names
+    TagReplaced,     ///< forwarded to the upstream that the flow is open at; the tag names another
+                     ///< one that answered its opening packet too
     Placed,          ///< opening packet, forwarded to a newly selected upstream
     PlacedAgain,     ///< retransmitted opening packet, forwarded to another upstream
     Repeated,        ///< retransmitted opening packet, forwarded to the same upstream
@@ -49,7 +51,7 @@
 };
 
 /** Number of reasons, for counter tables. */
-inline constexpr std::size_t packetReasonCount = 13;
+inline constexpr std::size_t packetReasonCount = 14;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -94,6 +96,8 @@
     /// A request in progress counts as a latency sample at this fraction of its route's target
     /// latency, then each time that its age has doubled, up to the target latency.
     double firstSampleFraction = 0.25;
+    /// An acknowledgement number that is ahead by more belongs to another flow.
+    std::uint32_t maxAcknowledgedBytes = 1U << 20U;
     /// Longer latencies are ignored: they indicate a lost packet rather than a slow upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
@@ -144,6 +148,8 @@
     packet_decision decideOpening(const caller_packet &packet, bool isStateFresh,
                                   monotonic_time now);
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
+    /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
+    const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
     /** Upstream for a retransmitted opening packet; null if another one must be selected. */
     const upstream_record *retransmissionTarget(const flow_entry &flow, monotonic_time now) const;
     packet_decision forwardTo(const caller_packet &packet, const upstream_record &upstream,
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -140,6 +140,43 @@
     CHECK(fixture.placement.countSuspected(1600ms) == 2);
 }
 
+TEST_CASE("A flow stays at its upstream when a second one answers its opening packet",
+          "[forwarder]")
+{
+    // Guards against a reset by an upstream that does not hold the flow: the answer to the first
+    // opening packet is lost, the copy goes to another upstream, and both repeat their answers
+    // until one is acknowledged. The caller keeps the tag of the last answer.
+    forwarder_fixture fixture;
+    const auto first = fixture.decide(makeOpening(1), 1s);
+    const auto second = fixture.decide(makeOpening(1, 1), 1200ms);
+    REQUIRE(second.upstream != first.upstream);
+    const bool isOpenAtFirst = GENERATE(false, true);
+    CAPTURE(isOpenAtFirst);
+    const auto &holder = isOpenAtFirst ? first : second;
+    const auto &other = isOpenAtFirst ? second : first;
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 0), 1210ms);
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1211ms);
+    const auto acknowledgement = fixture.decide(makeData(1, other.tag, 1091, 900, 0), 1300ms);
+    CHECK(acknowledgement.upstream == holder.upstream);
+    CHECK(acknowledgement.tag == holder.tag);
+    const auto request = fixture.decide(makeData(1, other.tag, 1091, 900, 90), 8s);
+    CHECK(request.upstream == holder.upstream);
+    CHECK(request.tag == holder.tag);
+    CHECK(request.reason == packet_reason::TagReplaced);
+    CHECK(request.isFirstRequestPacket);
+    SECTION("a packet of another flow on the same port follows its tag")
+    {
+        const auto late = fixture.decide(makeData(1, other.tag, 1091, 400'000'000, 0), 9s);
+        CHECK(late.upstream == other.upstream);
+    }
+    SECTION("the upstream that holds it is gone")
+    {
+        fixture.directory.withdraw(holder.upstream->announced.name, false, 9s);
+        const auto later = fixture.decide(makeData(1, other.tag, 1181, 1300, 0), 9s);
+        CHECK(later.upstream == holder.upstream);
+    }
+}
+
 TEST_CASE("A late retransmission of an opening packet goes to the open flow's upstream",
           "[forwarder]")
 {
