Health: reports that are repeated anyway are sent once

Reports about a dead upstream and about further unanswered requests, added with the bounded verdicts, went into two messages each, every 500 ms.

--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -169,10 +169,13 @@
     const bool isRenewed = found->lastRequestAt - found->queuedRequestAt >= m_limits.reportInterval;
     found->retransmissions = std::max(found->retransmissions, retransmissions);
     found->requests = std::max(found->requests, requests);
-    if (!mayChangeState && !isRenewed)
+    if (mayChangeState)
+        queueReport(upstream);
+    else if (isRenewed)
+        queueRepeatedReport(upstream);
+    else
         return;
     found->queuedRequestAt = found->lastRequestAt;
-    queueReport(upstream);
 }
 
 /// The number of reporters is limited. Those of unanswered requests take the places of others.
@@ -266,7 +269,7 @@
         const bool hasEvidence = !entry.reporters.empty();
         if (entry.state == health_state::Dead && hasEvidence && now >= entry.nextReportAt) {
             entry.nextReportAt = now + m_limits.reportInterval;
-            queueReport(upstream);
+            queueRepeatedReport(upstream);
         }
         if (entry.state != before)
             changes.push_back({upstream, before, entry.state, summary.reporters,
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -5,9 +5,9 @@
  * An instance sees only the packets that callers send, not those of upstreams. A caller retransmits
  * a packet that was not acknowledged, and a live upstream acknowledges a request at once, however
  * long it takes to process it. Opening packets say less: an upstream that takes no further flows
- * ignores them. With hundreds of instances, each one sees few packets to each
- * upstream, so instances share their observations: a few retransmissions seen anywhere are enough
- * to protect the callers of every instance.
+ * ignores them. With hundreds of instances, each one sees few packets to each upstream, so
+ * instances share their observations: a few retransmissions seen anywhere are enough to protect the
+ * callers of every instance.
  */
 
 #pragma once
@@ -90,7 +90,7 @@
     monotonic_time deadRetryDelay = std::chrono::seconds(10);
     /// Pause between two reports about the same dead upstream, in which an instance asks others for
     /// answers that they saw, and between reports about further unanswered requests.
-    monotonic_time reportInterval = std::chrono::milliseconds(500);
+    monotonic_time reportInterval = std::chrono::seconds(1);
     std::size_t maxReporters = 4; ///< kept per upstream
     std::size_t maxReports = 16;  ///< per message, so that a message fits into one datagram
     /// Number of messages in which each update is sent. With a fan-out of three, this reaches all
@@ -256,6 +256,8 @@
     {
         m_pendingReports[upstream] = m_limits.reportTransmissions;
     }
+    /// Queues a report that is repeated later on, so that one transmission is enough.
+    void queueRepeatedReport(upstream_id upstream) { m_pendingReports.try_emplace(upstream, 1); }
 
     const upstream_directory &m_directory;
     reporter_id m_ownId;
