CLI: a trace tells why an open flow was reset

`chicoryhead trace` led to a reset flow (flow_ended) but not to the verdict that it rests on: lines of upstream_judged were left out, and flow_ended added no finding. Both are in the trace now, with the age of the latest unanswered request, and tag_replaced as well.

--- a/src/cli/flow_trace.cpp
+++ b/src/cli/flow_trace.cpp
@@ -109,7 +109,7 @@
         if (!isInWindow(line))
             return false;
         if (event == "upstream_changed" || event == "upstream_suspected"
-            || event == "upstream_trusted")
+            || event == "upstream_trusted" || event == "upstream_judged")
             return upstreams.contains(line.field("upstream"));
         return instances.contains(line.instance)
             && std::find(instanceEvents.begin(), instanceEvents.end(), event)
@@ -135,6 +135,17 @@
         addFinding(findings, line.instance + " dropped a packet: " + line.field("reason"));
     if (event == "flow_placed" && line.field("unanswered_by") != "none")
         addFinding(findings, "no answer to an opening packet from " + line.field("unanswered_by"));
+    if (event == "flow_ended")
+        addFinding(findings,
+                   "reset by " + line.instance + ", because " + line.field("unanswered_by")
+                       + " was dead: latest unanswered request "
+                       + (line.field("request_age_ms") == "none"
+                              ? std::string("unknown")
+                              : line.field("request_age_ms") + " ms before"));
+    if (event == "tag_replaced")
+        addFinding(findings,
+                   "a second upstream answered the opening packet; the flow stayed at "
+                       + line.field("upstream"));
     if (event == "request_repeated")
         addFinding(findings,
                    "the caller repeated request " + line.field("request") + " to "
@@ -164,6 +175,8 @@
         return upstream + " became " + line.field("standing");
     if (event == "upstream_suspected")
         return upstream + " got no new flows because it did not answer";
+    if (event == "upstream_judged")
+        return upstream + " was judged " + line.field("verdict");
     return event == "upstream_trusted" ? upstream + " answered again" : std::string();
 }
 
--- a/tests/test_flow_trace.cpp
+++ b/tests/test_flow_trace.cpp
@@ -96,6 +96,28 @@
     CHECK(trace.findings.size() == 3);
 }
 
+TEST_CASE("A trace tells why an open flow was reset", "[trace]")
+{
+    // Guards against a trace that shows a reset without the verdict that it rests on.
+    const auto judged = [](const std::string &verdict) {
+        return " t_ms=1 event=upstream_judged upstream=i-1 verdict=" + verdict
+            + " unanswered_requests=3 flows_ended=2";
+    };
+    const auto trace = traceFlow(
+        parse({"1.0 f-1 t_ms=1 event=flow_placed flow=" + flow + " upstream=i-1 unanswered_by=none",
+               "2.0 f-1" + judged("dead"), "2.1 f-2" + judged("dead"),
+               "2.4 f-2 t_ms=1 event=flow_ended flow=" + flow
+                   + " reason=upstream_dead upstream=none unanswered_by=i-1 request_age_ms=640",
+               "5.0 f-2" + judged("silent")}),
+        flow);
+    CHECK(hasFinding(trace, "i-1 was judged dead, logged by 2 instances"));
+    CHECK(hasFinding(trace, "i-1 was judged silent, logged by 1 instance"));
+    CHECK(hasFinding(trace,
+                     "reset by f-2, because i-1 was dead: latest unanswered request 640 ms "
+                     "before"));
+    CHECK(trace.findings.size() == 3);
+}
+
 TEST_CASE("A trace includes events of the instances that handled the flow", "[trace]")
 {
     const auto trace = traceFlow(
