--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -25,6 +25,7 @@
 DEFINE_uint64(count, 1, "number of seeds");
 DEFINE_string(seeds, "", "additional seeds, separated by commas");
 DEFINE_uint32(jobs, 3, "number of seeds to run in parallel");
+DEFINE_uint32(instances, 2, "number of instances in each of the three failure domains");
 DEFINE_uint32(seconds, 24, "duration of fault injection, in s");
 DEFINE_bool(
     require_occasions, false,
@@ -88,6 +89,7 @@
         result.program = FLAGS_program;
         result.folder = folder;
         result.slot = slot;
+        result.instancesPerDomain = FLAGS_instances;
         result.seed = seed;
         return result;
     }
