Forward: an overtaken packet of a flow with a replaced tag goes to its upstream as well

The check that a packet continues the flow took acknowledgement numbers ahead of the latest one only. A packet that another one overtook has an older number; it was sent to the upstream that does not hold the flow, and the entry of the flow was reset. The distance counts both ways now. Found in reading the change, by the section "a packet that was overtaken goes there as well" of the test; not seen in a run.

Naming: hadAnnouncement instead of diedAnnounced.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -183,8 +183,9 @@
     const flow_entry *flow = m_flowTable.find(packet.flow);
     if (flow == nullptr || !flow->isOpen || flow->upstream == tagged)
         return nullptr;
-    const bool isContinued =
-        packet.acknowledged - flow->acknowledged <= m_settings.maxAcknowledgedBytes;
+    const auto distance = static_cast<std::int32_t>(packet.acknowledged - flow->acknowledged);
+    const bool isContinued = distance <= m_settings.maxAcknowledgedDistance
+        && distance >= -m_settings.maxAcknowledgedDistance;
     if (!isContinued || !flow->hasTried(tagged) || !flow->hasTried(flow->upstream))
         return nullptr;
     return m_directory.find(flow->upstream);
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -96,8 +96,8 @@
     /// A request in progress counts as a latency sample at this fraction of its route's target
     /// latency, then each time that its age has doubled, up to the target latency.
     double firstSampleFraction = 0.25;
-    /// An acknowledgement number that is ahead by more belongs to another flow.
-    std::uint32_t maxAcknowledgedBytes = 1U << 20U;
+    /// Acknowledgement numbers that are further apart, in bytes, belong to different flows.
+    std::int32_t maxAcknowledgedDistance = 1 << 20;
     /// Longer latencies are ignored: they indicate a lost packet rather than a slow upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -291,7 +291,8 @@
     const bool hasAnswered = entry.answeredAt > entry.diedAt;
     // An upstream that was cut off announces itself again once it is reachable, so one whose
     // announcement lapses while it is dead stays dead until then.
-    const bool hasLapsed = entry.state == health_state::Dead && entry.diedAnnounced && !hasAnswered;
+    const bool hasLapsed =
+        entry.state == health_state::Dead && entry.hadAnnouncement && !hasAnswered;
     if (isGone && (entry.isAddressReused || hasLapsed))
         return health_state::Dead;
     if (!isDeadBy(summary, isGone)) {
@@ -352,7 +353,7 @@
     if (state == health_state::Dead) {
         m_dead.insert(record.id);
         entry.diedAt = now;
-        entry.diedAnnounced = record.lifecycle != lifecycle_state::Gone;
+        entry.hadAnnouncement = record.lifecycle != lifecycle_state::Gone;
         entry.nextReportAt = now + m_limits.reportInterval;
     } else {
         m_dead.erase(record.id);
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -217,7 +217,7 @@
         std::vector<reporter> reporters; ///< those without an answer since answeredAt
         health_state state = health_state::Answering;
         monotonic_time diedAt {0};       ///< when it last became Dead; 0 for never
-        bool diedAnnounced = false;      ///< it was announced when it last became Dead
+        bool hadAnnouncement = false;    ///< it was announced when it last became Dead
         bool isAddressReused = false;    ///< another upstream announced its address
         monotonic_time suspectedAt {0};  ///< when the thresholds for Dead were reached; 0 if not
         monotonic_time nextReportAt {0}; ///< of a dead upstream
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -164,6 +164,11 @@
     CHECK(request.tag == holder.tag);
     CHECK(request.reason == packet_reason::TagReplaced);
     CHECK(request.isFirstRequestPacket);
+    SECTION("a packet that was overtaken goes there as well")
+    {
+        const auto overtaken = fixture.decide(makeData(1, other.tag, 1091, 500, 0), 8010ms);
+        CHECK(overtaken.upstream == holder.upstream);
+    }
     SECTION("a packet of another flow on the same port follows its tag")
     {
         const auto late = fixture.decide(makeData(1, other.tag, 1091, 400'000'000, 0), 9s);
