--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -307,7 +307,11 @@
 void forwarder::watchRequest(const caller_packet &packet, monotonic_time now)
 {
     const route *selected = m_routes.find(packet.flow.service);
-    if (selected == nullptr || m_requestsInProgress.size() >= m_settings.maxTrackedFlows)
+    if (selected == nullptr)
+        return;
+    if (selected->isIdempotent)
+        m_hedgeBudget.recordRequest();
+    if (m_requestsInProgress.size() >= m_settings.maxTrackedFlows)
         return;
     const auto firstAge = monotonic_time(static_cast<monotonic_time::rep>(
         m_settings.firstSampleFraction * static_cast<double>(selected->targetLatency.count())));
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -11,7 +11,9 @@
 #include "flow_table_base.h"
 #include "health/latency_exchange_base.h"
 #include "health/upstream_health_base.h"
+#include "hedging/hedge_budget_base.h"
 #include "placement/placement_base.h"
+#include "policy/traffic_policy_type.h"
 #include "request_watch_list_base.h"
 #include "routing/routing_base.h"
 
@@ -133,6 +135,12 @@
      */
     void sampleRequestsInProgress(monotonic_time now);
 
+    /** Sets the limit on extra work for requests that may be repeated. */
+    void setHedgingPolicy(const hedging_policy &policy)
+    {
+        m_hedgeBudget.setPercent(policy.budgetPercent);
+    }
+
     /** Stops tracking idle flows; called about once per second. */
     void expire(monotonic_time now);
 
@@ -171,6 +179,7 @@
     forwarder_settings m_settings;
     flow_table m_flowTable;
     request_watch_list m_requestsInProgress;
+    hedge_budget m_hedgeBudget;
     monotonic_time m_lastAnswerAt {0}; ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
     /// so answers to earlier requests may be acknowledged through another instance.
