Policy: file with sections for admission, balancing and hedging

Cause: the parts of docs/hard-load.md are off unless the operators turn them on, and there was nothing to turn them on with.

An invalid file keeps the policy in effect (policy_rejected); a valid one is logged as policy_applied. entry_process::applyPolicy passes the hedging budget to the forwarder; the calls for admission and balancing are to be added there. Gauges show the policy in effect.

--- a/src/cli/argument.cpp
+++ b/src/cli/argument.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 DEFINE_string(store, "", "address of the store, ip:port; CHICORYHEAD_STORE if not given");
+DEFINE_string(policy, "", "policy file to check");
 DEFINE_bool(json, false, "print the configuration as it was written");
 DEFINE_uint64(base, 0, "version that the change is based on; the current version if not given");
 DEFINE_uint32(timeout, 30, "timeout, in s");
--- a/src/cli/argument.h
+++ b/src/cli/argument.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 DECLARE_string(store);
+DECLARE_string(policy);
 DECLARE_bool(json);
 DECLARE_uint64(base);
 DECLARE_uint32(timeout);
--- a/src/cli/command_config.cpp
+++ b/src/cli/command_config.cpp
@@ -6,6 +6,7 @@
 #include "argument.h"
 #include "command.h"
 #include "instance_pages.h"
+#include "policy/policy_codec_func.h"
 #include "text_table.h"
 
 #include <charconv>
@@ -120,6 +121,22 @@
     return exit_code::Done;
 }
 
+/// Checks the policy file given by --policy, and prints its problems.
+exit_code checkPolicyFile(const command_call &call)
+{
+    const auto text = readTextFile(call, FLAGS_policy);
+    if (!text)
+        return fail(call, exit_code::Unavailable, "can't read " + FLAGS_policy);
+    std::vector<policy_problem> problems;
+    parsePolicy(text.value(), problems);
+    for (const policy_problem &problem : problems)
+        warn(call, FLAGS_policy + ": " + toString(problem));
+    if (!problems.empty())
+        return exit_code::Invalid;
+    call.environment.out << FLAGS_policy << ": valid\n";
+    return exit_code::Done;
+}
+
 exit_code putNewerConfig(const command_call &call, operator_store &store, const config_file &file,
                          const stored_config &base)
 {
@@ -201,6 +218,13 @@
 
 exit_code runConfigCheck(const command_call &call)
 {
+    if (call.operands.empty() && FLAGS_policy.empty())
+        return fail(call, exit_code::Usage, "no file: give FILE or --policy FILE");
+    if (!FLAGS_policy.empty()) {
+        const auto code = checkPolicyFile(call);
+        if (code != exit_code::Done || call.operands.empty())
+            return code;
+    }
     config_file file;
     if (const auto code = readConfigFile(call, file); code != exit_code::Done)
         return code;
--- a/src/cli/table/command_table.h
+++ b/src/cli/table/command_table.h
@@ -17,6 +17,7 @@
 
 inline constexpr std::array<std::string_view, 1> jsonFlags {"json"};
 inline constexpr std::array<std::string_view, 2> waitFlags {"pages_port", "timeout"};
+inline constexpr std::array<std::string_view, 1> checkFlags {"policy"};
 inline constexpr std::array<std::string_view, 1> putFlags {"base"};
 inline constexpr std::array<std::string_view, 5> evacuateFlags {"end", "force", "wait", "timeout",
                                                                 "pages_port"};
@@ -32,7 +33,9 @@
     {"config wait", "VERSION", 1, 1, waitFlags,
      "waits until a version is in force on every instance, and lists those that lag",
      runConfigWait},
-    {"config check", "FILE", 1, 1, {}, "checks the format of a configuration file", runConfigCheck},
+    {"config check", "[FILE]", 0, 1, checkFlags,
+     "checks the format of a configuration file, or of a policy file with --policy",
+     runConfigCheck},
     {"config put", "FILE", 1, 1, putFlags,
      "replaces the configuration, unless it was changed concurrently", runConfigPut},
     {"instances", "", 0, 0, pageFlags, "lists instances with state, version and age of their state",
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -67,6 +67,10 @@
         writeMetadata(out, row.name, "gauge", row.help);
         out << prefix << row.name << ' ' << gauges.*row.member << '\n';
     }
+    writeMetadata(
+        out, "hedge_budget_percent", "gauge",
+        "Extra work that the policy allows, in percent of repeatable requests; 0 is off.");
+    out << prefix << "hedge_budget_percent " << gauges.hedgeBudgetPercent << '\n';
     writeMetadata(out, "ready", "gauge", "Whether the fabric may send packets here.");
     out << prefix << "ready " << (gauges.isReady ? 1 : 0) << '\n';
     writeMetadata(out, "state_age_seconds", "gauge", "Time since the store's state was confirmed.");
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -56,7 +56,10 @@
     std::uint64_t peerMessagesMalformed = 0;
     std::uint64_t peerMessagesUnexpected = 0;
     std::uint64_t transfersRefused = 0;
-    double stateAgeSeconds = 0; ///< since this state was last confirmed as the newest
+    std::uint64_t policyAdmission = 0;    ///< 1 if admission control is on
+    std::uint64_t policyExpectedWait = 0; ///< 1 if upstreams are weighted by expected wait
+    double hedgeBudgetPercent = 0;        ///< 0 if hedging is off
+    double stateAgeSeconds = 0;           ///< since this state was last confirmed as the newest
     bool isReady = false;
     std::vector<store_call_count> storeCalls;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <sstream>
 #include <utility>
 
 namespace chicoryhead {
@@ -33,6 +34,13 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
+std::string formatNumber(double value)
+{
+    std::ostringstream out;
+    out << value;
+    return out.str();
+}
+
 } // namespace
 
 entry_process::entry_process(const entry_settings &settings, settings_source settingsSource)
@@ -92,6 +100,12 @@
     }
 }
 
+void entry_process::setPolicy(const traffic_policy &policy, policy_source source)
+{
+    m_policy = policy;
+    m_policySource = std::move(source);
+}
+
 void entry_process::run()
 {
     m_log.write("started",
@@ -99,6 +113,8 @@
                  {"domain", m_settings.domain},
                  {"data", toString(m_settings.dataAddress)},
                  {"store", toString(m_settings.storeAddress)}});
+    if (m_policySource)
+        applyPolicy(m_policy);
     m_suspensionDetector = suspension_detector(m_clock.now());
     m_data.start();
     m_peers.start();
@@ -277,8 +293,9 @@
         m_registrar.registerSelf();
     if (m_gossip.isReader() && m_follower.isStoreReachable())
         m_registrar.removeSilentInstance(m_gossip.timedOutInstances());
-    // The file may change without a SIGHUP.
+    // The files may change without a SIGHUP.
     reloadSettings();
+    reloadPolicy();
 }
 
 void entry_process::awaitSignal()
@@ -286,10 +303,12 @@
     m_signals.async_wait([this](std::error_code code, int signal) {
         if (code)
             return;
-        if (signal == SIGHUP)
+        if (signal == SIGHUP) {
             reloadSettings();
-        else
+            reloadPolicy();
+        } else {
             beginShutdown(signal);
+        }
         awaitSignal();
     });
 }
@@ -342,6 +361,31 @@
                  {"needs_restart", needsRestart ? "1" : "0"}});
 }
 
+void entry_process::reloadPolicy()
+{
+    if (!m_policySource)
+        return;
+    const auto update = m_policySource();
+    if (!update.isChanged)
+        return;
+    if (update.policy)
+        applyPolicy(*update.policy);
+    else
+        m_log.write("policy_rejected",
+                    {{"reason", toString(update.problems.front())},
+                     {"problems", std::to_string(update.problems.size())}});
+}
+
+void entry_process::applyPolicy(const traffic_policy &policy)
+{
+    m_policy = policy;
+    m_forwarder.setHedgingPolicy(policy.hedging);
+    m_log.write("policy_applied",
+                {{"admission", policy.admission.isEnabled ? "1" : "0"},
+                 {"expected_wait", policy.balancing.usesExpectedWait ? "1" : "0"},
+                 {"budget_percent", formatNumber(policy.hedging.budgetPercent)}});
+}
+
 bool entry_process::isReady() const
 {
     return m_state.isSynchronised() && !m_shutdown.isStopping();
@@ -400,6 +444,9 @@
     gauges.peerMessagesUnexpected = m_gossip.unexpectedMessages();
     gauges.transfersRefused = m_gossip.transfersRefused();
     gauges.logLinesDropped = m_log.linesDropped();
+    gauges.policyAdmission = m_policy.admission.isEnabled ? 1 : 0;
+    gauges.policyExpectedWait = m_policy.balancing.usesExpectedWait ? 1 : 0;
+    gauges.hedgeBudgetPercent = m_policy.hedging.budgetPercent;
     gauges.stateAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
     gauges.isReady = isReady();
     const auto &calls = m_store.calls();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -18,6 +18,7 @@
 #include "packet_processor_base.h"
 #include "placement/domain_first_placement_base.h"
 #include "platform/platform_store.h"
+#include "policy/policy_file_base.h"
 #include "routing/routing_base.h"
 #include "settings/entry_settings_type.h"
 #include "status_documents.h"
@@ -61,6 +62,13 @@
      */
     entry_process(const entry_settings &settings, settings_source settingsSource);
 
+    /**
+     * Sets the policy to start with, and the source of later ones; called before run(), if there is
+     * a policy file.
+     * @param source rereads the policy; called on SIGHUP and once per second.
+     */
+    void setPolicy(const traffic_policy &policy, policy_source source);
+
     /** Runs the event loop until the graceful shutdown is complete. */
     void run();
 
@@ -80,6 +88,8 @@
     void awaitSignal();
     void beginShutdown(int signal);
     void reloadSettings();
+    void reloadPolicy();
+    void applyPolicy(const traffic_policy &policy);
 
     bool isReady() const;
     status_page makePage(std::string_view path);
@@ -88,6 +98,8 @@
 
     entry_settings m_settings;
     settings_source m_settingsSource;
+    traffic_policy m_policy;      ///< in effect once run() has started
+    policy_source m_policySource; ///< empty if there is no policy file
     asio::io_context m_context {1};
     boot_clock_source m_clock;
     system_random_source m_random;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -5,6 +5,7 @@
 
 #include "entry_process_base.h"
 #include "platform/settings_codec.h"
+#include "policy/policy_file_base.h"
 #include "settings_file_base.h"
 #include "system/signal_mask_func.h"
 
@@ -17,10 +18,15 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
+#include <utility>
 
 DEFINE_string(settings, "", "settings file (JSON); the environment names it when this is empty");
-DEFINE_bool(check, false, "validate the settings file and exit");
+DEFINE_string(policy, "",
+              "policy file (INI) for admission, balancing and hedging, relative to the working "
+              "directory; all of them are off when this is empty");
+DEFINE_bool(check, false, "validate the settings and policy files and exit");
 DEFINE_int32(metrics_port, 0, "port for metrics on the data address; 0 for none");
 
 namespace {
@@ -31,12 +37,35 @@
   gnu::used]] void (*const holdSignalsEarly)() = chicoryhead::blockControlSignals;
 
 constexpr int exitUsage = 2;
-constexpr int exitInvalidSettings = 3;
+constexpr int exitInvalid = 3; ///< settings or policy
 
-int serve(const chicoryhead::entry_settings &settings, chicoryhead::settings_file &file)
+/** The policy file, and the policy to start with. */
+struct start_policy
+{
+    chicoryhead::policy_file file;
+    chicoryhead::traffic_policy policy;
+};
+
+/// Reads the policy file and prints its problems; empty if there are any.
+std::optional<start_policy> readPolicy(const std::string &path)
+{
+    chicoryhead::policy_file file(path);
+    const auto update = file.read();
+    for (const auto &problem : update.problems)
+        std::cerr << "chicoryhead-entry: " << path << ": " << toString(problem) << '\n';
+    if (!update.policy)
+        return std::nullopt;
+    return start_policy {std::move(file), *update.policy};
+}
+
+/** @param policy empty if there is no policy file. */
+int serve(const chicoryhead::entry_settings &settings, chicoryhead::settings_file &file,
+          std::optional<start_policy> &policy)
 {
     try {
         chicoryhead::entry_process process(settings, [&file] { return file.read(); });
+        if (policy)
+            process.setPolicy(policy->policy, [&policy] { return policy->file.read(); });
         process.run();
     } catch (const std::exception &failure) {
         std::cerr << "chicoryhead-entry: " << failure.what() << '\n';
@@ -55,8 +84,8 @@
 {
     gflags::SetUsageMessage(
         "entry instance of chicoryhead on the platform\n\nusage: chicoryhead-entry "
-        "[--settings FILE] [--check] [--metrics_port PORT]\n\nexit codes: 0 stopped on "
-        "request, 1 fatal error, 2 wrong usage, 3 invalid settings");
+        "[--settings FILE] [--policy FILE] [--check] [--metrics_port PORT]\n\nexit codes: "
+        "0 stopped on request, 1 fatal error, 2 wrong usage, 3 invalid settings or policy");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_check)
         chicoryhead::unblockControlSignals();
@@ -71,11 +100,16 @@
     std::signal(SIGPIPE, SIG_IGN);
     chicoryhead::settings_file file(path, static_cast<std::uint16_t>(FLAGS_metrics_port));
     const auto update = file.read();
-    if (!update.settings)
-        return exitInvalidSettings;
+    std::optional<start_policy> policy;
+    if (!FLAGS_policy.empty())
+        policy = readPolicy(FLAGS_policy);
+    if (!update.settings || (!FLAGS_policy.empty() && !policy))
+        return exitInvalid;
     if (FLAGS_check) {
         std::cout << path << ": valid\n";
+        if (policy)
+            std::cout << FLAGS_policy << ": valid\n";
         return EXIT_SUCCESS;
     }
-    return serve(*update.settings, file);
+    return serve(*update.settings, file, policy);
 }
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,7 +31,7 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_descriptor, 18> gaugeTable {{
+inline constexpr std::array<gauge_descriptor, 20> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
@@ -65,6 +65,10 @@
      &entry_gauges::transfersRefused},
     {"log_lines_dropped", "Log lines that were left out, since the start.",
      &entry_gauges::logLinesDropped},
+    {"policy_admission", "Whether the policy turns admission control on.",
+     &entry_gauges::policyAdmission},
+    {"policy_expected_wait", "Whether the policy weights upstreams by their expected wait.",
+     &entry_gauges::policyExpectedWait},
 }};
 
 } // namespace chicoryhead::detail
--- a/standin/entry_program.cpp
+++ b/standin/entry_program.cpp
@@ -42,8 +42,11 @@
 } // namespace
 
 entry_program::entry_program(std::filesystem::path program, std::filesystem::path folder,
-                             entry_settings settings)
-    : m_program(std::move(program)), m_folder(std::move(folder)), m_settings(std::move(settings))
+                             entry_settings settings, std::filesystem::path policyPath)
+    : m_program(std::move(program))
+    , m_folder(std::move(folder))
+    , m_settings(std::move(settings))
+    , m_policyPath(std::move(policyPath))
 {
     std::filesystem::create_directories(m_folder);
 }
@@ -65,7 +68,9 @@
     const std::string program = m_program;
     const std::string settings = "--settings=" + settingsPath;
     const std::string port = "--metrics_port=" + std::to_string(m_settings.metricsPort);
-    const std::array<const char *, 4> arguments {program.c_str(), settings.c_str(), port.c_str(),
+    const std::string policy = "--policy=" + m_policyPath.string();
+    const std::array<const char *, 5> arguments {program.c_str(), settings.c_str(), port.c_str(),
+                                                 m_policyPath.empty() ? nullptr : policy.c_str(),
                                                  nullptr};
     m_process = ::fork();
     if (m_process < 0)
--- a/standin/entry_program.h
+++ b/standin/entry_program.h
@@ -20,9 +20,12 @@
 class entry_program
 {
 public:
-    /** @param folder directory for the settings and the log; each start appends to the log. */
+    /**
+     * @param folder directory for the settings and the log; each start appends to the log.
+     * @param policyPath policy file; empty for none.
+     */
     entry_program(std::filesystem::path program, std::filesystem::path folder,
-                  entry_settings settings);
+                  entry_settings settings, std::filesystem::path policyPath = {});
     ~entry_program();
     entry_program(const entry_program &) = delete;
     entry_program &operator=(const entry_program &) = delete;
@@ -47,7 +50,8 @@
     std::filesystem::path m_program;
     std::filesystem::path m_folder;
     entry_settings m_settings;
-    pid_t m_process = 0; ///< 0 while no process runs
+    std::filesystem::path m_policyPath; ///< empty for none
+    pid_t m_process = 0;                ///< 0 while no process runs
 };
 
 } // namespace chicoryhead::standin
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
@@ -287,6 +289,26 @@
     CHECK(fixture.run({"config", "check", "-"}) == exit_code::Done);
 }
 
+TEST_CASE("A policy file is checked alone or together with a configuration", "[cli][policy]")
+{
+    // Guards against an option that replaces or weakens the check of a configuration.
+    cli_fixture fixture;
+    const std::filesystem::path path = std::filesystem::temp_directory_path()
+        / ("chicoryhead-cli-policy-" + std::to_string(::getpid()) + ".ini");
+    std::ofstream(path) << "[hedging]\nbudget_percent = 2\n";
+    const std::string flag = "--policy=" + path.string();
+    CHECK(fixture.run({"config", "check"}) == exit_code::Usage);
+    CHECK(fixture.run({"config", "check", flag}) == exit_code::Done);
+    fixture.in.str("{}");
+    CHECK(fixture.run({"config", "check", "-", flag}) == exit_code::Invalid);
+    std::ofstream(path) << "[hedging]\nbudget_percent = 20\n";
+    CHECK(fixture.run({"config", "check", flag}) == exit_code::Invalid);
+    CHECK(fixture.err.str().find("[hedging] budget_percent: \"20\" is not a number from 0 to 10")
+          != std::string::npos);
+    std::filesystem::remove(path);
+    CHECK(fixture.run({"config", "check", flag}) == exit_code::Unavailable);
+}
+
 TEST_CASE("A replacement with a lost response is resolved by reading the store", "[cli]")
 {
     cli_fixture fixture;
