Metrics: hedge_budget_percent shows the budget of the forwarder

Cause: the gauge showed the policy that was read, so a policy that doesn't reach the forwarder went unseen.

Change: the forwarder gives the percentage in effect, and the gauge shows it.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -446,7 +446,7 @@
     gauges.logLinesDropped = m_log.linesDropped();
     gauges.policyAdmission = m_policy.admission.isEnabled ? 1 : 0;
     gauges.policyExpectedWait = m_policy.balancing.usesExpectedWait ? 1 : 0;
-    gauges.hedgeBudgetPercent = m_policy.hedging.budgetPercent;
+    gauges.hedgeBudgetPercent = m_forwarder.hedgeBudgetPercent();
     gauges.stateAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
     gauges.isReady = isReady();
     const auto &calls = m_store.calls();
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -141,6 +141,8 @@
         m_hedgeBudget.setPercent(policy.budgetPercent);
     }
 
+    double hedgeBudgetPercent() const { return m_hedgeBudget.percent(); }
+
     /** Stops tracking idle flows; called about once per second. */
     void expire(monotonic_time now);
 
--- a/src/hedging/hedge_budget_base.h
+++ b/src/hedging/hedge_budget_base.h
@@ -43,6 +43,7 @@
     }
 
     bool isEnabled() const { return m_percent > 0; }
+    double percent() const { return m_percent; }
 
 private:
     double m_percent = 0;
--- a/tests/test_policy.cpp
+++ b/tests/test_policy.cpp
@@ -222,7 +222,7 @@
           "[policy]")
 {
     // Guards against a policy that is lost when the file becomes invalid, and against values that
-    // do not reach the process.
+    // do not reach the forwarder, whose budget the metric shows.
     const test_folder folder("policy-run");
     const auto policy = folder.write("policy.ini", "[hedging]\nbudget_percent = 2\n");
     const auto settings = settingsOfInstance();
