--- a/standin/deployment_standin.cpp
+++ b/standin/deployment_standin.cpp
@@ -110,7 +110,8 @@
 {
     deployed_instance instance;
     const auto settings = settingsOf(domain, m_instances.size());
-    instance.program = std::make_unique<entry_program>(m_plan.program, m_plan.folder, settings);
+    instance.program =
+        std::make_unique<entry_program>(m_plan.program, m_plan.folder, settings, m_plan.policyPath);
     instance.storeProxy =
         std::make_unique<tcp_proxy>(m_context, settings.storeAddress, m_store->address());
     instance.readiness = std::make_unique<http_connection>(m_context, settings.statusAddress,
--- a/standin/deployment_standin.h
+++ b/standin/deployment_standin.h
@@ -35,9 +35,10 @@
 /** Size, files and addresses of a deployment. */
 struct deployment_plan
 {
-    std::filesystem::path program; ///< executable of an instance
-    std::filesystem::path folder;  ///< directory for settings and logs
-    unsigned slot = 1;             ///< second octet of its loopback addresses, 1 to 99
+    std::filesystem::path program;    ///< executable of an instance
+    std::filesystem::path folder;     ///< directory for settings and logs
+    std::filesystem::path policyPath; ///< policy file of all instances; empty for none
+    unsigned slot = 1;                ///< second octet of its loopback addresses, 1 to 99
     unsigned domains = 3;
     unsigned instancesPerDomain = 2;
     unsigned upstreamsPerDomain = 2; ///< for each service
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -21,6 +21,8 @@
 DEFINE_string(program, "build/src/entry/chicoryhead-entry",
               "path of the program that each instance runs");
 DEFINE_string(folder, "build/soak", "folder for settings and logs, with a subfolder per seed");
+DEFINE_string(policy, "deploy/policy.ini",
+              "policy file of the instances for even seeds; empty for none");
 DEFINE_uint64(first, 1, "first seed");
 DEFINE_uint64(count, 1, "number of seeds");
 DEFINE_string(seeds, "", "additional seeds, separated by commas");
@@ -88,6 +90,9 @@
         standin::deployment_plan result;
         result.program = FLAGS_program;
         result.folder = folder;
+        // Every second seed, so that both the policy's parts and the behaviour without are covered.
+        if (seed % 2 == 0)
+            result.policyPath = FLAGS_policy;
         result.slot = slot;
         result.instancesPerDomain = FLAGS_instances;
         result.seed = seed;
