Fuzz: target for the policy parser

Cause: the policy file is external input, and its INI reader accepts more than the policy allows.

Change: the target "policy" checks that an input with problems yields the default policy and that the budget stays within its range.

--- a/tests/fuzz/fuzz_target.cpp
+++ b/tests/fuzz/fuzz_target.cpp
@@ -12,6 +12,7 @@
 #include "platform/record_codec.h"
 #include "platform/settings_codec.h"
 #include "platform/standin_codec.h"
+#include "policy/policy_codec_func.h"
 #include "sync/state_codec_func.h"
 
 #include <algorithm>
@@ -198,6 +199,23 @@
     return {platform::encodeSettings(settings)};
 }
 
+void fuzzPolicy(std::span<const std::byte> input)
+{
+    std::vector<policy_problem> problems;
+    const auto policy = parsePolicy(toText(input), problems);
+    require(problems.empty() || policy == traffic_policy {});
+    require(policy.hedging.budgetPercent >= 0 && policy.hedging.budgetPercent <= 10);
+    for (const policy_problem &problem : problems)
+        require(!problem.reason.empty() && !toString(problem).empty());
+}
+
+std::vector<std::string> policySeeds()
+{
+    return {"[admission]\nenabled = true\n[balancing]\nexpected_wait = false\n[hedging]\n"
+            "budget_percent = 2.5\n",
+            "; comment\n[admission]\nenabled = true\nenabled = true\n[admission]\n"};
+}
+
 void fuzzMessage(std::span<const std::byte> input)
 {
     const auto message = decodeGossip(input);
@@ -269,11 +287,12 @@
             "24.05 f-1 t_ms=88 event=instance_registered outcome=\"a \\\"b\\\" c\" x=1\n"};
 }
 
-constexpr std::array<fuzz_target, 7> targetTable {{
+constexpr std::array<fuzz_target, 8> targetTable {{
     {"packet", fuzzPacket, packetSeeds},
     {"reply", fuzzReply, replySeeds},
     {"record", fuzzRecord, recordSeeds},
     {"settings", fuzzSettings, settingsSeeds},
+    {"policy", fuzzPolicy, policySeeds},
     {"message", fuzzMessage, messageSeeds},
     {"state", fuzzState, stateSeeds},
     {"log", fuzzLog, logSeeds},
