--- a/tests/test_policy.cpp
+++ b/tests/test_policy.cpp
@@ -64,7 +64,7 @@
     /// Replaces a file, so that no reader sees a part of it.
     std::string write(const std::string &name, const std::string &text) const
     {
-        const std::string file = m_path / name;
+        std::string file = m_path / name;
         std::ofstream(file + ".new") << text;
         std::filesystem::rename(file + ".new", file);
         return file;
