Balance new flows over upstreams of different speed

Upstreams of one service differ in speed by up to 2.7 times. With weights by slots the slowest are full while the others have spare capacity.

speed_tracker learns the speed of each upstream from an average over 16 samples, and expected_wait_weight multiplies its weight by it. It takes the place of slow_upstream_weight while the policy is on, so that a permanent difference is not counted twice. Capacities for spillover are computed without speeds. With the policy off, no samples are kept and decisions are as before.

--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -111,6 +111,35 @@
 }
 BENCHMARK(decideOpening)->Arg(18)->Arg(150)->Arg(59000);
 
+/// Opening packets to one service with recent latencies of all its upstreams, with balancing by
+/// expected wait off (0) or on (1).
+void decideOpeningMeasured(benchmark::State &state)
+{
+    instance_parts parts(0);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(state.range(0)); ++i) {
+        auto announced = upstreamOf(i);
+        announced.service = "service-0";
+        parts.directory.announce(announced, 1s);
+    }
+    parts.placement.setBalancingPolicy({state.range(1) != 0});
+    std::uint32_t number = 0;
+    monotonic_time now = 2s;
+    for (auto _ : state) {
+        if (number % 250000 == 0) {
+            state.PauseTiming();
+            parts.path.expire(now);
+            for (int sample = 0; sample < 16; ++sample) {
+                for (const auto *record : parts.directory.records())
+                    parts.placement.recordLatency(record->id,
+                                                  20ms + 10ms * (idValue(record->id) % 3), now);
+            }
+            state.ResumeTiming();
+        }
+        benchmark::DoNotOptimize(parts.path.decide(openingOf(++number), true, now += 4us));
+    }
+}
+BENCHMARK(decideOpeningMeasured)->ArgsProduct({{18, 150}, {0, 1}});
+
 void decideSteered(benchmark::State &state)
 {
     instance_parts parts(static_cast<std::size_t>(state.range(0)));
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -54,8 +54,11 @@
     m_tierRules.push_back(&m_pathSuspicion);
     m_tierRules.push_back(&m_suspicion);
     m_tierRules.push_back(&m_warmupLimit);
-    m_weightRules.push_back(std::make_unique<warmup_weight>(m_settings));
-    m_weightRules.push_back(std::make_unique<slow_upstream_weight>(m_latencies, m_settings));
+    m_ownedWeightRules.push_back(std::make_unique<warmup_weight>(m_settings));
+    m_ownedWeightRules.push_back(std::make_unique<slow_upstream_weight>(m_latencies, m_settings));
+    for (const auto &rule : m_ownedWeightRules)
+        m_capacityRules.push_back(rule.get());
+    m_selectionRules = m_capacityRules;
     m_shareRules.push_back(std::make_unique<capacity_share>(m_locality, m_settings));
     m_shareRules.push_back(std::make_unique<latency_share>(m_latencies, m_settings));
 }
@@ -72,6 +75,21 @@
     m_warmupLimit.setLimits(std::move(rates), std::max<std::size_t>(instanceCount, 1));
 }
 
+void domain_first_placement::setBalancingPolicy(const balancing_policy &policy)
+{
+    if (policy.usesExpectedWait == m_speeds.has_value())
+        return;
+    m_selectionRules = m_capacityRules;
+    m_expectedWaitWeight.reset();
+    m_speeds.reset();
+    if (!policy.usesExpectedWait)
+        return;
+    m_speeds.emplace(m_directory);
+    m_expectedWaitWeight.emplace(*m_speeds, m_latencies, m_settings);
+    // The last rule is slow_upstream_weight, which it takes the place of.
+    m_selectionRules.back() = &*m_expectedWaitWeight;
+}
+
 std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
                                                           std::span<const upstream_id> tried,
                                                           monotonic_time now)
@@ -86,7 +104,7 @@
     const bool isSpillover = bestTier == tiers.begin() && spillsOver(service, tiers, median, now);
     const auto &candidates = isSpillover ? tiers.of(upstream_tier::RemoteDomain) : *bestTier;
     const auto chosen = m_roundRobin.selectNext(
-        candidates, [&](upstream_id id) { return weightOf(id, median, now); });
+        candidates, [&](upstream_id id) { return weightOf(id, m_selectionRules, median, now); });
     m_warmupLimit.recordPlacement(*m_directory.find(chosen), now);
     return chosen;
 }
@@ -142,12 +160,12 @@
     return true;
 }
 
-double domain_first_placement::weightOf(upstream_id upstream, double median,
-                                        monotonic_time now) const
+double domain_first_placement::weightOf(upstream_id upstream, const weight_rules &rules,
+                                        double median, monotonic_time now) const
 {
     const upstream_record &record = *m_directory.find(upstream);
     double weight = record.announced.slots;
-    for (const auto &rule : m_weightRules)
+    for (const weight_rule *rule : rules)
         weight *= rule->factorOf(record, median, now);
     return weight;
 }
@@ -157,7 +175,7 @@
 {
     double capacity = 0;
     for (const upstream_id id : upstreams)
-        capacity += weightOf(id, median, now);
+        capacity += weightOf(id, m_capacityRules, median, now);
     return capacity;
 }
 
@@ -180,19 +198,26 @@
 bool domain_first_placement::recordUnansweredRequest(upstream_id upstream, monotonic_time age,
                                                      monotonic_time now)
 {
-    return m_latencies.addLowerBound(upstream, age, now);
+    const bool counts = m_latencies.addLowerBound(upstream, age, now);
+    if (counts && m_speeds)
+        m_speeds->addSample(upstream, age, now);
+    return counts;
 }
 
 void domain_first_placement::recordLatency(upstream_id upstream, monotonic_time latency,
                                            monotonic_time now)
 {
     m_latencies.addSample(upstream, latency, now);
+    if (m_speeds)
+        m_speeds->addSample(upstream, latency, now);
 }
 
 void domain_first_placement::forget(upstream_id upstream)
 {
     m_suspicion.forget(upstream);
     m_latencies.forget(upstream);
+    if (m_speeds)
+        m_speeds->forget(upstream);
     m_warmupLimit.forget(upstream);
     m_roundRobin.forget(upstream);
 }
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -5,10 +5,13 @@
 
 #pragma once
 
+#include "balancing/expected_wait_weight_base.h"
+#include "balancing/speed_tracker_base.h"
 #include "latency_tracker_base.h"
 #include "placement_base.h"
 #include "placement_rule_base.h"
 #include "placement_type.h"
+#include "policy/traffic_policy_type.h"
 #include "suspicion_base.h"
 #include "warmup_limit_base.h"
 #include "weighted_round_robin_base.h"
@@ -64,6 +67,9 @@
      */
     void setWarmupLimits(std::map<std::string, double> rates, std::size_t instanceCount);
 
+    /** Turns selection by expected wait on or off; learned speeds are discarded on a change. */
+    void setBalancingPolicy(const balancing_policy &policy);
+
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
@@ -77,7 +83,10 @@
                          monotonic_time now) const;
     bool spillsOver(const std::string &service, const tiered_upstreams &tiers, double median,
                     monotonic_time now);
-    double weightOf(upstream_id upstream, double median, monotonic_time now) const;
+    using weight_rules = std::vector<const weight_rule *>; ///< the factors of all are multiplied
+
+    double weightOf(upstream_id upstream, const weight_rules &rules, double median,
+                    monotonic_time now) const;
     double capacityOf(std::span<const upstream_id> upstreams, double median,
                       monotonic_time now) const;
 
@@ -90,7 +99,14 @@
     latency_tracker m_latencies;
     weighted_round_robin m_roundRobin;
     std::vector<const tier_rule *> m_tierRules; ///< the least preferred tier of all rules applies
-    std::vector<std::unique_ptr<weight_rule>> m_weightRules;
+    std::vector<std::unique_ptr<weight_rule>> m_ownedWeightRules; ///< in use by the lists below
+    /// Weights that capacities of domains are computed from. They don't contain speeds: a domain
+    /// whose upstreams are all slow spills over because of its latency, which would then count
+    /// twice.
+    weight_rules m_capacityRules;
+    weight_rules m_selectionRules;         ///< weights of the candidates in the round robin
+    std::optional<speed_tracker> m_speeds; ///< empty if the policy is off
+    std::optional<expected_wait_weight> m_expectedWaitWeight; ///< present if m_speeds is
     std::vector<std::unique_ptr<local_share_rule>> m_shareRules;
     /// By service: accumulated fraction of a flow to spill over; at 1 the next flow goes to a
     /// remote domain.
