Explain where a new flow would go

Operators see that a flow went to an upstream, but not why, and can't ask beforehand. The status page /v1/explain and the command "explain" show route, service, configuration version, age of the state, each candidate with tier, weight, latencies, suspicion, standing and verdict, the selected upstream and the rule that decides, or the reason of a refusal.

domain_first_placement::trace() is const and works on a copy of the candidates' credits. Status pages get the query of a request, and a malformed one is answered with 400 and a reason.

--- a/src/balancing/speed_tracker.cpp
+++ b/src/balancing/speed_tracker.cpp
@@ -40,6 +40,14 @@
     return found == m_averages.end() || isExpired(found->second, now) ? 1 : found->second.speed;
 }
 
+monotonic_time speed_tracker::averageLatencyOf(upstream_id upstream, monotonic_time now) const
+{
+    const auto found = m_averages.find(upstream);
+    if (found == m_averages.end() || isExpired(found->second, now))
+        return monotonic_time {0};
+    return monotonic_time(static_cast<monotonic_time::rep>(found->second.latency));
+}
+
 void speed_tracker::updateMedian(const std::string &service, service_median &median,
                                  monotonic_time now)
 {
--- a/src/balancing/speed_tracker_base.h
+++ b/src/balancing/speed_tracker_base.h
@@ -60,6 +60,9 @@
     /** Speed within the limits; 1 if it is unknown or too close to 1 to be distinct. */
     double speedOf(upstream_id upstream, monotonic_time now) const;
 
+    /** Long-term average latency of an upstream; 0 without recent samples. */
+    monotonic_time averageLatencyOf(upstream_id upstream, monotonic_time now) const;
+
 private:
     /** Moving average of one upstream. */
     struct latency_average
--- a/src/cli/argument.cpp
+++ b/src/cli/argument.cpp
@@ -12,6 +12,12 @@
 DEFINE_uint64(base, 0, "version that the change is based on; the current version if not given");
 DEFINE_uint32(timeout, 30, "timeout, in s");
 DEFINE_uint32(pages_port, 9102, "HTTP port of the instances' status pages");
+DEFINE_string(instance, "", "address of the instance's status pages, ip or ip:port");
+DEFINE_string(service_address, "", "service address that the flow is opened to, ip:port");
+DEFINE_string(caller, "", "address that the flow is opened from, ip:port");
+DEFINE_string(sequence, "",
+              "sequence number of the opening packet; with the caller it selects one of several "
+              "services of a route");
 DEFINE_bool(end, false, "end the evacuation");
 DEFINE_bool(force, false, "evacuate even if a service has no upstreams elsewhere");
 DEFINE_bool(wait, false, "wait until all instances follow and no flows are left");
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -70,6 +70,7 @@
 exit_code runUnhealthy(const command_call &call);
 exit_code runEvacuate(const command_call &call);
 exit_code runEvacuations(const command_call &call);
+exit_code runExplain(const command_call &call);
 exit_code runTrace(const command_call &call);
 
 } // namespace chicoryhead
--- a/src/cli/table/command_table.h
+++ b/src/cli/table/command_table.h
@@ -22,10 +22,13 @@
                                                                 "pages_port"};
 inline constexpr std::array<std::string_view, 1> pageFlags {"pages_port"};
 
+inline constexpr std::array<std::string_view, 5> explainFlags {"instance", "service_address",
+                                                               "caller", "sequence", "pages_port"};
+
 /// Maximum number of log files per invocation; there is one per instance.
 inline constexpr std::size_t maxLogFiles = 8192;
 
-inline constexpr std::array<command, 13> commandTable {{
+inline constexpr std::array<command, 14> commandTable {{
     {"config show", "", 0, 0, jsonFlags, "prints the current configuration of the store",
      runConfigShow},
     {"config version", "", 0, 0, {}, "prints the current version", runConfigVersion},
@@ -48,6 +51,8 @@
      "evacuates a failure domain: its upstreams get no new flows until it ends", runEvacuate},
     {"evacuations", "", 0, 0, pageFlags,
      "lists the evacuated failure domains and the flows that are left in them", runEvacuations},
+    {"explain", "", 0, 0, explainFlags,
+     "asks an instance where a new flow would go now and why; changes nothing", runExplain},
     {"trace",
      "FLOW|REQUEST [FILE...]",
      1,
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 
 #include "core/log_func.h"
 #include "derived_settings.h"
+#include "explain_document.h"
 #include "platform/platform_names.h"
 #include "system/signal_mask_func.h"
 
@@ -73,8 +74,9 @@
               onPeerDatagram(bytes, from);
           },
           peerBatchSize)
-    , m_status(m_context, settings.statusAddress,
-               [this](std::string_view path) { return makePage(path); })
+    , m_status(
+          m_context, settings.statusAddress,
+          [this](std::string_view path, std::string_view query) { return makePage(path, query); })
     , m_timer(m_context)
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_shutdown(deriveShutdownSettings(settings))
@@ -85,7 +87,9 @@
     if (settings.metricsPort != 0) {
         const endpoint address {settings.dataAddress.address, settings.metricsPort};
         m_metricsServer = std::make_unique<status_server>(
-            m_context, address, [this](std::string_view path) { return makePage(path); });
+            m_context, address, [this](std::string_view path, std::string_view query) {
+                return makePage(path, query);
+            });
         if (const auto failure = m_metricsServer->start())
             throw std::system_error(failure,
                                     "can't listen on metrics address " + toString(address));
@@ -347,7 +351,7 @@
     return m_state.isSynchronised() && !m_shutdown.isStopping();
 }
 
-status_page entry_process::makePage(std::string_view path)
+status_page entry_process::makePage(std::string_view path, std::string_view query)
 {
     if (path == platform::names::readyPath)
         return isReady() ? status_page {200, "ready\n"} : status_page {503, "not ready\n"};
@@ -360,9 +364,26 @@
                 jsonType};
     if (path == upstreamsPath)
         return {200, renderUpstreams(collectUpstreamStatuses()), jsonType};
+    if (path == explainPath)
+        return makeExplainPage(query);
     return {};
 }
 
+status_page entry_process::makeExplainPage(std::string_view query) const
+{
+    std::string message;
+    const auto parsed = parseExplainQuery(query, message);
+    if (!parsed)
+        return {400, message + '\n'};
+    const auto now = m_clock.now();
+    return {200,
+            renderExplanation(*parsed,
+                              {m_routes, m_directory, m_placement, m_health,
+                               m_state.isSynchronised(), now - m_state.confirmedAt()},
+                              now),
+            jsonType};
+}
+
 std::vector<upstream_status> entry_process::collectUpstreamStatuses() const
 {
     const auto now = m_clock.now();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -82,7 +82,8 @@
     void reloadSettings();
 
     bool isReady() const;
-    status_page makePage(std::string_view path);
+    status_page makePage(std::string_view path, std::string_view query);
+    status_page makeExplainPage(std::string_view query) const;
     entry_gauges collectGauges() const;
     std::vector<upstream_status> collectUpstreamStatuses() const;
 
--- a/src/entry/status_server.cpp
+++ b/src/entry/status_server.cpp
@@ -34,6 +34,8 @@
     switch (status) {
     case 200:
         return restinio::status_ok();
+    case 400:
+        return restinio::status_bad_request();
     case 503:
         return restinio::status_service_unavailable();
     default:
@@ -57,7 +59,9 @@
                      .cleanup_func([] {})
                      .request_handler([pages = std::move(pages)](const auto &request) {
                          const auto path = request->header().path();
-                         const status_page page = pages({path.data(), path.size()});
+                         const auto query = request->header().query();
+                         const status_page page =
+                             pages({path.data(), path.size()}, {query.data(), query.size()});
                          auto builder = request->create_response(statusLine(page.status));
                          if (!request->header().should_keep_alive())
                              builder.connection_close();
--- a/src/entry/status_server.h
+++ b/src/entry/status_server.h
@@ -29,8 +29,8 @@
 class status_server
 {
 public:
-    /** Returns the page for a path. */
-    using page_source = std::function<status_page(std::string_view path)>;
+    /** Returns the page for a path and a query, which is empty if there is none. */
+    using page_source = std::function<status_page(std::string_view path, std::string_view query)>;
 
     status_server(asio::io_context &context, const endpoint &listen, page_source pages);
     ~status_server();
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -109,6 +109,49 @@
     return chosen;
 }
 
+placement_trace domain_first_placement::trace(const std::string &service, monotonic_time now) const
+{
+    placement_trace trace;
+    const auto upstreams = m_directory.findByService(service);
+    const auto tiers = groupByTier(upstreams, {}, now);
+    const double median = m_latencies.median(upstreams, now);
+    for (const upstream_id id : upstreams) {
+        candidate_trace candidate;
+        candidate.id = id;
+        candidate.latency = m_latencies.averageLatencyOf(id, now);
+        candidate.expectedWait =
+            m_speeds ? m_speeds->averageLatencyOf(id, now) : monotonic_time {0};
+        candidate.isSuspected = m_suspicion.isSuspected(id, now);
+        const auto holder = std::find_if(tiers.begin(), tiers.end(), [id](const auto &members) {
+            return std::find(members.begin(), members.end(), id) != members.end();
+        });
+        candidate.tier = static_cast<upstream_tier>(holder - tiers.begin());
+        if (candidate.tier != upstream_tier::None)
+            candidate.weight = weightOf(id, m_selectionRules, median, now);
+        trace.candidates.push_back(candidate);
+    }
+    const auto bestTier = std::find_if(tiers.begin(), tiers.end(),
+                                       [](const auto &members) { return !members.empty(); });
+    if (bestTier == tiers.end())
+        return trace;
+    trace.rule = placement_rule::Tier;
+    const auto *members = &*bestTier;
+    if (bestTier == tiers.begin()) {
+        const auto credit = m_spilloverCredit.find(service);
+        trace.spilledShare = spilledShare(service, tiers, median, now);
+        trace.spilloverCredit = credit == m_spilloverCredit.end() ? 0 : credit->second;
+        const bool isSpillover = trace.spilledShare + trace.spilloverCredit >= 1
+            && !tiers.of(upstream_tier::RemoteDomain).empty();
+        trace.rule = isSpillover ? placement_rule::Spillover : placement_rule::RoundRobin;
+        if (isSpillover)
+            members = &tiers.of(upstream_tier::RemoteDomain);
+    }
+    auto roundRobin = m_roundRobin.copyOf(*members);
+    trace.selected = roundRobin.selectNext(
+        *members, [&](upstream_id id) { return weightOf(id, m_selectionRules, median, now); });
+    return trace;
+}
+
 tiered_upstreams domain_first_placement::groupByTier(std::span<const upstream_id> upstreams,
                                                      std::span<const upstream_id> tried,
                                                      monotonic_time now) const
@@ -140,20 +183,30 @@
     return tier;
 }
 
-bool domain_first_placement::spillsOver(const std::string &service, const tiered_upstreams &tiers,
-                                        double median, monotonic_time now)
+/// Share of the new flows that leaves the local domain; 0 if there is no remote upstream.
+double domain_first_placement::spilledShare(const std::string &service,
+                                            const tiered_upstreams &tiers, double median,
+                                            monotonic_time now) const
 {
     const auto &local = tiers.of(upstream_tier::LocalDomain);
     const auto &remote = tiers.of(upstream_tier::RemoteDomain);
     if (remote.empty())
-        return false;
+        return 0;
     const domain_candidates candidates {service, local, remote, capacityOf(local, median, now),
                                         capacityOf(remote, median, now)};
     double localShare = 1;
     for (const auto &rule : m_shareRules)
         localShare *= rule->localShare(candidates, now);
+    return 1 - localShare;
+}
+
+bool domain_first_placement::spillsOver(const std::string &service, const tiered_upstreams &tiers,
+                                        double median, monotonic_time now)
+{
+    if (tiers.of(upstream_tier::RemoteDomain).empty())
+        return false;
     double &credit = m_spilloverCredit[service];
-    credit += 1 - localShare;
+    credit += spilledShare(service, tiers, median, now);
     if (credit < 1)
         return false;
     credit -= 1;
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -10,6 +10,7 @@
 #include "latency_tracker_base.h"
 #include "placement_base.h"
 #include "placement_rule_base.h"
+#include "placement_trace_type.h"
 #include "placement_type.h"
 #include "policy/traffic_policy_type.h"
 #include "suspicion_base.h"
@@ -70,6 +71,12 @@
     /** Turns selection by expected wait on or off; learned speeds are discarded on a change. */
     void setBalancingPolicy(const balancing_policy &policy);
 
+    /**
+     * Explains what choose() would return now for a flow that no upstream was tried for. Places
+     * nothing and changes no credit, so that the next flow gets what it would have got anyway.
+     */
+    placement_trace trace(const std::string &service, monotonic_time now) const;
+
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
@@ -81,6 +88,8 @@
                                  std::span<const upstream_id> tried, monotonic_time now) const;
     upstream_tier tierOf(const upstream_record &record, std::span<const upstream_id> tried,
                          monotonic_time now) const;
+    double spilledShare(const std::string &service, const tiered_upstreams &tiers, double median,
+                        monotonic_time now) const;
     bool spillsOver(const std::string &service, const tiered_upstreams &tiers, double median,
                     monotonic_time now);
     using weight_rules = std::vector<const weight_rule *>; ///< the factors of all are multiplied
--- a/src/placement/weighted_round_robin.cpp
+++ b/src/placement/weighted_round_robin.cpp
@@ -33,6 +33,16 @@
     return chosenId;
 }
 
+weighted_round_robin weighted_round_robin::copyOf(std::span<const upstream_id> candidates) const
+{
+    weighted_round_robin copy(m_directory, m_startOffset);
+    for (const upstream_id id : candidates) {
+        if (const auto found = m_credits.find(id); found != m_credits.end())
+            copy.m_credits.insert(*found);
+    }
+    return copy;
+}
+
 /// Sets the initial credits of new upstreams: the highest for the one at the start position of this
 /// instance, lower ones for those that follow in the order by tag, which all instances share.
 void weighted_round_robin::initializeCredits(std::span<const upstream_id> candidates)
--- a/tests/test_status_pages.cpp
+++ b/tests/test_status_pages.cpp
@@ -32,16 +32,20 @@
 TEST_CASE("Pages are served with their status, and unknown paths get 404", "[status]")
 {
     asio::io_context context(1);
-    status_server server(context, uniqueLoopbackAddress(), [](std::string_view path) {
-        if (path == "/ready")
-            return status_page {503, "not ready\n"};
-        return path == "/page" ? status_page {200, "{}", "application/json"} : status_page {};
-    });
+    status_server server(
+        context, uniqueLoopbackAddress(), [](std::string_view path, std::string_view query) {
+            if (path == "/ready")
+                return status_page {503, "not ready\n"};
+            if (path == "/query")
+                return status_page {400, std::string(query)};
+            return path == "/page" ? status_page {200, "{}", "application/json"} : status_page {};
+        });
     REQUIRE_FALSE(server.start());
     asio::executor_work_guard<asio::io_context::executor_type> work(context.get_executor());
     std::thread thread([&context] { context.run(); });
     const auto page = performRequest(uniqueLoopbackAddress(), {"GET", "/page", {}});
     const auto ready = performRequest(uniqueLoopbackAddress(), {"GET", "/ready?x=1", {}});
+    const auto query = performRequest(uniqueLoopbackAddress(), {"GET", "/query?a=1:2&b=3", {}});
     const auto missing = performRequest(uniqueLoopbackAddress(), {"GET", "/other", {}});
     context.stop();
     thread.join();
@@ -49,13 +53,15 @@
     CHECK(page.value().status == 200);
     CHECK(page.value().body == "{}");
     CHECK(ready.value().status == 503);
+    CHECK(query.value().status == 400);
+    CHECK(query.value().body == "a=1:2&b=3");
     CHECK(missing.value().status == 404);
 }
 
 TEST_CASE("An address in use is reported when the status server starts", "[status]")
 {
     asio::io_context context(1);
-    const auto pages = [](std::string_view /*path*/) {
+    const auto pages = [](std::string_view /*path*/, std::string_view /*query*/) {
         return status_page {};
     };
     status_server first(context, uniqueLoopbackAddress(), pages);
