--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 
 #include "core/log_func.h"
 #include "derived_settings.h"
+#include "explain_document.h"
 #include "platform/platform_names.h"
 #include "system/signal_mask_func.h"
 
@@ -81,8 +82,9 @@
               onPeerDatagram(bytes, from);
           },
           peerBatchSize)
-    , m_status(m_context, settings.statusAddress,
-               [this](std::string_view path) { return makePage(path); })
+    , m_status(
+          m_context, settings.statusAddress,
+          [this](std::string_view path, std::string_view query) { return makePage(path, query); })
     , m_timer(m_context)
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_shutdown(deriveShutdownSettings(settings))
@@ -93,7 +95,9 @@
     if (settings.metricsPort != 0) {
         const endpoint address {settings.dataAddress.address, settings.metricsPort};
         m_metricsServer = std::make_unique<status_server>(
-            m_context, address, [this](std::string_view path) { return makePage(path); });
+            m_context, address, [this](std::string_view path, std::string_view query) {
+                return makePage(path, query);
+            });
         if (const auto failure = m_metricsServer->start())
             throw std::system_error(failure,
                                     "can't listen on metrics address " + toString(address));
@@ -379,6 +383,7 @@
 void entry_process::applyPolicy(const traffic_policy &policy)
 {
     m_policy = policy;
+    m_placement.setBalancingPolicy(policy.balancing);
     m_forwarder.setHedgingPolicy(policy.hedging);
     m_log.write("policy_applied",
                 {{"admission", policy.admission.isEnabled ? "1" : "0"},
@@ -391,7 +396,7 @@
     return m_state.isSynchronised() && !m_shutdown.isStopping();
 }
 
-status_page entry_process::makePage(std::string_view path)
+status_page entry_process::makePage(std::string_view path, std::string_view query)
 {
     if (path == platform::names::readyPath)
         return isReady() ? status_page {200, "ready\n"} : status_page {503, "not ready\n"};
@@ -404,9 +409,26 @@
                 jsonType};
     if (path == upstreamsPath)
         return {200, renderUpstreams(collectUpstreamStatuses()), jsonType};
+    if (path == explainPath)
+        return makeExplainPage(query);
     return {};
 }
 
+status_page entry_process::makeExplainPage(std::string_view query) const
+{
+    std::string message;
+    const auto parsed = parseExplainQuery(query, message);
+    if (!parsed)
+        return {400, message + '\n'};
+    const auto now = m_clock.now();
+    return {200,
+            renderExplanation(*parsed,
+                              {m_routes, m_directory, m_placement, m_health,
+                               m_state.isSynchronised(), now - m_state.confirmedAt()},
+                              now),
+            jsonType};
+}
+
 std::vector<upstream_status> entry_process::collectUpstreamStatuses() const
 {
     const auto now = m_clock.now();
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -54,8 +54,11 @@
     m_tierRules.push_back(&m_pathSuspicion);
     m_tierRules.push_back(&m_suspicion);
     m_tierRules.push_back(&m_warmupLimit);
-    m_weightRules.push_back(std::make_unique<warmup_weight>(m_settings));
-    m_weightRules.push_back(std::make_unique<slow_upstream_weight>(m_latencies, m_settings));
+    m_ownedWeightRules.push_back(std::make_unique<warmup_weight>(m_settings));
+    m_ownedWeightRules.push_back(std::make_unique<slow_upstream_weight>(m_latencies, m_settings));
+    for (const auto &rule : m_ownedWeightRules)
+        m_capacityRules.push_back(rule.get());
+    m_selectionRules = m_capacityRules;
     m_shareRules.push_back(std::make_unique<capacity_share>(m_locality, m_settings));
     m_shareRules.push_back(std::make_unique<latency_share>(m_latencies, m_settings));
 }
@@ -72,6 +75,21 @@
     m_warmupLimit.setLimits(std::move(rates), std::max<std::size_t>(instanceCount, 1));
 }
 
+void domain_first_placement::setBalancingPolicy(const balancing_policy &policy)
+{
+    if (policy.usesExpectedWait == m_speeds.has_value())
+        return;
+    m_selectionRules = m_capacityRules;
+    m_expectedWaitWeight.reset();
+    m_speeds.reset();
+    if (!policy.usesExpectedWait)
+        return;
+    m_speeds.emplace(m_directory);
+    m_expectedWaitWeight.emplace(*m_speeds, m_latencies, m_settings);
+    // The last rule is slow_upstream_weight, which it takes the place of.
+    m_selectionRules.back() = &*m_expectedWaitWeight;
+}
+
 std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
                                                           std::span<const upstream_id> tried,
                                                           monotonic_time now)
@@ -86,11 +104,54 @@
     const bool isSpillover = bestTier == tiers.begin() && spillsOver(service, tiers, median, now);
     const auto &candidates = isSpillover ? tiers.of(upstream_tier::RemoteDomain) : *bestTier;
     const auto chosen = m_roundRobin.selectNext(
-        candidates, [&](upstream_id id) { return weightOf(id, median, now); });
+        candidates, [&](upstream_id id) { return weightOf(id, m_selectionRules, median, now); });
     m_warmupLimit.recordPlacement(*m_directory.find(chosen), now);
     return chosen;
 }
 
+placement_trace domain_first_placement::trace(const std::string &service, monotonic_time now) const
+{
+    placement_trace trace;
+    const auto upstreams = m_directory.findByService(service);
+    const auto tiers = groupByTier(upstreams, {}, now);
+    const double median = m_latencies.median(upstreams, now);
+    for (const upstream_id id : upstreams) {
+        candidate_trace candidate;
+        candidate.id = id;
+        candidate.latency = m_latencies.averageLatencyOf(id, now);
+        candidate.expectedWait =
+            m_speeds ? m_speeds->averageLatencyOf(id, now) : monotonic_time {0};
+        candidate.isSuspected = m_suspicion.isSuspected(id, now);
+        const auto holder = std::find_if(tiers.begin(), tiers.end(), [id](const auto &members) {
+            return std::find(members.begin(), members.end(), id) != members.end();
+        });
+        candidate.tier = static_cast<upstream_tier>(holder - tiers.begin());
+        if (candidate.tier != upstream_tier::None)
+            candidate.weight = weightOf(id, m_selectionRules, median, now);
+        trace.candidates.push_back(candidate);
+    }
+    const auto bestTier = std::find_if(tiers.begin(), tiers.end(),
+                                       [](const auto &members) { return !members.empty(); });
+    if (bestTier == tiers.end())
+        return trace;
+    trace.rule = placement_rule::Tier;
+    const auto *members = &*bestTier;
+    if (bestTier == tiers.begin()) {
+        const auto credit = m_spilloverCredit.find(service);
+        trace.spilledShare = spilledShare(service, tiers, median, now);
+        trace.spilloverCredit = credit == m_spilloverCredit.end() ? 0 : credit->second;
+        const bool isSpillover = trace.spilledShare + trace.spilloverCredit >= 1
+            && !tiers.of(upstream_tier::RemoteDomain).empty();
+        trace.rule = isSpillover ? placement_rule::Spillover : placement_rule::RoundRobin;
+        if (isSpillover)
+            members = &tiers.of(upstream_tier::RemoteDomain);
+    }
+    auto roundRobin = m_roundRobin.copyOf(*members);
+    trace.selected = roundRobin.selectNext(
+        *members, [&](upstream_id id) { return weightOf(id, m_selectionRules, median, now); });
+    return trace;
+}
+
 tiered_upstreams domain_first_placement::groupByTier(std::span<const upstream_id> upstreams,
                                                      std::span<const upstream_id> tried,
                                                      monotonic_time now) const
@@ -122,32 +183,42 @@
     return tier;
 }
 
-bool domain_first_placement::spillsOver(const std::string &service, const tiered_upstreams &tiers,
-                                        double median, monotonic_time now)
+/// Share of the new flows that leaves the local domain; 0 if there is no remote upstream.
+double domain_first_placement::spilledShare(const std::string &service,
+                                            const tiered_upstreams &tiers, double median,
+                                            monotonic_time now) const
 {
     const auto &local = tiers.of(upstream_tier::LocalDomain);
     const auto &remote = tiers.of(upstream_tier::RemoteDomain);
     if (remote.empty())
-        return false;
+        return 0;
     const domain_candidates candidates {service, local, remote, capacityOf(local, median, now),
                                         capacityOf(remote, median, now)};
     double localShare = 1;
     for (const auto &rule : m_shareRules)
         localShare *= rule->localShare(candidates, now);
+    return 1 - localShare;
+}
+
+bool domain_first_placement::spillsOver(const std::string &service, const tiered_upstreams &tiers,
+                                        double median, monotonic_time now)
+{
+    if (tiers.of(upstream_tier::RemoteDomain).empty())
+        return false;
     double &credit = m_spilloverCredit[service];
-    credit += 1 - localShare;
+    credit += spilledShare(service, tiers, median, now);
     if (credit < 1)
         return false;
     credit -= 1;
     return true;
 }
 
-double domain_first_placement::weightOf(upstream_id upstream, double median,
-                                        monotonic_time now) const
+double domain_first_placement::weightOf(upstream_id upstream, const weight_rules &rules,
+                                        double median, monotonic_time now) const
 {
     const upstream_record &record = *m_directory.find(upstream);
     double weight = record.announced.slots;
-    for (const auto &rule : m_weightRules)
+    for (const weight_rule *rule : rules)
         weight *= rule->factorOf(record, median, now);
     return weight;
 }
@@ -157,7 +228,7 @@
 {
     double capacity = 0;
     for (const upstream_id id : upstreams)
-        capacity += weightOf(id, median, now);
+        capacity += weightOf(id, m_capacityRules, median, now);
     return capacity;
 }
 
@@ -180,19 +251,26 @@
 bool domain_first_placement::recordUnansweredRequest(upstream_id upstream, monotonic_time age,
                                                      monotonic_time now)
 {
-    return m_latencies.addLowerBound(upstream, age, now);
+    const bool counts = m_latencies.addLowerBound(upstream, age, now);
+    if (counts && m_speeds)
+        m_speeds->addSample(upstream, age, now);
+    return counts;
 }
 
 void domain_first_placement::recordLatency(upstream_id upstream, monotonic_time latency,
                                            monotonic_time now)
 {
     m_latencies.addSample(upstream, latency, now);
+    if (m_speeds)
+        m_speeds->addSample(upstream, latency, now);
 }
 
 void domain_first_placement::forget(upstream_id upstream)
 {
     m_suspicion.forget(upstream);
     m_latencies.forget(upstream);
+    if (m_speeds)
+        m_speeds->forget(upstream);
     m_warmupLimit.forget(upstream);
     m_roundRobin.forget(upstream);
 }
