Hedging: the budget grants a token after exactly the requests it stands for

Cause: the budget added 0.1 token for each request at 10%. Ten times 0.1 is less than 1 in binary, so the first token came after eleven requests.

Change: credit is counted in percent, and a token costs 100. hasToken() tells whether a token is there without taking it.

--- a/src/hedging/hedge_budget_base.h
+++ b/src/hedging/hedge_budget_base.h
@@ -27,26 +27,33 @@
     {
         m_percent = percent;
         if (percent <= 0)
-            m_tokens = 0;
+            m_credit = 0;
     }
 
     /** Records a request that may be repeated. */
-    void recordRequest() { m_tokens = std::min(maxTokens, m_tokens + m_percent / 100); }
+    void recordRequest() { m_credit = std::min(maxTokens * creditPerToken, m_credit + m_percent); }
+
+    /** Whether tryTake() would succeed. */
+    bool hasToken() const { return m_credit >= creditPerToken; }
 
     /** Takes a token for one extra opening packet or repeated request; false if there is none. */
     bool tryTake()
     {
-        if (m_tokens < 1)
+        if (!hasToken())
             return false;
-        m_tokens -= 1;
+        m_credit -= creditPerToken;
         return true;
     }
 
     bool isEnabled() const { return m_percent > 0; }
 
 private:
+    /// Credit is counted in percent: ten requests at 10% are exactly one token, but ten times 0.1
+    /// is less than 1 in binary.
+    static constexpr double creditPerToken = 100;
+
     double m_percent = 0;
-    double m_tokens = 0; ///< from 0 to maxTokens
+    double m_credit = 0; ///< from 0 to maxTokens * creditPerToken
 };
 
 } // namespace chicoryhead
