UDP socket: receiveAvailable() tells whether datagrams are left

Cause: a hedge must see answers that are already in the socket. receivePending() reads until the socket is empty, which may not happen while packets arrive faster than they are handled.

Change: the bounded read after a notification is public and returns whether nothing is left.

--- a/src/system/udp_socket.cpp
+++ b/src/system/udp_socket.cpp
@@ -87,14 +87,18 @@
     m_socket.async_wait(asio::ip::udp::socket::wait_read, [this](std::error_code code) {
         if (code)
             return;
-        receiveBatches();
+        receiveAvailable();
         waitReadable();
     });
 }
 
-void udp_socket::receiveBatches()
+bool udp_socket::receiveAvailable()
 {
-    for (int batch = 0; batch < batchesPerWakeup && receiveBatch(); ++batch) { }
+    for (int batch = 0; batch < batchesPerWakeup; ++batch) {
+        if (!receiveBatch())
+            return true;
+    }
+    return false;
 }
 
 void udp_socket::receivePending()
--- a/src/system/udp_socket_base.h
+++ b/src/system/udp_socket_base.h
@@ -51,6 +51,12 @@
     /** Handles all datagrams already received by the kernel; called before the socket is closed. */
     void receivePending();
 
+    /**
+     * Handles datagrams already received by the kernel, as many as after one notification.
+     * @return whether none is left.
+     */
+    bool receiveAvailable();
+
     /** Queues a datagram; it is sent at the end of the current batch or by flush(). */
     void send(const endpoint &target, std::span<const std::byte> datagram);
 
@@ -80,7 +86,6 @@
 
     void waitReadable();
     bool receiveBatch();
-    void receiveBatches();
 
     std::size_t m_batchSize;
     asio::ip::udp::socket m_socket;
