Placement: select a second upstream among those that are not suspected

Cause: choose() falls back to missing, suspected and tried upstreams, as a caller's packet must go somewhere. A hedge to one of them would be wasted.

Change: chooseUnsuspected() uses only the tiers of the local and the remote domains. It doesn't apply maxSuspectedFraction: if most upstreams are suspected, the cause is likely this instance's own link.

--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -75,9 +75,29 @@
 std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
                                                           std::span<const upstream_id> tried,
                                                           monotonic_time now)
+{
+    auto tiers = groupByTier(m_directory.findByService(service), tried, now);
+    m_suspicion.limitSuspected(tiers);
+    return selectFrom(tiers, service, now);
+}
+
+std::optional<upstream_id>
+domain_first_placement::chooseUnsuspected(const std::string &service,
+                                          std::span<const upstream_id> tried, monotonic_time now)
+{
+    // Suspected upstreams stay suspected, however many there are.
+    auto tiers = groupByTier(m_directory.findByService(service), tried, now);
+    for (const auto avoided : {upstream_tier::SuspectedPath, upstream_tier::Missing,
+                               upstream_tier::Suspected, upstream_tier::Tried})
+        tiers.of(avoided).clear();
+    return selectFrom(tiers, service, now);
+}
+
+std::optional<upstream_id> domain_first_placement::selectFrom(const tiered_upstreams &tiers,
+                                                              const std::string &service,
+                                                              monotonic_time now)
 {
     const auto upstreams = m_directory.findByService(service);
-    const auto tiers = groupByTier(upstreams, tried, now);
     const auto bestTier = std::find_if(tiers.begin(), tiers.end(),
                                        [](const auto &candidates) { return !candidates.empty(); });
     if (bestTier == tiers.end())
@@ -101,7 +121,6 @@
         if (tier != upstream_tier::None)
             tiers.of(tier).push_back(id);
     }
-    m_suspicion.limitSuspected(tiers);
     return tiers;
 }
 
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -39,6 +39,9 @@
     std::optional<upstream_id> choose(const std::string &service,
                                       std::span<const upstream_id> tried,
                                       monotonic_time now) override;
+    std::optional<upstream_id> chooseUnsuspected(const std::string &service,
+                                                 std::span<const upstream_id> tried,
+                                                 monotonic_time now) override;
     bool recordConnectFailure(upstream_id upstream, monotonic_time now) override;
     bool recordConnectSuccess(upstream_id upstream) override;
     bool recordUnansweredRequest(upstream_id upstream, monotonic_time age,
@@ -71,6 +74,8 @@
     monotonic_time averageLatencyOf(upstream_id upstream, monotonic_time now) const;
 
 private:
+    std::optional<upstream_id> selectFrom(const tiered_upstreams &tiers, const std::string &service,
+                                          monotonic_time now);
     tiered_upstreams groupByTier(std::span<const upstream_id> upstreams,
                                  std::span<const upstream_id> tried, monotonic_time now) const;
     upstream_tier tierOf(const upstream_record &record, std::span<const upstream_id> tried,
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -32,6 +32,14 @@
     virtual std::optional<upstream_id>
     choose(const std::string &service, std::span<const upstream_id> tried, monotonic_time now) = 0;
 
+    /**
+     * Selects an upstream for a second copy of a flow's opening packet. Unlike choose(), it returns
+     * none that was tried, is missing, is suspected or is behind a suspected path.
+     */
+    virtual std::optional<upstream_id> chooseUnsuspected(const std::string &service,
+                                                         std::span<const upstream_id> tried,
+                                                         monotonic_time now) = 0;
+
     /** An upstream did not answer an opening packet; returns whether it is newly suspected. */
     virtual bool recordConnectFailure(upstream_id upstream, monotonic_time now) = 0;
 
