Trace: show hedged flows with both upstreams

Cause: the line flow_hedged names its upstreams `first` and `second`, which the trace didn't take as upstreams of the flow.

Change: both count as upstreams of the flow, and the hedge is a finding.

Result: the new test of the trace passes.

--- a/src/cli/flow_trace.cpp
+++ b/src/cli/flow_trace.cpp
@@ -85,7 +85,7 @@
     void addLine(const log_line &line, bool extendsWindow)
     {
         instances.insert(line.instance);
-        for (const char *key : {"upstream", "unanswered_by"}) {
+        for (const char *key : {"upstream", "unanswered_by", "first", "second"}) {
             const std::string &upstream = line.field(key);
             if (!upstream.empty() && upstream != "none")
                 upstreams.insert(upstream);
@@ -135,6 +135,10 @@
         addFinding(findings, line.instance + " dropped a packet: " + line.field("reason"));
     if (event == "flow_placed" && line.field("unanswered_by") != "none")
         addFinding(findings, "no answer to an opening packet from " + line.field("unanswered_by"));
+    if (event == "flow_hedged")
+        addFinding(findings,
+                   "not open " + line.field("delay_ms") + " ms after its opening packet went to "
+                       + line.field("first") + "; hedged to " + line.field("second"));
     if (event == "flow_ended")
         addFinding(findings,
                    "reset by " + line.instance + ", because " + line.field("unanswered_by")
--- a/tests/test_flow_trace.cpp
+++ b/tests/test_flow_trace.cpp
@@ -142,3 +142,16 @@
 {
     CHECK(traceFlow(parse({"1.0 f-1 t_ms=1 event=started"}), "r1").lines.empty());
 }
+
+TEST_CASE("Tracing a hedged flow shows both upstreams", "[trace]")
+{
+    // Guards against a trace that omits what happened to the upstream that got the hedge.
+    const auto trace = traceFlow(parse({"1.00 f-1 t_ms=1 event=flow_placed flow=" + flow
+                                            + " reason=placed upstream=i-1 unanswered_by=none",
+                                        "1.08 f-1 t_ms=81 event=flow_hedged flow=" + flow
+                                            + " service=desk first=i-1 second=i-2 delay_ms=80",
+                                        "1.50 f-2 t_ms=9 event=upstream_trusted upstream=i-2"}),
+                                 flow);
+    CHECK(trace.lines.size() == 3);
+    CHECK(hasFinding(trace, "not open 80 ms after its opening packet went to i-1; hedged to i-2"));
+}
