Hedging: send an opening packet without progress to a second upstream

Cause: an opening packet to a dead upstream costs its caller 200 ms, until it sends a copy.

The flow entry records both upstreams as tried. The hedge is evidence against neither of them: the caller's copy after 200 ms counts against the first as before, and goes to a third, or without one to the second. Hedged flows count in the opening times; otherwise the delay would fall with each hedge. A timer runs only while packets wait. With hedging off nothing is queued. flow_hedged is logged, and metrics show hedges, refusals by the budget and the delay.

The timer in entry_process has no automatic test, as nothing reads the policy yet.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -71,6 +71,9 @@
     out << prefix << "ready " << (gauges.isReady ? 1 : 0) << '\n';
     writeMetadata(out, "state_age_seconds", "gauge", "Time since the store's state was confirmed.");
     out << prefix << "state_age_seconds " << gauges.stateAgeSeconds << '\n';
+    writeMetadata(out, "hedging_delay_seconds", "gauge",
+                  "Time from an opening packet to its hedge; 0 while hedging is off.");
+    out << prefix << "hedging_delay_seconds " << gauges.hedgingDelaySeconds << '\n';
     writeMetadata(out, "store_calls_total", "counter", "Calls of the store by kind and outcome.");
     for (const store_call_count &calls : gauges.storeCalls)
         out << prefix << "store_calls_total{kind=\"" << calls.kind << "\",outcome=\""
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -56,7 +56,9 @@
     std::uint64_t peerMessagesMalformed = 0;
     std::uint64_t peerMessagesUnexpected = 0;
     std::uint64_t transfersRefused = 0;
-    double stateAgeSeconds = 0; ///< since this state was last confirmed as the newest
+    std::uint64_t hedgesRefused = 0;
+    double hedgingDelaySeconds = 0; ///< 0 while hedging is off
+    double stateAgeSeconds = 0;     ///< since this state was last confirmed as the newest
     bool isReady = false;
     std::vector<store_call_count> storeCalls;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -76,6 +76,7 @@
     , m_status(m_context, settings.statusAddress,
                [this](std::string_view path) { return makePage(path); })
     , m_timer(m_context)
+    , m_hedgeTimer(m_context)
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_shutdown(deriveShutdownSettings(settings))
 {
@@ -144,6 +145,36 @@
 {
     recordActivity();
     m_packetProcessor.receive(bytes);
+    scheduleHedges();
+}
+
+/// The tick is too coarse for hedging delays of 40 to 150 ms. Without pending hedges, no timer
+/// runs.
+void entry_process::scheduleHedges()
+{
+    if (m_hedgesDueAt)
+        return;
+    m_hedgesDueAt = m_forwarder.nextHedgeDueAt();
+    if (!m_hedgesDueAt)
+        return;
+    m_hedgeTimer.expires_after(std::max(*m_hedgesDueAt - m_clock.now(), monotonic_time {0}));
+    m_hedgeTimer.async_wait([this](std::error_code code) {
+        if (!code)
+            sendDueHedges();
+    });
+}
+
+void entry_process::sendDueHedges()
+{
+    recordActivity();
+    // After a suspension this timer may be handled before the tick, which is late as well.
+    m_suspensionDetector.recordTick(std::min(*m_hedgesDueAt, m_tickDueAt),
+                                    m_suspensionDetector.lastActivityAt());
+    const bool isSocketRead = m_data.receiveAvailable();
+    m_packetProcessor.sendDueHedges(isSocketRead);
+    m_data.flush();
+    m_hedgesDueAt.reset();
+    scheduleHedges();
 }
 
 void entry_process::sendToPeer(const endpoint &peer, std::span<const std::byte> datagram)
@@ -399,6 +430,8 @@
     gauges.peerMessagesMalformed = m_gossip.malformedMessages();
     gauges.peerMessagesUnexpected = m_gossip.unexpectedMessages();
     gauges.transfersRefused = m_gossip.transfersRefused();
+    gauges.hedgesRefused = m_forwarder.hedgesRefused();
+    gauges.hedgingDelaySeconds = std::chrono::duration<double>(m_forwarder.hedgingDelay()).count();
     gauges.logLinesDropped = m_log.linesDropped();
     gauges.stateAgeSeconds = std::chrono::duration<double>(now - m_state.confirmedAt()).count();
     gauges.isReady = isReady();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -72,6 +72,8 @@
     void onUpstreamsLoaded();
     void recordActivity();
 
+    void scheduleHedges();
+    void sendDueHedges();
     void scheduleTick();
     void tick();
     void evaluateUpstreamHealth();
@@ -114,10 +116,12 @@
     status_server m_status;
     std::unique_ptr<status_server> m_metricsServer; ///< null when there is no metrics port
     asio::steady_timer m_timer;
+    asio::steady_timer m_hedgeTimer;
     asio::signal_set m_signals;
     graceful_shutdown m_shutdown;
     monotonic_time m_tickDueAt {0};
     monotonic_time m_nextSecondTickAt {0};
+    std::optional<monotonic_time> m_hedgesDueAt; ///< when m_hedgeTimer expires; empty if not set
 };
 
 } // namespace chicoryhead
--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -52,6 +52,19 @@
     logSuspicion(packet, decision);
 }
 
+void packet_log::logHedge(const hedged_opening &hedge)
+{
+    constexpr std::string_view event = "flow_hedged";
+    if (!m_log.isEnabled(event))
+        return;
+    m_log.write(event,
+                {{"flow", toString(hedge.opening.flow)},
+                 {"service", hedge.first->announced.service},
+                 {"first", hedge.first->announced.name},
+                 {"second", hedge.decision.upstream->announced.name},
+                 {"delay_ms", formatMilliseconds(hedge.delay)}});
+}
+
 void packet_log::logFlow(const caller_packet &packet, const packet_decision &decision,
                          monotonic_time now)
 {
--- a/src/entry/packet_log_base.h
+++ b/src/entry/packet_log_base.h
@@ -35,6 +35,9 @@
     void logDecision(const caller_packet &packet, std::span<const std::byte> bytes,
                      const packet_decision &decision, monotonic_time now);
 
+    /** Logs an opening packet that is sent to a second upstream. */
+    void logHedge(const hedged_opening &hedge);
+
 private:
     void logFlow(const caller_packet &packet, const packet_decision &decision, monotonic_time now);
     void logSuspicion(const caller_packet &packet, const packet_decision &decision);
--- a/src/entry/packet_processor.cpp
+++ b/src/entry/packet_processor.cpp
@@ -54,9 +54,25 @@
     if (decision.latency.count() > 0)
         m_dependencies.metrics.answerLatency.record(decision.latency);
     execute(packet, bytes, decision);
+    if (decision.isHedgeable)
+        m_dependencies.packetForwarder.scheduleHedge(packet, decision.upstream->id, bytes, now);
     m_dependencies.log.logDecision(packet, bytes, decision, now);
 }
 
+void packet_processor::sendDueHedges(bool isSocketRead)
+{
+    static_assert(openingPacketBytes == platform::packetHeaderBytes);
+    const suspension_detector &detector = m_dependencies.suspensionDetector;
+    const auto now = detector.lastActivityAt();
+    const bool isReliable =
+        isSocketRead && detector.isTimingReliable(now) && !detector.isReadingBacklog(now);
+    while (const auto hedge = m_dependencies.packetForwarder.takeHedge(isReliable, now)) {
+        ++m_dependencies.metrics.packets[static_cast<std::size_t>(packet_reason::Hedged)];
+        forward(hedge->opening.bytes, hedge->decision);
+        m_dependencies.log.logHedge(*hedge);
+    }
+}
+
 packet_decision packet_processor::decide(const caller_packet &packet, monotonic_time now)
 {
     packet_decision decision;
@@ -73,16 +89,9 @@
                                const packet_decision &decision)
 {
     switch (decision.action) {
-    case packet_action::Forward: {
-        std::array<std::byte,
-                   platform::prefixBytes + platform::packetHeaderBytes + platform::maxDataBytes>
-            buffer;
-        const auto &announced = decision.upstream->announced;
-        const std::size_t size =
-            platform::encodeForUpstream(bytes, announced.wireId, decision.tag, buffer);
-        m_send(announced.address, std::span(buffer).first(size));
+    case packet_action::Forward:
+        forward(bytes, decision);
         break;
-    }
     case packet_action::Reset:
         sendReset(packet);
         ++(packet.isOpening ? m_dependencies.metrics.resetsSent
@@ -93,6 +102,17 @@
     }
 }
 
+void packet_processor::forward(std::span<const std::byte> bytes, const packet_decision &decision)
+{
+    std::array<std::byte,
+               platform::prefixBytes + platform::packetHeaderBytes + platform::maxDataBytes>
+        buffer;
+    const auto &announced = decision.upstream->announced;
+    const std::size_t size =
+        platform::encodeForUpstream(bytes, announced.wireId, decision.tag, buffer);
+    m_send(announced.address, std::span(buffer).first(size));
+}
+
 void packet_processor::sendReset(const caller_packet &packet)
 {
     const auto reset = platform::encodeReset(packet);
--- a/src/entry/packet_processor_base.h
+++ b/src/entry/packet_processor_base.h
@@ -57,6 +57,13 @@
     /** Handles one datagram. The activity must have been recorded at the suspension detector. */
     void receive(std::span<const std::byte> bytes);
 
+    /**
+     * Sends the opening packets that are due for a second upstream.
+     * @param isSocketRead all packets received so far were handled. If not, some of these flows may
+     * have opened, and their opening packets are not sent.
+     */
+    void sendDueHedges(bool isSocketRead);
+
     /** Whether packets are held until the configuration is known. */
     bool hasHeldPackets() const { return !m_arrivals.isEmpty(); }
 
@@ -81,6 +88,7 @@
     packet_decision decide(const caller_packet &packet, monotonic_time now);
     void execute(const caller_packet &packet, std::span<const std::byte> bytes,
                  const packet_decision &decision);
+    void forward(std::span<const std::byte> bytes, const packet_decision &decision);
     void sendReset(const caller_packet &packet);
     bool isStateFresh(monotonic_time now) const;
 
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,7 +31,7 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_descriptor, 18> gaugeTable {{
+inline constexpr std::array<gauge_descriptor, 19> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
@@ -63,6 +63,8 @@
      &entry_gauges::peerMessagesUnexpected},
     {"transfers_refused", "States not sent because too many were under way, since the start.",
      &entry_gauges::transfersRefused},
+    {"hedges_refused", "Hedges that the budget refused, since the start.",
+     &entry_gauges::hedgesRefused},
     {"log_lines_dropped", "Log lines that were left out, since the start.",
      &entry_gauges::logLinesDropped},
 }};
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -27,19 +27,23 @@
 /** Observed state of one flow. */
 struct flow_entry
 {
-    static constexpr std::size_t maxTried = 3; ///< a caller sends its opening packet three times
+    /// A caller sends its opening packet three times, and one of them may be hedged.
+    static constexpr std::size_t maxTried = 4;
 
     /// Sequence number of the opening packet; a different number means a different flow.
     std::uint32_t openingSequence = 0;
     std::array<upstream_id, maxTried> tried {}; ///< upstreams that the opening packet was sent to
     std::uint8_t triedCount = 0;
-    bool isOpen = false; ///< a packet with a steering tag was seen
+    bool isHedged = false; ///< tried[1] got the opening packet as a hedge
+    bool isOpen = false;   ///< a packet with a steering tag was seen
     /// The upstream has accepted the flow: it answered a request, or another instance saw the flow
     /// being opened.
     bool isAccepted = false;
     upstream_id upstream = noUpstream; ///< upstream that the last packet was sent to
     monotonic_time placedAt {0};       ///< when an upstream was last selected for the flow
     monotonic_time lastSeenAt {0};
+    /// When the first transmission of the opening packet was forwarded; 0 if it was not seen.
+    monotonic_time openingSeenAt {0};
     /// When the request in progress was first seen; 0 for none.
     monotonic_time requestStartedAt {0};
     monotonic_time requestSentAt {0};  ///< when the request in progress was last forwarded
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -17,6 +17,7 @@
     {packet_reason::TagReplaced, "tag_replaced"},
     {packet_reason::Placed, "placed"},
     {packet_reason::PlacedAgain, "placed_again"},
+    {packet_reason::Hedged, "hedged"},
     {packet_reason::Repeated, "repeated"},
     {packet_reason::NoRoute, "no_route"},
     {packet_reason::NoUpstream, "no_upstream"},
@@ -113,10 +114,8 @@
                                     {packet_kind::Opening, flow->placedAt, flow->placedAt}, now);
         unansweredBy = m_directory.find(flow->upstream);
     }
-    const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
-    const std::string &service = routing_table::selectService(*selected, hash);
-    const auto tried = isRetransmission ? flow->triedUpstreams() : std::span<const upstream_id> {};
-    const auto chosen = m_placement.choose(service, tried, now);
+    const std::string &service = serviceOf(*selected, packet.flow, packet.sequence);
+    const auto chosen = chooseUpstream(service, isRetransmission ? flow : nullptr, now);
     if (!chosen)
         return makeRefusal(packet_reason::NoUpstream, isStateFresh);
 
@@ -124,6 +123,9 @@
         m_flowTable.remove(packet.flow);
         flow = m_flowTable.add(packet.flow, now);
     }
+    const bool isFirstCopy = flow != nullptr && !isRetransmission && packet.acknowledged == 0;
+    if (isFirstCopy)
+        flow->openingSeenAt = now;
     if (flow != nullptr) {
         flow->openingSequence = packet.sequence;
         flow->lastSeenAt = now;
@@ -138,9 +140,31 @@
         packet, *upstream, isRetransmission ? packet_reason::PlacedAgain : packet_reason::Placed);
     decision.unansweredBy = unansweredBy;
     decision.isNewlySuspected = isNewlySuspected;
+    decision.isHedgeable = isFirstCopy && selected->isIdempotent && m_hedger.isEnabled();
     return decision;
 }
 
+/// All transmissions of an opening packet go to the same service.
+const std::string &forwarder::serviceOf(const route &selected, const flow_key &flow,
+                                        std::uint32_t openingSequence)
+{
+    return routing_table::selectService(selected, mixHash(hashFlow(flow), openingSequence));
+}
+
+/// Selects an upstream for a new flow, or for one whose opening packet was retransmitted.
+std::optional<upstream_id> forwarder::chooseUpstream(const std::string &service,
+                                                     const flow_entry *retried, monotonic_time now)
+{
+    const auto tried =
+        retried != nullptr ? retried->triedUpstreams() : std::span<const upstream_id> {};
+    const auto chosen = m_placement.choose(service, tried, now);
+    const bool isFirstRetry = retried != nullptr && retried->isHedged && tried.size() == 2;
+    if (!chosen || !isFirstRetry || !retried->hasTried(*chosen))
+        return chosen;
+    // There is no third upstream. The hedge's target had less time to answer than the first one.
+    return m_placement.choose(service, tried.first(1), now);
+}
+
 const upstream_record *forwarder::retransmissionTarget(const flow_entry &flow,
                                                        monotonic_time now) const
 {
@@ -239,6 +263,8 @@
     if (!flow->isOpen && flow->triedCount > 0) {
         decision.isNewlyTrusted = m_placement.recordConnectSuccess(upstream);
         m_health.noteAnswered(upstream, now);
+        if (flow->openingSeenAt.count() > 0)
+            m_hedger.recordOpeningTime(now - flow->openingSeenAt);
     }
     if (!flow->isOpen)
         flow->acknowledged = packet.acknowledged;
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -12,6 +12,7 @@
 #include "health/latency_exchange_base.h"
 #include "health/upstream_health_base.h"
 #include "hedging/hedge_budget_base.h"
+#include "hedging/opening_hedger_base.h"
 #include "placement/placement_base.h"
 #include "policy/traffic_policy_type.h"
 #include "request_watch_list_base.h"
@@ -19,9 +20,15 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
+#include <span>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chicoryhead {
@@ -40,6 +47,7 @@
                      ///< one that answered its opening packet too
     Placed,          ///< opening packet, forwarded to a newly selected upstream
     PlacedAgain,     ///< retransmitted opening packet, forwarded to another upstream
+    Hedged,          ///< opening packet, sent once more to a second upstream
     Repeated,        ///< retransmitted opening packet, forwarded to the same upstream
     NoRoute,         ///< no route for the service address
     NoUpstream,      ///< the service has no upstream that takes new flows
@@ -53,7 +61,7 @@
 };
 
 /** Number of reasons, for counter tables. */
-inline constexpr std::size_t packetReasonCount = 14;
+inline constexpr std::size_t packetReasonCount = 15;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -70,6 +78,7 @@
     const upstream_record *unansweredBy = nullptr;
     bool isNewlySuspected = false;     ///< the upstream that did not answer becomes suspected
     bool isNewlyTrusted = false;       ///< the upstream answered, which ends its suspicion
+    bool isHedgeable = false;          ///< opening packet that scheduleHedge() is to be called for
     bool isFirstRequestPacket = false; ///< first data of a request, as seen by this instance
     /// For retransmitted data of a request, the time since it was first seen; 0 otherwise.
     monotonic_time unansweredFor {0};
@@ -80,6 +89,18 @@
     monotonic_time latency {0};
 };
 
+/** An opening packet to be sent to a second upstream. */
+struct hedged_opening
+{
+    pending_hedge opening;
+    const upstream_record *first = nullptr; ///< upstream that has not answered so far; never null
+    packet_decision decision;               ///< with the second upstream
+    monotonic_time delay {0};               ///< since the packet was forwarded to the first
+};
+
+/** Whether a service has more requests than it can run. */
+using overload_check = std::function<bool(const std::string &service)>;
+
 /** Times and capacities of the data path. */
 struct forwarder_settings
 {
@@ -136,9 +157,37 @@
     void sampleRequestsInProgress(monotonic_time now);
 
     /** Sets the limit on extra work for requests that may be repeated. */
-    void setHedgingPolicy(const hedging_policy &policy)
+    void setHedgingPolicy(const hedging_policy &policy);
+
+    /** Sets the condition under which a service gets no hedges; without one, none is overloaded. */
+    void setOverloadCheck(overload_check isOverloaded) { m_isOverloaded = std::move(isOverloaded); }
+
+    /**
+     * Keeps an opening packet whose decision is hedgeable until its hedging delay has passed.
+     * @param first upstream that it was forwarded to.
+     */
+    void scheduleHedge(const caller_packet &packet, upstream_id first,
+                       std::span<const std::byte> bytes, monotonic_time now);
+
+    /** When takeHedge() is to be called; std::nullopt while no opening packet waits. */
+    std::optional<monotonic_time> nextHedgeDueAt();
+
+    /**
+     * Takes an opening packet that is due for a second upstream. Packets that are due and may not
+     * be hedged are discarded. Received packets must have been decided before.
+     * @param isTimingReliable packets were recently handled without much delay; otherwise the
+     * answers that callers confirmed may not have been seen, and nothing is hedged.
+     * @return std::nullopt if there is none.
+     */
+    std::optional<hedged_opening> takeHedge(bool isTimingReliable, monotonic_time now);
+
+    /** Hedges that were not sent because the budget was used up. */
+    std::uint64_t hedgesRefused() const { return m_hedgesRefused; }
+
+    /** Time from an opening packet to its hedge; 0 while hedging is off. */
+    monotonic_time hedgingDelay() const
     {
-        m_hedgeBudget.setPercent(policy.budgetPercent);
+        return m_hedger.isEnabled() ? m_hedger.delay() : monotonic_time {0};
     }
 
     /** Stops tracking idle flows; called about once per second. */
@@ -155,6 +204,13 @@
 private:
     packet_decision decideOpening(const caller_packet &packet, bool isStateFresh,
                                   monotonic_time now);
+    std::optional<upstream_id> chooseUpstream(const std::string &service, const flow_entry *retried,
+                                              monotonic_time now);
+    flow_entry *findUnopened(const pending_hedge &opening);
+    const upstream_record *chooseHedgeTarget(const pending_hedge &opening, const flow_entry &flow,
+                                             monotonic_time now);
+    static const std::string &serviceOf(const route &selected, const flow_key &flow,
+                                        std::uint32_t openingSequence);
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
     /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
@@ -180,6 +236,9 @@
     flow_table m_flowTable;
     request_watch_list m_requestsInProgress;
     hedge_budget m_hedgeBudget;
+    opening_hedger m_hedger; ///< enabled if and only if m_hedgeBudget is
+    overload_check m_isOverloaded;
+    std::uint64_t m_hedgesRefused = 0; ///< by the budget
     monotonic_time m_lastAnswerAt {0}; ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
     /// so answers to earlier requests may be acknowledged through another instance.
--- a/tests/test_entry_parts.cpp
+++ b/tests/test_entry_parts.cpp
@@ -160,6 +160,8 @@
     metrics.answerLatency.record(30s);
     entry_gauges gauges;
     gauges.configVersion = 12;
+    gauges.hedgesRefused = 4;
+    gauges.hedgingDelaySeconds = 0.08;
     gauges.storeCalls = {{"watch", "answered", 3}};
     const auto text = renderEntryMetrics(metrics, gauges);
     CHECK(text.find("chicoryhead_packets_total{reason=\"placed\"} 7\n") != std::string::npos);
@@ -171,6 +173,8 @@
     CHECK(text.find("chicoryhead_answer_seconds_bucket{le=\"0.05\"} 1\n") != std::string::npos);
     CHECK(text.find("chicoryhead_answer_seconds_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
     CHECK(text.find("chicoryhead_config_version 12\n") != std::string::npos);
+    CHECK(text.find("chicoryhead_hedges_refused 4\n") != std::string::npos);
+    CHECK(text.find("chicoryhead_hedging_delay_seconds 0.08\n") != std::string::npos);
     CHECK(text.find("chicoryhead_store_calls_total{kind=\"watch\",outcome=\"answered\"} 3\n")
           != std::string::npos);
 }
