Hedging: at most two hedges for an upstream until a flow opens there

Cause: a flow that opens at the second upstream sends no copy of its opening packet, and a hedge is no evidence. So placement didn't learn that the first upstream was dead, which kept its share of new flows and used up the budget.

Change: an instance remembers the first upstreams of its latest 32 hedges until a flow opens there. With two for the same upstream, its opening packets are not hedged.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -263,6 +263,7 @@
     if (!flow->isOpen && flow->triedCount > 0) {
         decision.isNewlyTrusted = m_placement.recordConnectSuccess(upstream);
         m_health.noteAnswered(upstream, now);
+        m_hedger.recordOpened(upstream);
         if (flow->openingSeenAt.count() > 0)
             m_hedger.recordOpeningTime(now - flow->openingSeenAt);
     }
--- a/src/forward/forwarder_hedging.cpp
+++ b/src/forward/forwarder_hedging.cpp
@@ -73,7 +73,8 @@
 {
     const route *selected = m_routes.find(opening.flow.service);
     const upstream_record *first = m_directory.find(opening.first);
-    if (selected == nullptr || !selected->isIdempotent || first == nullptr)
+    if (selected == nullptr || !selected->isIdempotent || first == nullptr
+        || !m_hedger.mayHedge(first->id))
         return nullptr;
     const std::string &service = serviceOf(*selected, opening.flow, opening.openingSequence);
     if (first->announced.service != service || (m_isOverloaded && m_isOverloaded(service)))
@@ -87,6 +88,7 @@
     if (!chosen)
         return nullptr;
     m_hedgeBudget.tryTake();
+    m_hedger.recordHedge(first->id);
     return m_directory.find(*chosen);
 }
 
--- a/src/hedging/opening_hedger_base.h
+++ b/src/hedging/opening_hedger_base.h
@@ -10,6 +10,7 @@
 
 #include <boost/circular_buffer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -45,13 +46,22 @@
     /// would arrive together with it.
     static constexpr monotonic_time maxAge = std::chrono::milliseconds(180);
 
-    /** Turns hedging on or off. Turning it off discards all entries and opening times. */
+    /// Hedges for one upstream until a flow opens there. A flow that opens at the second upstream
+    /// sends no copies, which are the evidence that the first one does not answer. Without a limit,
+    /// a dead upstream would keep its share of new flows. One hedge may be due to a lost datagram.
+    static constexpr std::size_t maxUnansweredHedges = 2;
+    /// Latest hedges that are counted against that limit, for all upstreams together.
+    static constexpr std::size_t maxRememberedHedges = 32;
+
+    /** Turns hedging on or off. Turning it off discards all recorded state. */
     void setEnabled(bool isEnabled)
     {
         if (isEnabled == m_isEnabled)
             return;
         m_isEnabled = isEnabled;
         m_pending = boost::circular_buffer<pending_hedge>(isEnabled ? maxPending : 0);
+        m_unansweredHedges =
+            boost::circular_buffer<upstream_id>(isEnabled ? maxRememberedHedges : 0);
         m_openingTimes = {};
     }
 
@@ -64,6 +74,24 @@
             m_openingTimes.add(openingTime);
     }
 
+    /** Records that a flow opened at an upstream. */
+    void recordOpened(upstream_id upstream)
+    {
+        m_unansweredHedges.erase(
+            std::remove(m_unansweredHedges.begin(), m_unansweredHedges.end(), upstream),
+            m_unansweredHedges.end());
+    }
+
+    /** Records a hedge of an opening packet that was forwarded to an upstream before. */
+    void recordHedge(upstream_id first) { m_unansweredHedges.push_back(first); }
+
+    /** Whether opening packets forwarded to an upstream may be hedged. */
+    bool mayHedge(upstream_id first) const
+    {
+        const auto hedges = std::count(m_unansweredHedges.begin(), m_unansweredHedges.end(), first);
+        return static_cast<std::size_t>(hedges) < maxUnansweredHedges;
+    }
+
     /** Time from an opening packet to its hedge. */
     monotonic_time delay() const { return m_openingTimes.delay(); }
 
@@ -112,7 +140,9 @@
 private:
     bool m_isEnabled = false;
     boost::circular_buffer<pending_hedge> m_pending; ///< by placedAt; no capacity while disabled
-    opening_time_tracker m_openingTimes;             ///< empty while disabled
+    /// First upstreams of the latest hedges, without those where a flow opened since.
+    boost::circular_buffer<upstream_id> m_unansweredHedges;
+    opening_time_tracker m_openingTimes; ///< empty while disabled
 };
 
 } // namespace chicoryhead
--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -181,6 +181,45 @@
     }
 }
 
+TEST_CASE("Hedges do not hide a dead upstream from the placement", "[hedging]")
+{
+    // Guards against a dead upstream that keeps its share of new flows: flows that open at the
+    // second upstream send no copies, and a hedge is not evidence.
+    hedging_fixture fixture;
+    fixture.sendRequests(100);
+    const auto *dead = fixture.decide(makeOpening(1), 2s).upstream;
+    unsigned hedges = 0;
+    unsigned copies = 0;
+    // Opens flows with every upstream but the dead one, in turn.
+    const auto openFlows = [&](std::uint16_t from, std::uint16_t to) {
+        for (std::uint16_t port = from; port <= to; ++port) {
+            const auto at = 2s + port * 500ms;
+            auto opened = fixture.decide(makeOpening(port), at);
+            if (opened.upstream == dead) {
+                if (const auto hedge = fixture.takeHedge(at + 150ms)) {
+                    ++hedges;
+                    opened = hedge->decision;
+                } else {
+                    ++copies;
+                    opened = fixture.decide(makeOpening(port, 1), at + 200ms);
+                    CHECK(opened.unansweredBy == dead);
+                    CHECK(fixture.placement.isSuspected(dead->id, at + 200ms));
+                }
+            }
+            fixture.decide(makeData(port, opened.tag, 1000U + port, 500, 0), at + 205ms);
+        }
+    };
+    openFlows(2, 40);
+    CHECK(hedges == opening_hedger::maxUnansweredHedges);
+    CHECK(copies > 0);
+    // After a flow has opened there, further ones may be hedged.
+    fixture.decide(makeOpening(50), 30s);
+    const auto deadTag = bindTag(dead->tag, deskAddress);
+    fixture.decide(makeData(50, deadTag, 1051, 500, 0), 30005ms);
+    openFlows(60, 80);
+    CHECK(hedges == 2 * opening_hedger::maxUnansweredHedges);
+}
+
 TEST_CASE("Cases in which an opening packet is not hedged", "[hedging]")
 {
     hedging_fixture fixture;
