Hedging tests: run all sections, and cover more conditions

Cause: a `return` in the first section of the test of the cases without a hedge kept Catch from finding the others, so only "budget used up" ran.

Change: that case is a test of its own. The reused port, the copy without a third upstream and the changed route are set up such that only the checked condition prevents a hedge; a route that is no longer idempotent is a further case.

--- a/tests/test_hedging.cpp
+++ b/tests/test_hedging.cpp
@@ -26,6 +26,7 @@
         routes.apply(makeConfig(1), 0s);
         for (int i = 0; i < 3; ++i)
             directory.announce(makeUpstream("i-d" + std::to_string(i), "desk", "a"), 0s);
+        directory.announce(makeUpstream("i-e0", "proofs", "a"), 0s);
         dataPath.setHedgingPolicy({10});
     }
 
@@ -177,6 +178,9 @@
             if (record != first.upstream && record != hedge->decision.upstream)
                 fixture.directory.withdraw(record->announced.name, false, 2100ms);
         }
+        // With either of the two next in turn.
+        if (GENERATE(false, true))
+            fixture.decide(makeOpening(2), 2150ms);
         CHECK(fixture.decide(makeOpening(1, 1), 2200ms).upstream == hedge->decision.upstream);
     }
 }
@@ -220,18 +224,19 @@
     CHECK(hedges == 2 * opening_hedger::maxUnansweredHedges);
 }
 
+TEST_CASE("Budget used up: an opening packet is not hedged, which is counted", "[hedging]")
+{
+    hedging_fixture fixture;
+    fixture.sendRequests(9);
+    fixture.decide(makeOpening(1), 2s);
+    CHECK_FALSE(fixture.takeHedge(2080ms));
+    CHECK(fixture.dataPath.hedgesRefused() == 1);
+}
+
 TEST_CASE("Cases in which an opening packet is not hedged", "[hedging]")
 {
     hedging_fixture fixture;
     bool isReliable = true;
-    SECTION("budget used up")
-    {
-        fixture.sendRequests(9);
-        fixture.decide(makeOpening(1), 2s);
-        CHECK_FALSE(fixture.takeHedge(2080ms));
-        CHECK(fixture.dataPath.hedgesRefused() == 1);
-        return;
-    }
     fixture.sendRequests(10);
     SECTION("policy off")
     {
@@ -299,7 +304,10 @@
         {
             auto reused = makeOpening(1);
             reused.sequence += 5000;
-            fixture.decide(reused, 2060ms);
+            // Three upstreams take turns, so the new flow gets the same one.
+            fixture.decide(makeOpening(2), 2060ms);
+            fixture.decide(makeOpening(3), 2060ms);
+            REQUIRE(fixture.decide(reused, 2060ms).upstream == first.upstream);
             CHECK(fixture.dataPath.nextHedgeDueAt() == 2140ms);
         }
         SECTION("copy placed on another upstream")
@@ -307,13 +315,16 @@
             fixture.decide(makeOpening(1, 1), 2150ms);
             CHECK_FALSE(fixture.takeHedge(2150ms));
         }
-        SECTION("route removed or given another target")
+        SECTION("route removed, given another target or no longer idempotent")
         {
             auto config = makeConfig(2);
-            if (GENERATE(false, true))
+            const int change = GENERATE(0, 1, 2);
+            if (change == 0)
+                config.routes.erase(config.routes.begin());
+            else if (change == 1)
                 config.routes[0].targets = {{"proofs", 1}};
             else
-                config.routes.erase(config.routes.begin());
+                config.routes[0].isIdempotent = false;
             fixture.routes.apply(config, 2010ms);
         }
     }
