Gossip: liveness reports can carry requests that wait for an answer

Cause: an upstream that acknowledges requests and never answers is only seen in requests that wait, of which each instance sees a few. The reports told retransmissions only, and their last answer may be an accepted flow, which a hung upstream gives as well.

Change: reporters get the number of waiting and stalled requests and the ages of the first and the latest, and reports the age of the last answer to a request. They are sent in an extension after the one for unanswered requests, which is then always present; older builds ignore both, and their reports are read as before.

--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -68,8 +68,9 @@
     loadBounded(archive, value.reporters, maxReports * maxReporters);
 }
 
-/// Empty if no reporter has unanswered requests.
-std::optional<requests_extension> requestsOf(const std::vector<liveness_report> &reports)
+/// Empty if no reporter has unanswered requests and no other extension follows.
+std::optional<requests_extension> requestsOf(const std::vector<liveness_report> &reports,
+                                             bool isFollowed)
 {
     requests_extension extension;
     bool hasRequests = false;
@@ -79,7 +80,7 @@
             hasRequests = hasRequests || reporter.requests > 0;
         }
     }
-    return hasRequests ? std::optional(extension) : std::nullopt;
+    return hasRequests || isFollowed ? std::optional(extension) : std::nullopt;
 }
 
 /// Returns whether the extension has an element for each reporter.
@@ -98,6 +99,84 @@
     return next == extension.reporters.end();
 }
 
+/** Requests of a reporter that wait for their answers. */
+struct stalled_requests
+{
+    std::uint8_t waiting = 0;
+    std::uint8_t stalled = 0;
+    std::uint32_t ageMs = 0;
+    std::uint32_t sinceAgeMs = 0;
+};
+
+template<typename Archive>
+void serialize(Archive &archive, stalled_requests &value)
+{
+    archive(value.waiting, value.stalled, value.ageMs, value.sinceAgeMs);
+}
+
+/** Extension of liveness reports: one element for each report and for each reporter, in order. */
+struct stalls_extension
+{
+    std::vector<std::uint32_t> requestAnsweredAgesMs; ///< or neverAnswered
+    std::vector<stalled_requests> reporters;
+};
+
+template<typename Archive>
+void save(Archive &archive, const stalls_extension &value)
+{
+    saveBounded(archive, value.requestAnsweredAgesMs);
+    saveBounded(archive, value.reporters);
+}
+
+template<typename Archive>
+void load(Archive &archive, stalls_extension &value)
+{
+    loadBounded(archive, value.requestAnsweredAgesMs, maxReports);
+    loadBounded(archive, value.reporters, maxReports * maxReporters);
+}
+
+/// Empty if no report tells about answers to requests.
+std::optional<stalls_extension> stallsOf(const std::vector<liveness_report> &reports)
+{
+    stalls_extension extension;
+    bool isNeeded = false;
+    for (const liveness_report &report : reports) {
+        isNeeded = isNeeded || report.tellsRequestAnswers;
+        const auto &answered =
+            report.tellsRequestAnswers ? report.requestAnsweredAgeMs : report.answeredAgeMs;
+        extension.requestAnsweredAgesMs.push_back(answered.value_or(neverAnswered));
+        for (const failure_reporter &reporter : report.reporters)
+            extension.reporters.push_back({reporter.waiting, reporter.stalled,
+                                           reporter.stalledAgeMs, reporter.stalledSinceAgeMs});
+    }
+    return isNeeded ? std::optional(extension) : std::nullopt;
+}
+
+/// Returns whether the extension has an element for each report and each reporter.
+bool setStalls(std::vector<liveness_report> &reports, const stalls_extension &extension)
+{
+    if (extension.requestAnsweredAgesMs.size() != reports.size())
+        return false;
+    auto answered = extension.requestAnsweredAgesMs.begin();
+    auto next = extension.reporters.begin();
+    for (liveness_report &report : reports) {
+        report.tellsRequestAnswers = true;
+        if (*answered != neverAnswered)
+            report.requestAnsweredAgeMs = *answered;
+        ++answered;
+        for (failure_reporter &reporter : report.reporters) {
+            if (next == extension.reporters.end())
+                return false;
+            reporter.waiting = next->waiting;
+            reporter.stalled = next->stalled;
+            reporter.stalledAgeMs = next->ageMs;
+            reporter.stalledSinceAgeMs = next->sinceAgeMs;
+            ++next;
+        }
+    }
+    return next == extension.reporters.end();
+}
+
 } // namespace
 
 template<typename Archive>
@@ -237,11 +316,15 @@
 result<gossip_message> decodeLivenessReports(std::span<const std::byte> bytes)
 {
     std::optional<requests_extension> requests;
-    auto decoded = decodeExtended<gossip_liveness_reports>(gossipFormatVersion, bytes, requests);
+    std::optional<stalls_extension> stalls;
+    auto decoded =
+        decodeExtended<gossip_liveness_reports>(gossipFormatVersion, bytes, requests, stalls);
     if (!decoded)
         return decoded.error();
     if (requests && !setRequests(decoded.value().reports, *requests))
         return error::Malformed;
+    if (stalls && !setStalls(decoded.value().reports, *stalls))
+        return error::Malformed;
     return gossip_message(std::move(decoded.value()));
 }
 
@@ -270,7 +353,9 @@
 
 std::vector<std::byte> encodeGossip(const gossip_liveness_reports &message)
 {
-    return encodeAs(message_type::LivenessReports, message, requestsOf(message.reports));
+    const auto stalls = stallsOf(message.reports);
+    return encodeAs(message_type::LivenessReports, message,
+                    requestsOf(message.reports, stalls.has_value()), stalls);
 }
 
 result<gossip_message> decodeGossip(std::span<const std::byte> datagram)
