Health: upstreams that acknowledge requests and never answer are found and left

Change: with hedging on, a request that was forwarded once and has waited for half of its target latency (at least 400 ms) is reported, and again at the whole. Three from two instances make the upstream avoided for new flows, or Stalled, if no instance refutes it with an answer to a request within 200 ms. At a stalled upstream, a request of a repeatable route that starts is reset instead of forwarded, and one that has waited for its target latency is reset if the hedging budget grants it. Handshakes don't refute the evidence and don't end the suspicion, since a hung upstream accepts flows. Requests from before a takeover, a suspension or a restart, of a stopping instance, or after which this instance saw no other answers are no evidence.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -39,6 +39,9 @@
     writeMetadata(out, "flows_ended_total", "counter",
                   "Open flows that were reset because their upstream answers nobody.");
     out << prefix << "flows_ended_total " << metrics.flowsEnded << '\n';
+    writeMetadata(out, "stalled_flows_ended_total", "counter",
+                  "Those of them whose upstream acknowledges requests and answers none.");
+    out << prefix << "stalled_flows_ended_total " << metrics.stalledFlowsEnded << '\n';
 }
 
 void writeHistogram(std::ostream &out, const latency_histogram &histogram)
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -23,8 +23,9 @@
 
     std::array<std::uint64_t, packetReasonCount> packets {}; ///< indexed by packet_reason
     std::uint64_t resetsSent = 0;                            ///< refused attempts to open a flow
-    std::uint64_t flowsEnded = 0;    ///< open flows that were reset because their upstream is dead
-    latency_histogram answerLatency; ///< from a request to the acknowledgement of its answer
+    std::uint64_t flowsEnded = 0; ///< open flows reset because their upstream is dead or stalled
+    std::uint64_t stalledFlowsEnded = 0; ///< those of them whose upstream is stalled
+    latency_histogram answerLatency;     ///< from a request to the acknowledgement of its answer
 };
 
 /** Number of store calls of one kind with one outcome. */
@@ -44,6 +45,7 @@
     std::uint64_t domainsEvacuated = 0;
     std::uint64_t upstreamsSuspected = 0;
     std::uint64_t upstreamsDead = 0;
+    std::uint64_t upstreamsStalled = 0;
     std::uint64_t flowsObserved = 0;
     std::uint64_t instances = 0;
     std::uint64_t storeItemsMalformed = 0;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -233,6 +233,13 @@
         m_forwarder.sampleRequestsInProgress(now);
     for (const health_change &change : m_health.evaluate(now))
         applyHealthChange(change);
+    // Their suspicion may be shorter than the state.
+    for (const upstream_id upstream : m_health.stalledUpstreams()) {
+        if (!m_placement.isSuspected(upstream, now))
+            m_placement.markSuspected(upstream, true, now);
+    }
+    if (isTimingReliable)
+        m_packetProcessor.resetStalledFlows();
     m_data.flush();
 }
 
@@ -245,7 +252,10 @@
         m_placement.recordConnectSuccess(change.upstream);
         break;
     case health_state::Silent:
-        m_placement.markSuspected(change.upstream, false, now);
+        m_placement.markSuspected(change.upstream, change.isAvoidedForStalls, now);
+        break;
+    case health_state::Stalled:
+        m_placement.markSuspected(change.upstream, true, now);
         break;
     case health_state::Dead:
         m_placement.markSuspected(change.upstream, true, now);
@@ -262,6 +272,8 @@
          {"witnesses", std::to_string(change.reporters)},
          {"unanswered_packets", std::to_string(change.retransmissions)},
          {"unanswered_requests", std::to_string(change.requests)},
+         {"waiting_requests", std::to_string(change.waitingRequests)},
+         {"stalled_requests", std::to_string(change.stalledRequests)},
          {"silent_ms", formatMilliseconds(change.silentFor)},
          {"request_age_ms", formatMilliseconds(change.requestAge)},
          {"flows_ended", std::to_string(flowsEnded)}});
@@ -297,6 +309,7 @@
 void entry_process::beginShutdown(int signal)
 {
     m_shutdown.begin(m_clock.now());
+    m_forwarder.noteStopping();
     m_log.write("stopping", {{"signal", std::to_string(signal)}});
 }
 
@@ -388,6 +401,7 @@
     gauges.domainsEvacuated = m_state.evacuatedDomains().size();
     gauges.upstreamsSuspected = m_placement.countSuspected(now);
     gauges.upstreamsDead = m_health.countDead();
+    gauges.upstreamsStalled = m_health.stalledUpstreams().size();
     gauges.flowsObserved = m_forwarder.countTrackedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -21,7 +21,10 @@
     case packet_action::Forward:
         return "flow_placed";
     case packet_action::Reset:
-        return decision.reason == packet_reason::UpstreamDead ? "flow_ended" : "flow_refused";
+        return decision.reason == packet_reason::UpstreamDead
+                || decision.reason == packet_reason::UpstreamStalled
+            ? "flow_ended"
+            : "flow_refused";
     case packet_action::Drop:
         break;
     }
--- a/src/entry/packet_processor.cpp
+++ b/src/entry/packet_processor.cpp
@@ -87,6 +87,8 @@
         sendReset(packet);
         ++(packet.isOpening ? m_dependencies.metrics.resetsSent
                             : m_dependencies.metrics.flowsEnded);
+        if (decision.reason == packet_reason::UpstreamStalled)
+            ++m_dependencies.metrics.stalledFlowsEnded;
         break;
     case packet_action::Drop:
         break;
@@ -108,6 +110,15 @@
     return ended.size();
 }
 
+void packet_processor::resetStalledFlows()
+{
+    const auto now = m_dependencies.suspensionDetector.lastActivityAt();
+    for (const auto &[packet, decision] : m_dependencies.packetForwarder.extractStalledFlows(now)) {
+        execute(packet, {}, decision);
+        m_dependencies.log.logDecision(packet, {}, decision, now);
+    }
+}
+
 bool packet_processor::isStateFresh(monotonic_time now) const
 {
     return now - m_dependencies.state.confirmedAt() < m_stalenessBound;
--- a/src/entry/packet_processor_base.h
+++ b/src/entry/packet_processor_base.h
@@ -63,6 +63,9 @@
     /** Processes the held packets that can be decided now; returns their number. */
     std::size_t releaseHeldPackets();
 
+    /** Resets flows whose requests are stalled; see forwarder::extractStalledFlows(). */
+    void resetStalledFlows();
+
     /** Resets the open flows to an upstream that were observed here; returns their number. */
     std::size_t resetFlowsOf(upstream_id upstream);
 
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -42,7 +42,10 @@
     monotonic_time lastSeenAt {0};
     /// When the request in progress was first seen; 0 for none.
     monotonic_time requestStartedAt {0};
-    monotonic_time requestSentAt {0};  ///< when the request in progress was last forwarded
+    monotonic_time requestSentAt {0}; ///< when the request in progress was last forwarded
+    /// The request in progress is a single packet that was not retransmitted, so the upstream has
+    /// all of it.
+    bool isRequestSentOnce = false;
     std::uint32_t requestSequence = 0; ///< sequence number of the first data of the latest request
     std::uint32_t acknowledged = 0;    ///< highest acknowledgement number from the caller
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include "forwarder_base.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -25,6 +26,7 @@
     {packet_reason::FromUpstream, "from_upstream"},
     {packet_reason::StaleOpening, "stale_opening"},
     {packet_reason::UpstreamDead, "upstream_dead"},
+    {packet_reason::UpstreamStalled, "upstream_stalled"},
     {packet_reason::NotSynchronised, "not_synchronised"},
     {packet_reason::Malformed, "malformed"},
 }};
@@ -165,7 +167,15 @@
         reason = packet_reason::TagReplaced;
     }
     auto decision = forwardTo(packet, *upstream, reason);
+    // The first data seen of a flow from elsewhere may belong to a request that is in progress.
+    const bool isStalled = m_hedgeBudget.isEnabled() && m_health.isStalled(upstream->id);
+    const bool isTracked = isStalled && m_flowTable.find(packet.flow) != nullptr;
     trackOpenFlow(packet, now, decision);
+    if (isStalled && decision.isFirstRequestPacket && isRepeatable(packet.flow)
+        && m_health.isStalled(upstream->id) && (isTracked || m_hedgeBudget.tryTake())) {
+        m_flowTable.remove(packet.flow);
+        return endStalled(upstream, now);
+    }
     if (packet.isReset || !m_health.isDead(upstream->id))
         return decision;
     m_flowTable.remove(packet.flow);
@@ -203,6 +213,43 @@
     return extracted;
 }
 
+std::vector<stalled_flow> forwarder::extractStalledFlows(monotonic_time now)
+{
+    std::vector<stalled_flow> extracted;
+    std::erase_if(m_stalledRequests, [&](const watched_request &request) {
+        const flow_entry *flow = findInProgress(request);
+        if (flow == nullptr || now - request.startedAt > m_settings.maxStalledRequestAge)
+            return true;
+        const bool isEnded = m_hedgeBudget.isEnabled() && m_health.isStalled(flow->upstream)
+            && isRepeatable(request.flow) && m_hedgeBudget.tryTake();
+        if (!isEnded)
+            return false;
+        stalled_flow ended;
+        ended.packet.flow = request.flow;
+        ended.packet.acknowledged = flow->acknowledged;
+        ended.decision = endStalled(m_directory.find(flow->upstream), now);
+        extracted.push_back(ended);
+        m_flowTable.remove(request.flow);
+        return true;
+    });
+    return extracted;
+}
+
+packet_decision forwarder::endStalled(const upstream_record *upstream, monotonic_time now) const
+{
+    packet_decision ended {packet_action::Reset, packet_reason::UpstreamStalled, nullptr, noTag};
+    ended.unansweredBy = upstream;
+    if (upstream != nullptr)
+        ended.evidenceAge = m_health.stalledAgeOf(upstream->id, now);
+    return ended;
+}
+
+bool forwarder::isRepeatable(const flow_key &flow) const
+{
+    const route *selected = m_routes.find(flow.service);
+    return selected != nullptr && selected->isIdempotent;
+}
+
 packet_decision forwarder::forwardTo(const caller_packet &packet, const upstream_record &upstream,
                                      packet_reason reason) const
 {
@@ -237,8 +284,10 @@
     }
     flow->lastSeenAt = now;
     if (!flow->isOpen && flow->triedCount > 0) {
-        decision.isNewlyTrusted = m_placement.recordConnectSuccess(upstream);
-        m_health.noteAnswered(upstream, now);
+        // An upstream that hangs accepts flows nevertheless.
+        if (!m_health.isAvoidedForStalls(upstream))
+            decision.isNewlyTrusted = m_placement.recordConnectSuccess(upstream);
+        m_health.noteAccepted(upstream, now);
     }
     if (!flow->isOpen)
         flow->acknowledged = packet.acknowledged;
@@ -261,6 +310,8 @@
     // to an answer from long before.
     if (packet.dataBytes == 0)
         m_health.noteAnswered(upstream, now);
+    else
+        m_health.noteEarlierAnswer(upstream, now);
     const auto latency = now - flow.requestStartedAt;
     if (flow.requestStartedAt.count() > 0 && latency < m_settings.maxLatency) {
         m_latencies.noteAnswered(upstream, latency, now);
@@ -294,12 +345,14 @@
                                     {kind, flow.requestStartedAt, flow.requestSentAt}, now);
         flow.requestSentAt = now;
     }
+    flow.isRequestSentOnce = flow.isRequestSentOnce && !isWaiting;
     decision.isFirstRequestPacket = !isWaiting
         && (flow.requestSequence == 0 || isSequenceAfter(packet.sequence, flow.requestSequence));
     if (decision.isFirstRequestPacket) {
         flow.requestStartedAt = now;
         flow.requestSentAt = now;
         flow.requestSequence = packet.sequence;
+        flow.isRequestSentOnce = true;
         watchRequest(packet, now);
     }
 }
@@ -311,6 +364,14 @@
         return;
     if (selected->isIdempotent)
         m_hedgeBudget.recordRequest();
+    if (m_hedgeBudget.isEnabled() && selected->targetLatency.count() > 0
+        && m_possiblyStalled.size() < m_settings.maxTrackedFlows) {
+        const auto ageAt = [&](monotonic_time age) {
+            return std::max(age, m_settings.minStalledRequestAge);
+        };
+        m_possiblyStalled.add(
+            {packet.flow, now, ageAt(selected->targetLatency / 2), ageAt(selected->targetLatency)});
+    }
     if (m_requestsInProgress.size() >= m_settings.maxTrackedFlows)
         return;
     const auto firstAge = monotonic_time(static_cast<monotonic_time::rep>(
@@ -334,6 +395,34 @@
         if (request->nextAge <= request->maxAge)
             m_requestsInProgress.add(*request);
     }
+    noteStalledRequests(now);
+}
+
+void forwarder::noteStalledRequests(monotonic_time now)
+{
+    while (auto request = m_possiblyStalled.takeDue(now)) {
+        const flow_entry *flow = findInProgress(*request);
+        if (flow == nullptr)
+            continue;
+        const bool isStalled = request->nextAge >= request->maxAge;
+        // The answers to requests from before a takeover may be acknowledged elsewhere.
+        if (flow->isRequestSentOnce && request->startedAt > m_lastTakeoverAt && !m_isStopping)
+            m_health.noteStalledRequest(flow->upstream, request->startedAt,
+                                        isStalled ? stall_level::Stalled : stall_level::Waiting,
+                                        now);
+        if (!isStalled) {
+            request->nextAge = request->maxAge;
+            m_possiblyStalled.add(*request);
+        } else if (m_stalledRequests.size() < m_settings.maxTrackedFlows) {
+            m_stalledRequests.push_back(*request);
+        }
+    }
+}
+
+const flow_entry *forwarder::findInProgress(const watched_request &request)
+{
+    const flow_entry *flow = m_flowTable.find(request.flow);
+    return flow != nullptr && flow->requestStartedAt == request.startedAt ? flow : nullptr;
 }
 
 } // namespace chicoryhead
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -48,12 +48,14 @@
     FromUpstream,    ///< looks like an answer of an upstream
     StaleOpening,    ///< opening packet queued while this process was suspended
     UpstreamDead,    ///< the flow's upstream is dead; the caller is reset so that it can retry
+    UpstreamStalled, ///< the upstream answers no requests; the caller is reset so that it can
+                     ///< repeat the request elsewhere
     NotSynchronised, ///< this instance has no configuration yet
     Malformed,       ///< not a valid packet
 };
 
 /** Number of reasons, for counter tables. */
-inline constexpr std::size_t packetReasonCount = 14;
+inline constexpr std::size_t packetReasonCount = 15;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -65,16 +67,16 @@
     packet_reason reason = packet_reason::Malformed;
     const upstream_record *upstream = nullptr; ///< null if and only if not forwarded
     steering_tag tag = noTag;                  ///< tag to write into a forwarded packet
-    /// Upstream that left an earlier transmission of this opening packet unanswered, or the dead
-    /// upstream of an open flow; null for none.
+    /// Upstream that left an earlier transmission of this opening packet unanswered, or the dead or
+    /// stalled upstream of an open flow; null for none.
     const upstream_record *unansweredBy = nullptr;
     bool isNewlySuspected = false;     ///< the upstream that did not answer becomes suspected
     bool isNewlyTrusted = false;       ///< the upstream answered, which ends its suspicion
     bool isFirstRequestPacket = false; ///< first data of a request, as seen by this instance
     /// For retransmitted data of a request, the time since it was first seen; 0 otherwise.
     monotonic_time unansweredFor {0};
-    /// For a flow whose upstream is dead, the time since the latest request that the upstream left
-    /// unanswered; 0 if none is known.
+    /// For a flow whose upstream is dead or stalled, the time since the latest request that the
+    /// upstream left unanswered; 0 if none is known.
     monotonic_time evidenceAge {0};
     /// Latency of the request whose answer this packet acknowledges; 0 for none.
     monotonic_time latency {0};
@@ -98,12 +100,26 @@
     /// A request in progress counts as a latency sample at this fraction of its route's target
     /// latency, then each time that its age has doubled, up to the target latency.
     double firstSampleFraction = 0.25;
+    /// A request without an answer counts as waiting at half of its route's target latency and as
+    /// stalled at the whole, but not before this age, so that a packet that was lost would have
+    /// been sent again.
+    monotonic_time minStalledRequestAge = std::chrono::milliseconds(400);
+    /// Requests that are older by then are no longer reset for a stalled upstream: the deadlines of
+    /// most routes have passed.
+    monotonic_time maxStalledRequestAge = std::chrono::seconds(10);
     /// Acknowledgement numbers that are further apart, in bytes, belong to different flows.
     std::int32_t maxAcknowledgedDistance = 1 << 20;
     /// Longer latencies are ignored: they indicate a lost packet rather than a slow upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
 
+/** An open flow that is to be reset because its upstream is stalled. */
+struct stalled_flow
+{
+    caller_packet packet; ///< with the last acknowledgement number of the caller
+    packet_decision decision;
+};
+
 /** Data path of one instance, without sockets. */
 class forwarder
 {
@@ -128,6 +144,19 @@
      */
     std::vector<caller_packet> extractFlowsOf(upstream_id upstream);
 
+    /**
+     * Stops tracking flows whose request in progress is stalled at a stalled upstream, as far as
+     * their callers may repeat it and the hedging budget allows, and returns them, so that they can
+     * be reset. Must not be called while packets are handled late.
+     */
+    std::vector<stalled_flow> extractStalledFlows(monotonic_time now);
+
+    /**
+     * Records that the fabric is about to move this instance's flows elsewhere. Answers to requests
+     * in progress will not be seen here, so these are no longer taken for stalled.
+     */
+    void noteStopping() { m_isStopping = true; }
+
     /**
      * Records the ages of requests in progress, so that an upstream that accepts requests and never
      * answers them loses its share before callers give up. Must not be called while packets are
@@ -139,6 +168,7 @@
     void setHedgingPolicy(const hedging_policy &policy)
     {
         m_hedgeBudget.setPercent(policy.budgetPercent);
+        m_health.setStallDetection(m_hedgeBudget.isEnabled());
     }
 
     /** Stops tracking idle flows; called about once per second. */
@@ -170,6 +200,12 @@
     void trackRequest(const caller_packet &packet, flow_entry &flow, monotonic_time now,
                       packet_decision &decision);
     void watchRequest(const caller_packet &packet, monotonic_time now);
+    /** The flow of a watched request; null if the request is no longer in progress. */
+    const flow_entry *findInProgress(const watched_request &request);
+    void noteStalledRequests(monotonic_time now);
+    /** Whether the callers of a flow may repeat its requests. */
+    bool isRepeatable(const flow_key &flow) const;
+    packet_decision endStalled(const upstream_record *upstream, monotonic_time now) const;
 
     const routing_table &m_routes;
     const upstream_directory &m_directory;
@@ -179,6 +215,11 @@
     forwarder_settings m_settings;
     flow_table m_flowTable;
     request_watch_list m_requestsInProgress;
+    /// Requests that are not old enough to be stalled; due when they count as waiting and as
+    /// stalled, the latter at their maxAge. Empty while hedging is off.
+    request_watch_list m_possiblyStalled;
+    std::vector<watched_request> m_stalledRequests; ///< in progress beyond that age
+    bool m_isStopping = false;
     hedge_budget m_hedgeBudget;
     monotonic_time m_lastAnswerAt {0}; ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -16,14 +16,17 @@
 
 namespace {
 
-constexpr std::array<std::pair<health_state, std::string_view>, 3> stateNames {{
+constexpr std::array<std::pair<health_state, std::string_view>, 4> stateNames {{
     {health_state::Answering, "answering"},
     {health_state::Silent, "silent"},
     {health_state::Dead, "dead"},
+    {health_state::Stalled, "stalled"},
 }};
 
 /// Further retransmissions seen by the same instance are not counted.
 constexpr unsigned maxRetransmissions = 8;
+/// Further stalled requests seen by the same instance are not counted.
+constexpr unsigned maxStalledRequests = 8;
 
 std::uint32_t ageMs(monotonic_time at, monotonic_time now)
 {
@@ -79,6 +82,45 @@
 }
 
 void upstream_health::noteAnswered(upstream_id upstream, monotonic_time now)
+{
+    m_lastLocalRequestAnswerAt = now;
+    noteEarlierAnswer(upstream, now);
+    noteAccepted(upstream, now);
+}
+
+void upstream_health::noteEarlierAnswer(upstream_id upstream, monotonic_time now)
+{
+    health_entry &entry = m_entries[upstream];
+    const bool isRefutation = !entry.stalls.empty() || entry.isAvoidedForStalls;
+    recordRequestAnswer(entry, now);
+    if (!isRefutation)
+        return;
+    // Takes effect at once, so that no flows are terminated before the next evaluation.
+    m_stalled.erase(upstream);
+    entry.isAvoidedForStalls = false;
+    m_watched.insert(upstream);
+    queueReport(upstream);
+}
+
+void upstream_health::noteStalledRequest(upstream_id upstream, monotonic_time startedAt,
+                                         stall_level level, monotonic_time now)
+{
+    // Callers or the fabric may have stopped to send packets here in the meantime, so answers that
+    // came early in the waiting time don't show that this one would have been seen. They are of
+    // other upstreams: an answer of this one refutes the request.
+    const bool hasOtherAnswers = m_lastLocalRequestAnswerAt >= startedAt + (now - startedAt) / 2;
+    const bool wasSuspended = m_resumedAt && startedAt <= *m_resumedAt;
+    if (!m_isStallDetectionEnabled || !m_isLocallyHealthy || wasSuspended || !hasOtherAnswers)
+        return;
+    const auto *record = m_directory.find(upstream);
+    if (record == nullptr)
+        return;
+    const bool isStalled = level == stall_level::Stalled;
+    addStall(*record, m_entries[upstream],
+             {m_ownId, isStalled ? 0U : 1U, isStalled ? 1U : 0U, startedAt, startedAt});
+}
+
+void upstream_health::noteAccepted(upstream_id upstream, monotonic_time now)
 {
     m_lastLocalAnswerAt = now;
     health_entry &entry = m_entries[upstream];
@@ -129,8 +171,22 @@
         : elapsedSince(summarize(found->second, now).lastRequestAt, now);
 }
 
+bool upstream_health::isAvoidedForStalls(upstream_id upstream) const
+{
+    const auto found = m_entries.find(upstream);
+    return found != m_entries.end() && found->second.isAvoidedForStalls;
+}
+
+monotonic_time upstream_health::stalledAgeOf(upstream_id upstream, monotonic_time now) const
+{
+    const auto found = m_entries.find(upstream);
+    return found == m_entries.end() ? monotonic_time {0}
+                                    : elapsedSince(summarizeStalls(found->second).lastAt, now);
+}
+
 void upstream_health::forget(upstream_id upstream)
 {
+    m_stalled.erase(upstream);
     m_entries.erase(upstream);
     m_watched.erase(upstream);
     m_dead.erase(upstream);
@@ -178,6 +234,72 @@
     found->queuedRequestAt = found->lastRequestAt;
 }
 
+/// Like addReporter(). Requests from before the upstream's last restart tell nothing about it.
+void upstream_health::addStall(const upstream_record &record, health_entry &entry,
+                               const stall_reporter &seen)
+{
+    if (seen.since <= entry.requestAnsweredAt + m_limits.ageSlack || seen.since <= record.changedAt)
+        return;
+    auto found =
+        std::find_if(entry.stalls.begin(), entry.stalls.end(),
+                     [&](const stall_reporter &other) { return other.instance == seen.instance; });
+    if (found == entry.stalls.end()) {
+        if (!makeRoomForStall(entry, seen))
+            return;
+        found = entry.stalls.insert(entry.stalls.end(),
+                                    {seen.instance, 0, 0, seen.since, seen.lastAt, seen.lastAt});
+    }
+    const bool isOwn = seen.instance == m_ownId;
+    const auto total = [isOwn](unsigned added, unsigned known) {
+        return std::min(isOwn ? known + added : std::max(known, added), maxStalledRequests);
+    };
+    const unsigned stalled = total(seen.stalled, found->stalled);
+    const unsigned waiting = std::max(stalled, total(seen.waiting, found->waiting));
+    const bool mayChangeState = (waiting > found->waiting && waiting <= m_limits.stalledThreshold)
+        || (stalled > found->stalled && stalled <= m_limits.stalledThreshold);
+    found->waiting = waiting;
+    found->stalled = stalled;
+    found->since = std::min(found->since, seen.since);
+    found->lastAt = std::max(found->lastAt, seen.lastAt);
+    m_watched.insert(record.id);
+    if (mayChangeState)
+        queueReport(record.id);
+    else if (found->lastAt - found->queuedAt >= m_limits.reportInterval)
+        queueRepeatedReport(record.id);
+    else
+        return;
+    found->queuedAt = found->lastAt;
+}
+
+/// Requests of other instances take the places of older ones, so that the verdict lasts for as long
+/// as requests are stalled. Not of the ones that are little older: each change is reported.
+bool upstream_health::makeRoomForStall(health_entry &entry, const stall_reporter &seen) const
+{
+    if (entry.stalls.size() < m_limits.maxStallReporters)
+        return true;
+    const auto oldest = std::min_element(
+        entry.stalls.begin(), entry.stalls.end(),
+        [](const stall_reporter &a, const stall_reporter &b) { return a.lastAt < b.lastAt; });
+    const bool isReplaceable = seen.lastAt - oldest->lastAt >= m_limits.reportInterval
+        && (seen.stalled > 0 || oldest->stalled == 0);
+    if (isReplaceable)
+        entry.stalls.erase(oldest);
+    return isReplaceable;
+}
+
+void upstream_health::recordRequestAnswer(health_entry &entry, monotonic_time answeredAt)
+{
+    if (answeredAt <= entry.requestAnsweredAt)
+        return;
+    entry.requestAnsweredAt = answeredAt;
+    const auto refuted = std::erase_if(entry.stalls, [&](const stall_reporter &seen) {
+        return seen.since <= answeredAt + m_limits.ageSlack;
+    });
+    // The upstream takes new flows again at once.
+    if (refuted > 0 || answeredAt > entry.stalledAt)
+        entry.stalledAt = monotonic_time {0};
+}
+
 /// The number of reporters is limited. Those of unanswered requests take the places of others.
 bool upstream_health::makeRoomFor(health_entry &entry, const reporter &seen) const
 {
@@ -231,9 +353,26 @@
         if (isRefutation)
             queueReport(record.id);
     }
+    monotonic_time requestAnswerAt {0};
+    if (const auto &age =
+            report.tellsRequestAnswers ? report.requestAnsweredAgeMs : report.answeredAgeMs) {
+        requestAnswerAt = now - std::chrono::milliseconds(*age);
+        const bool isRefutation = requestAnswerAt > entry.requestAnsweredAt + m_limits.ageSlack
+            && (!entry.stalls.empty() || entry.isAvoidedForStalls);
+        recordRequestAnswer(entry, requestAnswerAt);
+        if (entry.stalls.empty())
+            m_stalled.erase(record.id);
+        if (isRefutation)
+            queueReport(record.id);
+    }
     for (const failure_reporter &other : report.reporters) {
         if (other.instance == m_ownId)
             continue;
+        if (other.waiting > 0 || other.stalled > 0)
+            mergeStall(record, other, requestAnswerAt, now);
+        // Reporters of stalled requests only.
+        if (other.retransmissions == 0)
+            continue;
         const auto since = now - std::chrono::milliseconds(other.ageMs);
         const auto lastRequestAt = other.requests > 0
             ? now - std::chrono::milliseconds(other.requestAgeMs)
@@ -250,6 +389,21 @@
     }
 }
 
+void upstream_health::mergeStall(const upstream_record &record, const failure_reporter &other,
+                                 monotonic_time reportedAnswerAt, monotonic_time now)
+{
+    health_entry &entry = m_entries[record.id];
+    const auto since = now - std::chrono::milliseconds(other.stalledSinceAgeMs);
+    const auto lastAt = now - std::chrono::milliseconds(other.stalledAgeMs);
+    if (now - lastAt > m_limits.maxRequestAge)
+        return;
+    // The sender does not know of an answer that this instance knows of.
+    if (since <= entry.requestAnsweredAt + m_limits.ageSlack
+        && reportedAnswerAt < entry.requestAnsweredAt)
+        queueReport(record.id);
+    addStall(record, entry, {other.instance, other.waiting, other.stalled, since, lastAt});
+}
+
 std::vector<health_change> upstream_health::evaluate(monotonic_time now)
 {
     m_areVerdictsOutdated = false;
@@ -265,18 +419,20 @@
         expire(entry, now);
         const auto summary = summarize(entry, now);
         const auto before = entry.state;
+        const bool wasAvoidedForStalls = entry.isAvoidedForStalls;
         setState(*record, entry, computeState(entry, *record, summary, now), now);
-        const bool hasEvidence = !entry.reporters.empty();
-        if (entry.state == health_state::Dead && hasEvidence && now >= entry.nextReportAt) {
+        const bool isDisputable = (entry.state == health_state::Dead && !entry.reporters.empty())
+            || (entry.state == health_state::Stalled && !entry.stalls.empty());
+        if (isDisputable && now >= entry.nextReportAt) {
             entry.nextReportAt = now + m_limits.reportInterval;
             queueRepeatedReport(upstream);
         }
-        if (entry.state != before)
-            changes.push_back({upstream, before, entry.state, summary.reporters,
-                               summary.retransmissions, summary.requests,
-                               elapsedSince(summary.since, now),
-                               elapsedSince(summary.lastRequestAt, now)});
-        if (entry.reporters.empty() && entry.state == health_state::Answering)
+        if (entry.state != before || (entry.isAvoidedForStalls && !wasAvoidedForStalls)) {
+            changes.push_back(makeChange(upstream, entry, summary, now));
+            changes.back().before = before;
+        }
+        if (entry.reporters.empty() && entry.stalls.empty()
+            && entry.state == health_state::Answering)
             idle.push_back(upstream);
     }
     for (const upstream_id upstream : idle)
@@ -284,6 +440,26 @@
     return changes;
 }
 
+/// A verdict for stalled requests is described by these, any other by unanswered packets.
+health_change upstream_health::makeChange(upstream_id upstream, const health_entry &entry,
+                                          const failure_summary &summary, monotonic_time now)
+{
+    const auto stalls = summarizeStalls(entry);
+    const bool isForStalls = entry.isAvoidedForStalls && entry.state != health_state::Dead;
+    health_change change;
+    change.upstream = upstream;
+    change.state = entry.state;
+    change.reporters = isForStalls ? stalls.waitingReporters : summary.reporters;
+    change.retransmissions = summary.retransmissions;
+    change.requests = summary.requests;
+    change.silentFor = elapsedSince(isForStalls ? stalls.since : summary.since, now);
+    change.requestAge = elapsedSince(isForStalls ? stalls.lastAt : summary.lastRequestAt, now);
+    change.waitingRequests = stalls.waiting;
+    change.stalledRequests = stalls.stalled;
+    change.isAvoidedForStalls = entry.isAvoidedForStalls;
+    return change;
+}
+
 health_state upstream_health::computeState(health_entry &entry, const upstream_record &record,
                                            const failure_summary &summary, monotonic_time now) const
 {
@@ -303,10 +479,38 @@
         if (now - entry.suspectedAt >= m_limits.refutationTime)
             return health_state::Dead;
     }
-    const bool wasDead =
-        entry.diedAt.count() > 0 && !hasAnswered && now - entry.diedAt <= m_limits.deadRetryDelay;
-    return wasDead || summary.retransmissions >= m_limits.silentThreshold ? health_state::Silent
-                                                                          : health_state::Answering;
+    return computeLiveState(entry, summary, now);
+}
+
+/// The state of an upstream that is not dead.
+health_state upstream_health::computeLiveState(health_entry &entry, const failure_summary &summary,
+                                               monotonic_time now) const
+{
+    if (isStalledBy(entry, summarizeStalls(entry), now))
+        return health_state::Stalled;
+    const bool wasDead = entry.diedAt.count() > 0 && entry.answeredAt <= entry.diedAt
+        && now - entry.diedAt <= m_limits.deadRetryDelay;
+    const bool isSilent =
+        wasDead || entry.isAvoidedForStalls || summary.retransmissions >= m_limits.silentThreshold;
+    return isSilent ? health_state::Silent : health_state::Answering;
+}
+
+/// Also updates whether the upstream is avoided.
+bool upstream_health::isStalledBy(health_entry &entry, const stall_summary &summary,
+                                  monotonic_time now) const
+{
+    const bool isWaiting = m_isStallDetectionEnabled && summary.waiting >= m_limits.stalledThreshold
+        && summary.waitingReporters >= m_limits.minStallReporters;
+    if (!isWaiting)
+        entry.waitingSince = monotonic_time {0};
+    else if (entry.waitingSince.count() == 0 || hasJustResumed(now))
+        entry.waitingSince = now;
+    const bool isConfirmed = isWaiting && now - entry.waitingSince >= m_limits.stallRefutationTime;
+    const bool wasStalled = m_isStallDetectionEnabled && entry.stalledAt.count() > 0
+        && now - entry.stalledAt <= m_limits.deadRetryDelay;
+    entry.isAvoidedForStalls = isConfirmed || wasStalled;
+    return isConfirmed && summary.stalled >= m_limits.stalledThreshold
+        && summary.stalledReporters >= m_limits.minStallReporters;
 }
 
 bool upstream_health::isDeadBy(const failure_summary &summary, bool isGone) const
@@ -337,8 +541,26 @@
     return summary;
 }
 
+upstream_health::stall_summary upstream_health::summarizeStalls(const health_entry &entry)
+{
+    stall_summary summary;
+    for (const stall_reporter &seen : entry.stalls) {
+        summary.waiting += seen.waiting;
+        summary.stalled += seen.stalled;
+        summary.waitingReporters += seen.waiting > 0 ? 1 : 0;
+        summary.stalledReporters += seen.stalled > 0 ? 1 : 0;
+        summary.lastAt = std::max(summary.lastAt, seen.lastAt);
+        if (summary.since.count() == 0 || seen.since < summary.since)
+            summary.since = seen.since;
+    }
+    return summary;
+}
+
 void upstream_health::expire(health_entry &entry, monotonic_time now) const
 {
+    std::erase_if(entry.stalls, [&](const stall_reporter &seen) {
+        return now - seen.lastAt > m_limits.maxRequestAge;
+    });
     std::erase_if(entry.reporters, [&](const reporter &seen) {
         return now - seen.lastReportedAt > m_limits.maxEvidenceAge;
     });
@@ -358,16 +580,28 @@
     } else {
         m_dead.erase(record.id);
     }
+    if (state == health_state::Stalled) {
+        m_stalled.insert(record.id);
+        entry.stalledAt = now;
+        entry.nextReportAt = now + m_limits.reportInterval;
+    } else {
+        m_stalled.erase(record.id);
+    }
 }
 
 std::vector<liveness_report> upstream_health::takePendingReports(monotonic_time now)
 {
     std::vector<liveness_report> reports;
+    std::size_t reporters = 0;
+    bool hasStalls = false;
     for (auto pending = m_pendingReports.begin(); pending != m_pendingReports.end();) {
         const auto *record = m_directory.find(pending->first);
         const auto entry = m_entries.find(pending->first);
         if (record != nullptr && entry != m_entries.end()) {
-            if (reports.size() >= m_limits.maxReports)
+            reporters += entry->second.reporters.size() + entry->second.stalls.size();
+            hasStalls = hasStalls || !entry->second.stalls.empty();
+            if (reports.size() >= m_limits.maxReports
+                || (hasStalls && reporters > m_limits.maxReportersWithStalls))
                 break;
             reports.push_back(makeReport(*record, entry->second, now));
         }
@@ -392,6 +626,21 @@
         }
         report.reporters.push_back(sent);
     }
+    for (const stall_reporter &seen : entry.stalls) {
+        auto sent = std::find_if(
+            report.reporters.begin(), report.reporters.end(),
+            [&](const failure_reporter &other) { return other.instance == seen.instance; });
+        if (sent == report.reporters.end())
+            sent = report.reporters.insert(sent, {seen.instance, 0, ageMs(seen.since, now)});
+        sent->waiting = static_cast<std::uint8_t>(seen.waiting);
+        sent->stalled = static_cast<std::uint8_t>(seen.stalled);
+        sent->stalledAgeMs = ageMs(seen.lastAt, now);
+        sent->stalledSinceAgeMs = ageMs(seen.since, now);
+    }
+    report.tellsRequestAnswers = m_isStallDetectionEnabled || !entry.stalls.empty();
+    if (report.tellsRequestAnswers && entry.requestAnsweredAt.count() > 0)
+        report.requestAnsweredAgeMs =
+            ageMs(entry.requestAnsweredAt - m_limits.relayDelayAllowance, now);
     return report;
 }
 
@@ -409,13 +658,22 @@
         const bool isRefutation = std::any_of(
             report.reporters.begin(), report.reporters.end(), [&](const failure_reporter &seen) {
                 const auto since = now - std::chrono::milliseconds(seen.ageMs);
-                return since <= entry->second.answeredAt + m_limits.ageSlack;
+                const auto stalledSince = now - std::chrono::milliseconds(seen.stalledSinceAgeMs);
+                return (seen.retransmissions > 0
+                        && since <= entry->second.answeredAt + m_limits.ageSlack)
+                    || (seen.waiting > 0
+                        && stalledSince <= entry->second.requestAnsweredAt + m_limits.ageSlack);
             });
+        const auto stallReporters = static_cast<std::size_t>(
+            std::count_if(report.reporters.begin(), report.reporters.end(),
+                          [](const failure_reporter &seen) { return seen.stalled > 0; }));
         const auto requestReporters = static_cast<std::size_t>(
             std::count_if(report.reporters.begin(), report.reporters.end(),
                           [](const failure_reporter &seen) { return seen.requests > 0; }));
-        const bool isConfirmation = entry->second.state == health_state::Dead
-            && requestReporters < m_limits.minDeadReporters;
+        const bool isConfirmation = (entry->second.state == health_state::Dead
+                                     && requestReporters < m_limits.minDeadReporters)
+            || (entry->second.state == health_state::Stalled
+                && stallReporters < m_limits.minStallReporters);
         if (isRefutation || isConfirmation)
             replies.push_back(makeReport(*record, entry->second, now));
     }
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -8,6 +8,9 @@
  * ignores them. With hundreds of instances, each one sees few packets to each upstream, so
  * instances share their observations: a few retransmissions seen anywhere are enough to protect the
  * callers of every instance.
+ *
+ * An upstream that hangs acknowledges requests and answers none, so nothing is retransmitted. It is
+ * recognised by requests that wait for longer than they should while no instance sees an answer.
  */
 
 #pragma once
@@ -31,8 +34,9 @@
 /** Health of an upstream as judged by this instance. */
 enum class health_state : std::uint8_t {
     Answering,
-    Silent, ///< left some packets unacknowledged; gets no new flows for a while
-    Dead,   ///< acknowledges no caller's requests; its flows are terminated
+    Silent,  ///< left some packets or requests without an answer; gets no new flows for a while
+    Dead,    ///< acknowledges no caller's requests; its flows are terminated
+    Stalled, ///< acknowledges requests and answers none; flows with requests may be terminated
 };
 
 /** Name of a health state in logs and on status pages. */
@@ -52,6 +56,12 @@
     monotonic_time lastSentAt {0};  ///< when it was last forwarded before it was sent again
 };
 
+/** How long a request has waited for its answer. */
+enum class stall_level : std::uint8_t {
+    Waiting, ///< half of its target latency
+    Stalled, ///< its target latency
+};
+
 /** Thresholds and timeouts of upstream_health. */
 struct health_limits
 {
@@ -91,8 +101,20 @@
     /// Pause between two reports about the same dead upstream, in which an instance asks others for
     /// answers that they saw, and between reports about further unanswered requests.
     monotonic_time reportInterval = std::chrono::seconds(1);
-    std::size_t maxReporters = 4; ///< kept per upstream
-    std::size_t maxReports = 16;  ///< per message, so that a message fits into one datagram
+    /// Requests that wait or are stalled after which an upstream gets no new flows or is Stalled.
+    unsigned stalledThreshold = 3;
+    /// Instances that must have reported such requests, so that a single instance whose callers
+    /// have gone cannot declare an upstream stalled.
+    unsigned minStallReporters = 2;
+    /// How long answers may refute these requests. Longer than refutationTime: a slow upstream
+    /// answers rarely, and in a failure domain of 50 instances the one that saw the answer may get
+    /// the report only in the fourth round of messages.
+    monotonic_time stallRefutationTime = std::chrono::milliseconds(200);
+    std::size_t maxReporters = 4;      ///< of unanswered packets, kept per upstream
+    std::size_t maxStallReporters = 3; ///< of stalled requests, kept per upstream
+    std::size_t maxReports = 16;       ///< per message, so that a message fits into one datagram
+    /// Reporters per message that tells of stalled requests; up to 24 bytes each.
+    std::size_t maxReportersWithStalls = 40;
     /// Number of messages in which each update is sent. With a fan-out of three, this reaches all
     /// instances of a failure domain.
     unsigned reportTransmissions = 2;
@@ -109,6 +131,10 @@
     unsigned requests = 0;         ///< retransmissions of requests, sum over all reporters
     monotonic_time silentFor {0};  ///< since the first unanswered packet was forwarded
     monotonic_time requestAge {0}; ///< since the latest unanswered request was forwarded
+    unsigned waitingRequests = 0;  ///< acknowledged, without an answer, sum over all reporters
+    unsigned stalledRequests = 0;  ///< those that have waited for their target latency
+    /// It is avoided because requests wait at it, also if the state was Silent before.
+    bool isAvoidedForStalls = false;
 };
 
 /** Failure detector that combines observations of this instance with reports from its peers. */
@@ -129,6 +155,28 @@
     /** Records that a caller has just acknowledged data from an upstream. */
     void noteAnswered(upstream_id upstream, monotonic_time now);
 
+    /**
+     * Records that an upstream has just accepted a flow. It acknowledges packets, which does not
+     * tell whether it answers requests.
+     */
+    void noteAccepted(upstream_id upstream, monotonic_time now);
+
+    /**
+     * Records that a packet with data acknowledges an answer. The answer may be from long before,
+     * so it only discards evidence that the upstream is stalled.
+     */
+    void noteEarlierAnswer(upstream_id upstream, monotonic_time now);
+
+    /**
+     * Records a request without an answer that was forwarded once, and so was acknowledged. Each
+     * request is recorded at most once for each level.
+     */
+    void noteStalledRequest(upstream_id upstream, monotonic_time startedAt, stall_level level,
+                            monotonic_time now);
+
+    /** Sets whether upstreams may become Stalled. */
+    void setStallDetection(bool isEnabled) { m_isStallDetectionEnabled = isEnabled; }
+
     /**
      * Sets whether this instance processes packets on time. If it is slow or was suspended, the
      * times at which it sees packets don't tell when they were sent, so its own observations are
@@ -151,6 +199,24 @@
         return !m_areVerdictsOutdated && m_dead.contains(upstream);
     }
 
+    /** Whether flows of an upstream may be terminated because it answers no requests. */
+    bool isStalled(upstream_id upstream) const
+    {
+        return !m_areVerdictsOutdated && m_stalled.contains(upstream);
+    }
+
+    /** The upstreams in state Stalled. */
+    const std::unordered_set<upstream_id> &stalledUpstreams() const { return m_stalled; }
+
+    /**
+     * Whether an upstream is avoided because requests wait at it or waited lately. An accepted flow
+     * does not end that, only an answer does.
+     */
+    bool isAvoidedForStalls(upstream_id upstream) const;
+
+    /** Since the latest stalled request was forwarded; 0 if none is known. */
+    monotonic_time stalledAgeOf(upstream_id upstream, monotonic_time now) const;
+
     health_state healthOf(upstream_id upstream) const;
 
     /** Time since the latest unanswered request was forwarded; 0 if none is known. */
@@ -210,9 +276,25 @@
         monotonic_time queuedRequestAt {0}; ///< lastRequestAt when an update was last queued
     };
 
+    /** Requests without an answer seen by one instance. */
+    struct stall_reporter
+    {
+        reporter_id instance = 0;
+        unsigned waiting = 0;
+        unsigned stalled = 0;        ///< at most `waiting`
+        monotonic_time since {0};    ///< when the first of them was forwarded
+        monotonic_time lastAt {0};   ///< when the latest of them was forwarded
+        monotonic_time queuedAt {0}; ///< lastAt when an update was last queued
+    };
+
     /** Health data of one upstream. */
     struct health_entry
     {
+        monotonic_time requestAnsweredAt {0}; ///< last known answer to a request; 0 for none
+        std::vector<stall_reporter> stalls;   ///< those without an answer since requestAnsweredAt
+        monotonic_time waitingSince {0};      ///< when stalls reached the thresholds; 0 if not
+        monotonic_time stalledAt {0};         ///< when it last became Stalled; 0 for never
+        bool isAvoidedForStalls = false;
         monotonic_time answeredAt {0};   ///< last known answer; 0 if there is none
         std::vector<reporter> reporters; ///< those without an answer since answeredAt
         health_state state = health_state::Answering;
@@ -237,6 +319,26 @@
         unsigned recentRequests = 0;
     };
 
+    /** Totals over all reporters of stalled requests. */
+    struct stall_summary
+    {
+        unsigned waiting = 0;
+        unsigned stalled = 0;
+        std::size_t waitingReporters = 0;
+        std::size_t stalledReporters = 0;
+        monotonic_time since {0};  ///< earliest of all reporters; 0 if there is none
+        monotonic_time lastAt {0}; ///< latest of all reporters; 0 if there is none
+    };
+
+    static stall_summary summarizeStalls(const health_entry &entry);
+    void addStall(const upstream_record &record, health_entry &entry, const stall_reporter &seen);
+    bool makeRoomForStall(health_entry &entry, const stall_reporter &seen) const;
+    void recordRequestAnswer(health_entry &entry, monotonic_time answeredAt);
+    void mergeStall(const upstream_record &record, const failure_reporter &other,
+                    monotonic_time reportedAnswerAt, monotonic_time now);
+    bool isStalledBy(health_entry &entry, const stall_summary &summary, monotonic_time now) const;
+    static health_change makeChange(upstream_id upstream, const health_entry &entry,
+                                    const failure_summary &summary, monotonic_time now);
     void addReporter(health_entry &entry, const reporter &seen, upstream_id upstream);
     bool makeRoomFor(health_entry &entry, const reporter &seen) const;
     void recordAnswer(health_entry &entry, monotonic_time answeredAt);
@@ -244,6 +346,8 @@
                      monotonic_time now);
     health_state computeState(health_entry &entry, const upstream_record &record,
                               const failure_summary &summary, monotonic_time now) const;
+    health_state computeLiveState(health_entry &entry, const failure_summary &summary,
+                                  monotonic_time now) const;
     bool isDeadBy(const failure_summary &summary, bool isGone) const;
     bool hasJustResumed(monotonic_time now) const;
     failure_summary summarize(const health_entry &entry, monotonic_time now) const;
@@ -267,9 +371,12 @@
     monotonic_time m_lastLocalAnswerAt {0}; ///< last answer of any upstream seen by this instance
     std::optional<monotonic_time> m_resumedAt; ///< when the process last resumed
     bool m_areVerdictsOutdated = false; ///< the process was suspended since the last evaluation
+    bool m_isStallDetectionEnabled = false;
+    monotonic_time m_lastLocalRequestAnswerAt {0}; ///< of any upstream, seen by this instance
     std::unordered_map<upstream_id, health_entry> m_entries;
     std::unordered_set<upstream_id> m_watched; ///< have reporters, or are not Answering
     std::unordered_set<upstream_id> m_dead;    ///< in state Dead
+    std::unordered_set<upstream_id> m_stalled; ///< in state Stalled
     /// Upstreams with an update to send, and the number of messages it still goes into.
     std::unordered_map<upstream_id, unsigned> m_pendingReports;
 };
