--- a/src/cli/command_fleet.cpp
+++ b/src/cli/command_fleet.cpp
@@ -85,6 +85,7 @@
     std::size_t avoidedBy = 0;
     std::size_t silentTo = 0;
     std::size_t deadTo = 0;
+    std::size_t stalledTo = 0;
 };
 
 void accumulate(upstream_summary &upstream, const upstream_row &row)
@@ -95,6 +96,7 @@
     upstream.avoidedBy += row.isSuspected ? 1 : 0;
     upstream.silentTo += row.verdict == "silent" ? 1 : 0;
     upstream.deadTo += row.verdict == "dead" ? 1 : 0;
+    upstream.stalledTo += row.verdict == "stalled" ? 1 : 0;
 }
 
 } // namespace
@@ -142,12 +144,13 @@
         }
     }
     text_table table({"SERVICE", "UPSTREAM", "DOMAIN", "STANDING", "KNOWN_TO", "AVOIDED_BY",
-                      "SILENT_TO", "DEAD_TO"});
+                      "SILENT_TO", "DEAD_TO", "STALLED_TO"});
     for (const auto &[key, upstream] : upstreams) {
-        if (upstream.avoidedBy + upstream.silentTo + upstream.deadTo > 0)
+        if (upstream.avoidedBy + upstream.silentTo + upstream.deadTo + upstream.stalledTo > 0)
             table.addRow({key.first, key.second, upstream.domain, join(upstream.standings, ","),
                           std::to_string(upstream.knownTo), std::to_string(upstream.avoidedBy),
-                          std::to_string(upstream.silentTo), std::to_string(upstream.deadTo)});
+                          std::to_string(upstream.silentTo), std::to_string(upstream.deadTo),
+                          std::to_string(upstream.stalledTo)});
     }
     table.print(call.environment.out);
     if (answered < instances.size())
--- a/src/cli/flow_trace.cpp
+++ b/src/cli/flow_trace.cpp
@@ -138,7 +138,8 @@
     if (event == "flow_ended")
         addFinding(findings,
                    "reset by " + line.instance + ", because " + line.field("unanswered_by")
-                       + " was dead: latest unanswered request "
+                       + (line.field("reason") == "upstream_stalled" ? " was stalled" : " was dead")
+                       + ": latest unanswered request "
                        + (line.field("request_age_ms") == "none"
                               ? std::string("unknown")
                               : line.field("request_age_ms") + " ms before"));
--- a/src/cli/instance_pages.h
+++ b/src/cli/instance_pages.h
@@ -41,7 +41,7 @@
     std::uint64_t latencyUs = 0; ///< 0 if unknown
     std::uint64_t flows = 0;
     std::string domain;       ///< empty if the instance runs an older release
-    std::string verdict;      ///< answering, silent or dead; empty with an older release
+    std::string verdict;      ///< answering, silent, dead or stalled; empty with an older release
     bool isEvacuated = false; ///< false with an older release
 };
 
--- a/tests/test_flow_trace.cpp
+++ b/tests/test_flow_trace.cpp
@@ -116,6 +116,13 @@
                      "reset by f-2, because i-1 was dead: latest unanswered request 640 ms "
                      "before"));
     CHECK(trace.findings.size() == 3);
+    const auto stalled = traceFlow(
+        parse({"2.4 f-2 t_ms=1 event=flow_ended flow=" + flow
+               + " reason=upstream_stalled upstream=none unanswered_by=i-1 request_age_ms=640"}),
+        flow);
+    CHECK(hasFinding(stalled,
+                     "reset by f-2, because i-1 was stalled: latest unanswered request 640 ms "
+                     "before"));
 }
 
 TEST_CASE("A trace includes events of the instances that handled the flow", "[trace]")
