--- a/src/forward/forwarder_hedging.cpp
+++ b/src/forward/forwarder_hedging.cpp
@@ -14,6 +14,7 @@
 {
     m_hedgeBudget.setPercent(policy.budgetPercent);
     m_hedger.setEnabled(policy.isEnabled());
+    m_health.setStallDetection(policy.isEnabled());
 }
 
 void forwarder::scheduleHedge(const caller_packet &packet, upstream_id first,
