Stalled upstreams: new requests on flows from other instances are not forwarded either

Cause: in a rolling restart most flows arrive from other instances. Their requests needed a token of the hedging budget and were forwarded to the stalled upstream without one. Change: they are reset like those of known flows. An upstream that stalls acknowledges requests, so data of a flow from elsewhere starts a new request; a retransmission is possible only after a loss.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -191,12 +191,12 @@
         reason = packet_reason::TagReplaced;
     }
     auto decision = forwardTo(packet, *upstream, reason);
-    // The first data seen of a flow from elsewhere may belong to a request that is in progress.
     const bool isStalled = m_hedgeBudget.isEnabled() && m_health.isStalled(upstream->id);
-    const bool isTracked = isStalled && m_flowTable.find(packet.flow) != nullptr;
     trackOpenFlow(packet, now, decision);
+    // A flow that another instance handled before needs no token either: a stalled upstream
+    // acknowledges requests, so data that arrives here is the start of a new one.
     if (isStalled && decision.isFirstRequestPacket && isRepeatable(packet.flow)
-        && m_health.isStalled(upstream->id) && (isTracked || m_hedgeBudget.tryTake())) {
+        && m_health.isStalled(upstream->id)) {
         m_flowTable.remove(packet.flow);
         return endStalled(upstream, now);
     }
