Decode the connection limits of services and pass them between instances

Cause: upstreams over max_connections ignore opening packets, and no instance knew the limit. Change: routing_config::maxConnections by service, decoded like the warm-up rates (missing, 0 or nonsense: no limit), and a third extension of the encoded state. Older builds ignore it, and its absence means no limit.

--- a/src/routing/routing_base.h
+++ b/src/routing/routing_base.h
@@ -46,6 +46,8 @@
     /// Requests per second that an upstream takes while it is warming up, by service; services that
     /// are not in it have no limit.
     std::map<std::string, double> warmupRates;
+    /// Connections that one upstream takes, by service; services that are not in it have no limit.
+    std::map<std::string, std::uint32_t> maxConnections;
     std::size_t unusableRoutes = 0; ///< omitted by the decoder; not passed on to other instances
 };
 
--- a/src/sync/state_codec.cpp
+++ b/src/sync/state_codec.cpp
@@ -232,6 +232,37 @@
     }
 }
 
+/** Connection limits of the configuration, which a later release added. */
+struct connection_limit_extension
+{
+    std::map<std::string, std::uint32_t> maxConnections;
+};
+
+template<typename Archive>
+void save(Archive &archive, const connection_limit_extension &value)
+{
+    archive(static_cast<std::uint16_t>(value.maxConnections.size()));
+    for (const auto &[service, limit] : value.maxConnections) {
+        saveBytes(archive, service);
+        archive(limit);
+    }
+}
+
+template<typename Archive>
+void load(Archive &archive, connection_limit_extension &value)
+{
+    std::uint16_t count = 0;
+    archive(count);
+    for (std::uint16_t i = 0; i < count; ++i) {
+        std::string service;
+        std::uint32_t limit = 0;
+        loadBytes(archive, service, maxNameBytes);
+        archive(limit);
+        if (limit > 0)
+            value.maxConnections[service] = limit;
+    }
+}
+
 } // namespace detail
 
 std::vector<std::byte> encodeState(const state_snapshot &state)
@@ -242,7 +273,10 @@
     std::optional<detail::epoch_extension> epochs;
     if (state.hasEpoch)
         epochs = detail::epochsOf(state);
-    return compressBytes(encodeExtended(stateFormatVersion, state, extension, epochs));
+    std::optional<detail::connection_limit_extension> limits;
+    if (!state.config.maxConnections.empty())
+        limits = detail::connection_limit_extension {state.config.maxConnections};
+    return compressBytes(encodeExtended(stateFormatVersion, state, extension, epochs, limits));
 }
 
 result<state_snapshot> decodeState(std::span<const std::byte> bytes)
@@ -252,14 +286,17 @@
         return restored.error();
     std::optional<detail::state_extension> extension;
     std::optional<detail::epoch_extension> epochs;
-    auto state =
-        decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension, epochs);
+    std::optional<detail::connection_limit_extension> limits;
+    auto state = decodeExtended<state_snapshot>(stateFormatVersion, restored.value(), extension,
+                                                epochs, limits);
     if (!state)
         return state;
     if (extension) {
         state.value().evacuations = std::move(extension->evacuations);
         state.value().config.warmupRates = std::move(extension->warmupRates);
     }
+    if (limits)
+        state.value().config.maxConnections = std::move(limits->maxConnections);
     detail::setEpochs(state.value(), epochs);
     if (state.value().baseRevision)
         state.value().baseRevision.epoch = state.value().revision.epoch;
