Limit this instance's flows at an upstream to its share of the connection limit

Cause: flows placed beyond max_connections get no answer. Change: a tier rule excludes upstreams at which the share is reached. The flow table counts flows by upstream as they come and go, so no packet scans it.

--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -11,6 +11,7 @@
 
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
+#include "placement/flow_count_base.h"
 
 #include <algorithm>
 #include <array>
@@ -37,8 +38,9 @@
     /// The upstream has accepted the flow: it answered a request, or another instance saw the flow
     /// being opened.
     bool isAccepted = false;
-    upstream_id upstream = noUpstream; ///< upstream that the last packet was sent to
-    monotonic_time placedAt {0};       ///< when an upstream was last selected for the flow
+    /// Upstream that the last packet was sent to; set by flow_table::assign().
+    upstream_id upstream = noUpstream;
+    monotonic_time placedAt {0}; ///< when an upstream was last selected for the flow
     monotonic_time lastSeenAt {0};
     /// When the request in progress was first seen; 0 for none.
     monotonic_time requestStartedAt {0};
@@ -71,6 +73,12 @@
 
     void remove(const flow_key &flow);
 
+    /** Sets the upstream of an entry of this table. */
+    void assign(flow_entry &entry, upstream_id upstream);
+
+    /** Clears an entry of this table. */
+    void reset(flow_entry &entry);
+
     /** Removes and returns the open flows whose last packet was sent to an upstream. */
     std::vector<std::pair<flow_key, flow_entry>> extractOpenFlows(upstream_id upstream);
 
@@ -82,6 +90,9 @@
     /** Number of flows by the upstream that their last packet was sent to. */
     std::map<upstream_id, std::uint64_t> countByUpstream() const;
 
+    /** The same numbers by upstream, without a copy. */
+    const flow_count &flowCount() const { return m_flowCount; }
+
 private:
     struct key_hash
     {
@@ -90,6 +101,7 @@
 
     std::size_t m_capacity;
     std::unordered_map<flow_key, flow_entry, key_hash> m_entries;
+    flow_count m_flowCount; ///< agrees with the entries that have an upstream
 };
 
 } // namespace chicoryhead
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -48,12 +48,14 @@
     , m_suspicion(directory, m_locality, m_settings)
     , m_pathSuspicion(m_locality, m_settings)
     , m_warmupLimit(m_locality, m_settings)
+    , m_connectionLimit(m_locality, m_settings)
     , m_latencies(directory, m_settings)
     , m_roundRobin(directory, hashToUnitInterval(mixHash(m_locality.seed, 0)))
 {
     m_tierRules.push_back(&m_pathSuspicion);
     m_tierRules.push_back(&m_suspicion);
     m_tierRules.push_back(&m_warmupLimit);
+    m_tierRules.push_back(&m_connectionLimit);
     m_weightRules.push_back(std::make_unique<warmup_weight>(m_settings));
     m_weightRules.push_back(std::make_unique<slow_upstream_weight>(m_latencies, m_settings));
     m_shareRules.push_back(std::make_unique<capacity_share>(m_locality, m_settings));
@@ -72,6 +74,25 @@
     m_warmupLimit.setLimits(std::move(rates), std::max<std::size_t>(instanceCount, 1));
 }
 
+void domain_first_placement::setConnectionLimits(connection_limits limits)
+{
+    m_connectionLimit.setLimits(std::move(limits));
+}
+
+void domain_first_placement::setFlowCount(const flow_count *counts)
+{
+    m_connectionLimit.setFlowCount(counts);
+}
+
+bool domain_first_placement::hasReachedConnectionLimit(const std::string &service) const
+{
+    const auto upstreams = m_directory.findByService(service);
+    return std::any_of(upstreams.begin(), upstreams.end(), [this](upstream_id id) {
+        const upstream_record &record = *m_directory.find(id);
+        return takesNewFlows(record) && m_connectionLimit.isReached(record);
+    });
+}
+
 std::optional<upstream_id> domain_first_placement::choose(const std::string &service,
                                                           std::span<const upstream_id> tried,
                                                           monotonic_time now)
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "connection_limit_base.h"
 #include "latency_tracker_base.h"
 #include "placement_base.h"
 #include "placement_rule_base.h"
@@ -39,6 +40,8 @@
     std::optional<upstream_id> choose(const std::string &service,
                                       std::span<const upstream_id> tried,
                                       monotonic_time now) override;
+    void setFlowCount(const flow_count *counts) override;
+    bool hasReachedConnectionLimit(const std::string &service) const override;
     bool recordConnectFailure(upstream_id upstream, monotonic_time now) override;
     bool recordConnectSuccess(upstream_id upstream) override;
     bool recordUnansweredRequest(upstream_id upstream, monotonic_time age,
@@ -64,6 +67,9 @@
      */
     void setWarmupLimits(std::map<std::string, double> rates, std::size_t instanceCount);
 
+    /** Sets the connection limits of upstreams, which apply once setFlowCount() was called. */
+    void setConnectionLimits(connection_limits limits);
+
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
@@ -87,6 +93,7 @@
     upstream_suspicion m_suspicion;
     path_suspicion m_pathSuspicion;
     warmup_limit m_warmupLimit;
+    connection_limit m_connectionLimit;
     latency_tracker m_latencies;
     weighted_round_robin m_roundRobin;
     std::vector<const tier_rule *> m_tierRules; ///< the least preferred tier of all rules applies
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -11,6 +11,7 @@
 
 #include "core/core_type.h"
 #include "directory/directory_base.h"
+#include "flow_count_base.h"
 
 #include <cstddef>
 #include <optional>
@@ -32,6 +33,15 @@
     virtual std::optional<upstream_id>
     choose(const std::string &service, std::span<const upstream_id> tried, monotonic_time now) = 0;
 
+    /**
+     * Turns the limit on this instance's flows at an upstream on; null turns it off.
+     * @param counts number of flows by upstream; must outlive the placement.
+     */
+    virtual void setFlowCount(const flow_count *counts) = 0;
+
+    /** Whether an upstream of a service gets no new flows because that limit is reached. */
+    virtual bool hasReachedConnectionLimit(const std::string &service) const = 0;
+
     /** An upstream did not answer an opening packet; returns whether it is newly suspected. */
     virtual bool recordConnectFailure(upstream_id upstream, monotonic_time now) = 0;
 
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -40,6 +40,11 @@
     double warmupRateFraction = 0.75;
     /// Time for which an unused permit for a flow to a cold upstream stays valid.
     monotonic_time warmupPermitLifetime = std::chrono::milliseconds(500);
+    /// Fraction of an upstream's connection limit that the instances of its domain share. The rest
+    /// is for other domains, and for flows that an instance no longer tracks.
+    double localConnectionFraction = 0.9;
+    /// Fraction of the limit that the instances of all other domains share.
+    double remoteConnectionFraction = 0.1;
     /// An upstream is slow if its latency exceeds this multiple of its service's median.
     double slowLatencyRatio = 2.0;
     /// Smallest factor on the weight of a slow upstream; it needs some flows to be measured again.
--- a/src/sync/fleet_state.cpp
+++ b/src/sync/fleet_state.cpp
@@ -377,6 +377,16 @@
                  {"checksum", std::to_string(checksum())}});
 }
 
+std::map<std::string, std::size_t> fleet_state::countInstancesByDomain() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto *instances : {&m_instances, &m_restoreGrace.formerInstances()}) {
+        for (const auto &[name, registration] : *instances)
+            ++counts[registration.domain];
+    }
+    return counts;
+}
+
 std::uint32_t fleet_state::checksum() const
 {
     std::uint64_t sum = mixHash(m_routes.version(), m_directory.checksum());
--- a/src/sync/fleet_state_base.h
+++ b/src/sync/fleet_state_base.h
@@ -170,6 +170,9 @@
         return m_restoreGrace.formerInstances();
     }
 
+    /** Number of instances by failure domain, former ones included. */
+    std::map<std::string, std::size_t> countInstancesByDomain() const;
+
 private:
     void applyOne(const routing_config &config, monotonic_time now);
     void applyOne(const upstream_announcement &announced, monotonic_time now);
