Refuse a fraction of the new flows of an overloaded service

Cause: in a burst upstreams queue requests and reject them after 140 to 250 ms, and the callers' next attempts are late. The forwarder refuses with NoCapacity, in the log with service, delay and fraction; gauges services_overloaded and refused_fraction. Off without the policy.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -67,6 +67,9 @@
         writeMetadata(out, row.name, "gauge", row.help);
         out << prefix << row.name << ' ' << gauges.*row.member << '\n';
     }
+    writeMetadata(out, "refused_fraction", "gauge",
+                  "Highest fraction of the new flows of a service that are refused for its load.");
+    out << prefix << "refused_fraction " << gauges.highestRefusedFraction << '\n';
     writeMetadata(out, "ready", "gauge", "Whether the fabric may send packets here.");
     out << prefix << "ready " << (gauges.isReady ? 1 : 0) << '\n';
     writeMetadata(out, "state_age_seconds", "gauge", "Time since the store's state was confirmed.");
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -56,7 +56,9 @@
     std::uint64_t peerMessagesMalformed = 0;
     std::uint64_t peerMessagesUnexpected = 0;
     std::uint64_t transfersRefused = 0;
-    double stateAgeSeconds = 0; ///< since this state was last confirmed as the newest
+    std::uint64_t servicesOverloaded = 0;
+    double highestRefusedFraction = 0; ///< of new flows, of all services and priorities
+    double stateAgeSeconds = 0;        ///< since this state was last confirmed as the newest
     bool isReady = false;
     std::vector<store_call_count> storeCalls;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -137,6 +137,7 @@
     if (!gap)
         return;
     m_health.noteResumed(m_suspensionDetector.lastActivityAt());
+    m_forwarder.noteResumed(m_suspensionDetector.lastActivityAt());
     m_log.write("resumed", {{"gap_ms", formatMilliseconds(*gap)}});
 }
 
@@ -165,6 +166,7 @@
                                      m_gossip.countRegisteredPeers() + 1);
     m_placement.setWarmupLimits(m_routes.config().warmupRates,
                                 m_state.instances().size() + m_state.formerInstances().size());
+    updateConnectionLimits();
     m_gossip.announceChanges();
     m_peers.flush();
     if (!m_state.isSynchronised() || !m_packetProcessor.hasHeldPackets())
@@ -177,6 +179,17 @@
     m_data.flush();
 }
 
+void entry_process::updateConnectionLimits()
+{
+    // Counting thousands of instances for each message of a peer would take too long.
+    const auto version = std::pair(m_state.instancesVersion(), m_state.formerInstances().size());
+    if (version != m_countedInstances) {
+        m_countedInstances = version;
+        m_instancesByDomain = m_state.countInstancesByDomain();
+    }
+    m_placement.setConnectionLimits({m_routes.config().maxConnections, m_instancesByDomain});
+}
+
 void entry_process::onUpstreamsLoaded()
 {
     const auto released = m_packetProcessor.releaseHeldPackets();
@@ -388,6 +401,8 @@
     gauges.domainsEvacuated = m_state.evacuatedDomains().size();
     gauges.upstreamsSuspected = m_placement.countSuspected(now);
     gauges.upstreamsDead = m_health.countDead();
+    gauges.servicesOverloaded = m_forwarder.admission().countOverloaded(now);
+    gauges.highestRefusedFraction = m_forwarder.admission().highestFraction(now);
     gauges.flowsObserved = m_forwarder.countTrackedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -33,10 +33,13 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicoryhead {
@@ -69,6 +72,7 @@
     void onPeerDatagram(std::span<const std::byte> bytes, const endpoint &from);
     void onDatagram(std::span<const std::byte> bytes);
     void onStateUpdated();
+    void updateConnectionLimits();
     void onUpstreamsLoaded();
     void recordActivity();
 
@@ -116,6 +120,9 @@
     asio::steady_timer m_timer;
     asio::signal_set m_signals;
     graceful_shutdown m_shutdown;
+    std::map<std::string, std::size_t> m_instancesByDomain;
+    /// Version of the instances, and number of former ones, that m_instancesByDomain is from.
+    std::pair<std::uint64_t, std::size_t> m_countedInstances;
     monotonic_time m_tickDueAt {0};
     monotonic_time m_nextSecondTickAt {0};
 };
--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -28,6 +28,12 @@
     return "packet_dropped";
 }
 
+/// Formats a number from 0 to 1 with two decimal places.
+std::string formatFraction(double fraction)
+{
+    return std::to_string(fraction).substr(0, 4);
+}
+
 } // namespace
 
 void packet_log::logMalformed(std::size_t bytes, std::error_code code)
@@ -58,6 +64,18 @@
     const std::string_view event = eventOf(decision);
     if (!m_log.isEnabled(event))
         return;
+    if (decision.service != nullptr) {
+        m_log.write(event,
+                    {{"flow", toString(packet.flow)},
+                     {"reason", std::string(toString(decision.reason))},
+                     {"service", *decision.service},
+                     {"delay_ms", formatMilliseconds(decision.load.queueingDelay)},
+                     {"fraction", formatFraction(decision.load.refusedFraction)},
+                     {"copy", std::to_string(packet.acknowledged)},
+                     {"version", std::to_string(m_routes.version())},
+                     {"state_age_ms", stateAge(now)}});
+        return;
+    }
     m_log.write(
         event,
         {{"flow", toString(packet.flow)},
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,7 +31,7 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_descriptor, 18> gaugeTable {{
+inline constexpr std::array<gauge_descriptor, 19> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
@@ -41,6 +41,8 @@
      &entry_gauges::upstreamsSuspected},
     {"upstreams_dead", "Upstreams that answer nobody; their flows are ended.",
      &entry_gauges::upstreamsDead},
+    {"services_overloaded", "Services whose requests wait for too long.",
+     &entry_gauges::servicesOverloaded},
     {"flows_observed", "Flows seen lately.", &entry_gauges::flowsObserved},
     {"instances", "Instances known to this one.", &entry_gauges::instances},
     {"store_items_malformed", "Items of the store that could not be decoded, since the start.",
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -20,6 +20,7 @@
     {packet_reason::Repeated, "repeated"},
     {packet_reason::NoRoute, "no_route"},
     {packet_reason::NoUpstream, "no_upstream"},
+    {packet_reason::NoCapacity, "no_capacity"},
     {packet_reason::NoTag, "no_tag"},
     {packet_reason::UnknownTag, "unknown_tag"},
     {packet_reason::FromUpstream, "from_upstream"},
@@ -68,6 +69,7 @@
     , m_latencies(latencies)
     , m_settings(settings)
     , m_flowTable(settings.maxTrackedFlows)
+    , m_admission(routes)
 {
 }
 
@@ -90,6 +92,15 @@
 void forwarder::expire(monotonic_time now)
 {
     m_flowTable.expire(m_settings.flowIdleTimeout, now);
+    m_refusedOpenings.expire(now);
+}
+
+void forwarder::setAdmissionPolicy(const admission_policy &policy)
+{
+    m_admission.setPolicy(policy);
+    if (!policy.isEnabled)
+        m_refusedOpenings = {};
+    m_placement.setFlowCount(policy.isEnabled ? &m_flowTable.flowCount() : nullptr);
 }
 
 packet_decision forwarder::decideOpening(const caller_packet &packet, bool isStateFresh,
@@ -99,9 +110,16 @@
     if (selected == nullptr)
         return makeRefusal(packet_reason::NoRoute, isStateFresh);
 
+    const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
+    const std::string &service = routing_table::selectService(*selected, hash);
     flow_entry *flow = m_flowTable.find(packet.flow);
     const bool isRetransmission =
         flow != nullptr && flow->openingSequence == packet.sequence && flow->triedCount > 0;
+    // A copy whose first transmission was not seen here was admitted by another instance.
+    const bool isFirst = !isRetransmission && packet.acknowledged == 0;
+    if (m_refusedOpenings.contains(packet.flow, packet.sequence, now)
+        || (isFirst && !m_admission.admits(service, selected->priority, now)))
+        return refuseForCapacity(packet, service, isStateFresh, now);
     const upstream_record *unansweredBy = nullptr;
     bool isNewlySuspected = false;
     if (isRetransmission) {
@@ -113,10 +131,10 @@
                                     {packet_kind::Opening, flow->placedAt, flow->placedAt}, now);
         unansweredBy = m_directory.find(flow->upstream);
     }
-    const auto hash = mixHash(hashFlow(packet.flow), packet.sequence);
-    const std::string &service = routing_table::selectService(*selected, hash);
     const auto tried = isRetransmission ? flow->triedUpstreams() : std::span<const upstream_id> {};
     const auto chosen = m_placement.choose(service, tried, now);
+    if (!chosen && m_placement.hasReachedConnectionLimit(service))
+        return refuseForCapacity(packet, service, isStateFresh, now);
     if (!chosen)
         return makeRefusal(packet_reason::NoUpstream, isStateFresh);
 
@@ -128,7 +146,7 @@
         flow->openingSequence = packet.sequence;
         flow->lastSeenAt = now;
         flow->placedAt = now;
-        flow->upstream = *chosen;
+        m_flowTable.assign(*flow, *chosen);
         if (flow->triedCount < flow_entry::maxTried)
             flow->tried[flow->triedCount++] = *chosen;
     }
@@ -141,6 +159,17 @@
     return decision;
 }
 
+packet_decision forwarder::refuseForCapacity(const caller_packet &packet,
+                                             const std::string &service, bool isStateFresh,
+                                             monotonic_time now)
+{
+    m_refusedOpenings.add(packet.flow, packet.sequence, now);
+    auto decision = makeRefusal(packet_reason::NoCapacity, isStateFresh);
+    decision.service = &service;
+    decision.load = m_admission.loadOf(service, now);
+    return decision;
+}
+
 const upstream_record *forwarder::retransmissionTarget(const flow_entry &flow,
                                                        monotonic_time now) const
 {
@@ -232,7 +261,7 @@
     // The caller reused its port, and this is a late packet of the former flow or the first packet
     // seen of the new one.
     if (flow->isOpen && flow->upstream != upstream) {
-        *flow = {};
+        m_flowTable.reset(*flow);
         flow->acknowledged = packet.acknowledged;
     }
     flow->lastSeenAt = now;
@@ -243,7 +272,7 @@
     if (!flow->isOpen)
         flow->acknowledged = packet.acknowledged;
     flow->isOpen = true;
-    flow->upstream = upstream;
+    m_flowTable.assign(*flow, upstream);
     trackAcknowledgement(packet, *flow, now, decision);
     trackRequest(packet, *flow, now, decision);
 }
@@ -264,6 +293,9 @@
     const auto latency = now - flow.requestStartedAt;
     if (flow.requestStartedAt.count() > 0 && latency < m_settings.maxLatency) {
         m_latencies.noteAnswered(upstream, latency, now);
+        if (const route *selected = m_routes.find(packet.flow.service))
+            m_admission.recordLatency(decision.upstream->announced.service, latency,
+                                      selected->targetLatency, now);
         decision.latency = latency;
     }
     flow.requestStartedAt = monotonic_time {0};
@@ -319,6 +351,16 @@
         m_requestsInProgress.add({packet.flow, now, firstAge, selected->targetLatency});
 }
 
+void forwarder::recordRequestInProgress(const watched_request &request, upstream_id upstream,
+                                        monotonic_time now)
+{
+    const auto age = now - request.startedAt;
+    m_latencies.noteUnanswered(upstream, age, now);
+    const upstream_record *record = m_directory.find(upstream);
+    if (record != nullptr)
+        m_admission.recordInProgress(record->announced.service, age, request.maxAge, now);
+}
+
 void forwarder::sampleRequestsInProgress(monotonic_time now)
 {
     while (auto request = m_requestsInProgress.takeDue(now)) {
@@ -329,7 +371,7 @@
             continue;
         // Without any answer since the request this instance's own link may be down.
         if (m_lastAnswerAt > request->startedAt)
-            m_latencies.noteUnanswered(flow->upstream, now - request->startedAt, now);
+            recordRequestInProgress(*request, flow->upstream, now);
         request->nextAge *= 2;
         if (request->nextAge <= request->maxAge)
             m_requestsInProgress.add(*request);
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -5,6 +5,8 @@
 
 #pragma once
 
+#include "admission/admission_controller_base.h"
+#include "admission/refused_openings_base.h"
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
 #include "directory/directory_base.h"
@@ -21,6 +23,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -43,6 +46,7 @@
     Repeated,        ///< retransmitted opening packet, forwarded to the same upstream
     NoRoute,         ///< no route for the service address
     NoUpstream,      ///< the service has no upstream that takes new flows
+    NoCapacity,      ///< the service is overloaded, or its upstreams have enough connections
     NoTag,           ///< packet of an open flow without a steering tag
     UnknownTag,      ///< the tag names no upstream for this service address
     FromUpstream,    ///< looks like an answer of an upstream
@@ -53,7 +57,7 @@
 };
 
 /** Number of reasons, for counter tables. */
-inline constexpr std::size_t packetReasonCount = 14;
+inline constexpr std::size_t packetReasonCount = 15;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -78,6 +82,9 @@
     monotonic_time evidenceAge {0};
     /// Latency of the request whose answer this packet acknowledges; 0 for none.
     monotonic_time latency {0};
+    /// For NoCapacity, the service; valid until the configuration changes. Null otherwise.
+    const std::string *service = nullptr;
+    service_load load {}; ///< of that service
 };
 
 /** Times and capacities of the data path. */
@@ -141,6 +148,15 @@
         m_hedgeBudget.setPercent(policy.budgetPercent);
     }
 
+    /** Turns admission control and the limit on connections on or off. */
+    void setAdmissionPolicy(const admission_policy &policy);
+
+    /** Load of the services, as observed by this instance. */
+    const admission_controller &admission() const { return m_admission; }
+
+    /** Discards observations of load: the process was suspended, and answers waited for it. */
+    void noteResumed(monotonic_time now) { m_admission.noteResumed(now); }
+
     /** Stops tracking idle flows; called about once per second. */
     void expire(monotonic_time now);
 
@@ -155,6 +171,8 @@
 private:
     packet_decision decideOpening(const caller_packet &packet, bool isStateFresh,
                                   monotonic_time now);
+    packet_decision refuseForCapacity(const caller_packet &packet, const std::string &service,
+                                      bool isStateFresh, monotonic_time now);
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
     /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
@@ -170,6 +188,8 @@
     void trackRequest(const caller_packet &packet, flow_entry &flow, monotonic_time now,
                       packet_decision &decision);
     void watchRequest(const caller_packet &packet, monotonic_time now);
+    void recordRequestInProgress(const watched_request &request, upstream_id upstream,
+                                 monotonic_time now);
 
     const routing_table &m_routes;
     const upstream_directory &m_directory;
@@ -180,6 +200,8 @@
     flow_table m_flowTable;
     request_watch_list m_requestsInProgress;
     hedge_budget m_hedgeBudget;
+    admission_controller m_admission;
+    refused_openings m_refusedOpenings;
     monotonic_time m_lastAnswerAt {0}; ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
     /// so answers to earlier requests may be acknowledged through another instance.
--- a/src/forward/request_watch_list_base.h
+++ b/src/forward/request_watch_list_base.h
@@ -20,7 +20,7 @@
     flow_key flow;
     monotonic_time startedAt {0};
     monotonic_time nextAge {0}; ///< at which it is due
-    monotonic_time maxAge {0};  ///< at which it is last due
+    monotonic_time maxAge {0};  ///< at which it is last due; the target latency of its route
 };
 
 /** Priority queue of requests. A request that was answered stays until it is due. */
