--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -74,6 +74,9 @@
         out, "hedge_budget_percent", "gauge",
         "Extra work that the policy allows, in percent of repeatable requests; 0 is off.");
     out << prefix << "hedge_budget_percent " << gauges.hedgeBudgetPercent << '\n';
+    writeMetadata(out, "refused_fraction", "gauge",
+                  "Highest fraction of the new flows of a service that are refused for its load.");
+    out << prefix << "refused_fraction " << gauges.highestRefusedFraction << '\n';
     writeMetadata(out, "ready", "gauge", "Whether the fabric may send packets here.");
     out << prefix << "ready " << (gauges.isReady ? 1 : 0) << '\n';
     writeMetadata(out, "state_age_seconds", "gauge", "Time since the store's state was confirmed.");
--- a/src/entry/entry_metrics_base.h
+++ b/src/entry/entry_metrics_base.h
@@ -63,7 +63,9 @@
     double hedgeBudgetPercent = 0;        ///< 0 if hedging is off
     std::uint64_t hedgesRefused = 0;
     double hedgingDelaySeconds = 0; ///< 0 while hedging is off
-    double stateAgeSeconds = 0;     ///< since this state was last confirmed as the newest
+    std::uint64_t servicesOverloaded = 0;
+    double highestRefusedFraction = 0; ///< of new flows, of all services and priorities
+    double stateAgeSeconds = 0;        ///< since this state was last confirmed as the newest
     bool isReady = false;
     std::vector<store_call_count> storeCalls;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -118,6 +118,9 @@
                  {"domain", m_settings.domain},
                  {"data", toString(m_settings.dataAddress)},
                  {"store", toString(m_settings.storeAddress)}});
+    m_forwarder.setOverloadCheck([this](const std::string &service) {
+        return m_forwarder.admission().isOverloaded(service, m_suspensionDetector.lastActivityAt());
+    });
     if (m_policySource)
         applyPolicy(m_policy);
     m_suspensionDetector = suspension_detector(m_clock.now());
@@ -158,6 +161,7 @@
     if (!gap)
         return;
     m_health.noteResumed(m_suspensionDetector.lastActivityAt());
+    m_forwarder.noteResumed(m_suspensionDetector.lastActivityAt());
     m_log.write("resumed", {{"gap_ms", formatMilliseconds(*gap)}});
 }
 
@@ -216,6 +220,7 @@
                                      m_gossip.countRegisteredPeers() + 1);
     m_placement.setWarmupLimits(m_routes.config().warmupRates,
                                 m_state.instances().size() + m_state.formerInstances().size());
+    updateConnectionLimits();
     m_gossip.announceChanges();
     m_peers.flush();
     if (!m_state.isSynchronised() || !m_packetProcessor.hasHeldPackets())
@@ -228,6 +233,17 @@
     m_data.flush();
 }
 
+void entry_process::updateConnectionLimits()
+{
+    // Counting thousands of instances for each message of a peer would take too long.
+    const auto version = std::pair(m_state.instancesVersion(), m_state.formerInstances().size());
+    if (version != m_countedInstances) {
+        m_countedInstances = version;
+        m_instancesByDomain = m_state.countInstancesByDomain();
+    }
+    m_placement.setConnectionLimits({m_routes.config().maxConnections, m_instancesByDomain});
+}
+
 void entry_process::onUpstreamsLoaded()
 {
     const auto released = m_packetProcessor.releaseHeldPackets();
@@ -428,6 +444,7 @@
 {
     m_policy = policy;
     m_placement.setBalancingPolicy(policy.balancing);
+    m_forwarder.setAdmissionPolicy(policy.admission);
     m_forwarder.setHedgingPolicy(policy.hedging);
     m_log.write("policy_applied",
                 {{"admission", policy.admission.isEnabled ? "1" : "0"},
@@ -499,6 +516,8 @@
     gauges.upstreamsSuspected = m_placement.countSuspected(now);
     gauges.upstreamsDead = m_health.countDead();
     gauges.upstreamsStalled = m_health.stalledUpstreams().size();
+    gauges.servicesOverloaded = m_forwarder.admission().countOverloaded(now);
+    gauges.highestRefusedFraction = m_forwarder.admission().highestFraction(now);
     gauges.flowsObserved = m_forwarder.countTrackedFlows();
     gauges.instances = m_state.instances().size();
     gauges.storeItemsMalformed = m_store.itemsMalformed();
--- a/src/entry/entry_process_base.h
+++ b/src/entry/entry_process_base.h
@@ -34,10 +34,13 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicoryhead {
@@ -77,6 +80,7 @@
     void onPeerDatagram(std::span<const std::byte> bytes, const endpoint &from);
     void onDatagram(std::span<const std::byte> bytes);
     void onStateUpdated();
+    void updateConnectionLimits();
     void onUpstreamsLoaded();
     void recordActivity();
 
@@ -132,6 +136,9 @@
     asio::steady_timer m_hedgeTimer;
     asio::signal_set m_signals;
     graceful_shutdown m_shutdown;
+    std::map<std::string, std::size_t> m_instancesByDomain;
+    /// Version of the instances, and number of former ones, that m_instancesByDomain is from.
+    std::pair<std::uint64_t, std::size_t> m_countedInstances;
     monotonic_time m_tickDueAt {0};
     monotonic_time m_nextSecondTickAt {0};
     std::optional<monotonic_time> m_hedgesDueAt; ///< when m_hedgeTimer expires; empty if not set
--- a/src/entry/table/entry_metrics_table.h
+++ b/src/entry/table/entry_metrics_table.h
@@ -31,7 +31,7 @@
     std::uint64_t entry_gauges::*member;
 };
 
-inline constexpr std::array<gauge_descriptor, 22> gaugeTable {{
+inline constexpr std::array<gauge_descriptor, 23> gaugeTable {{
     {"config_version", "Version of the configuration in force.", &entry_gauges::configVersion},
     {"routes", "Routes in force.", &entry_gauges::routes},
     {"upstreams", "Upstreams known, gone ones with open flows included.", &entry_gauges::upstreams},
@@ -43,6 +43,8 @@
      &entry_gauges::upstreamsDead},
     {"upstreams_stalled", "Upstreams that acknowledge requests and answer none.",
      &entry_gauges::upstreamsStalled},
+    {"services_overloaded", "Services whose requests wait for too long.",
+     &entry_gauges::servicesOverloaded},
     {"flows_observed", "Flows seen lately.", &entry_gauges::flowsObserved},
     {"instances", "Instances known to this one.", &entry_gauges::instances},
     {"store_items_malformed", "Items of the store that could not be decoded, since the start.",
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -11,6 +11,7 @@
 
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
+#include "placement/flow_count_base.h"
 
 #include <algorithm>
 #include <array>
@@ -39,8 +40,9 @@
     /// The upstream has accepted the flow: it answered a request, or another instance saw the flow
     /// being opened.
     bool isAccepted = false;
-    upstream_id upstream = noUpstream; ///< upstream that the last packet was sent to
-    monotonic_time placedAt {0};       ///< when an upstream was last selected for the flow
+    /// Upstream that the last packet was sent to; set by flow_table::assign().
+    upstream_id upstream = noUpstream;
+    monotonic_time placedAt {0}; ///< when an upstream was last selected for the flow
     monotonic_time lastSeenAt {0};
     /// When the first transmission of the opening packet was forwarded; 0 if it was not seen.
     monotonic_time openingSeenAt {0};
@@ -78,6 +80,12 @@
 
     void remove(const flow_key &flow);
 
+    /** Sets the upstream of an entry of this table. */
+    void assign(flow_entry &entry, upstream_id upstream);
+
+    /** Clears an entry of this table. */
+    void reset(flow_entry &entry);
+
     /** Removes and returns the open flows whose last packet was sent to an upstream. */
     std::vector<std::pair<flow_key, flow_entry>> extractOpenFlows(upstream_id upstream);
 
@@ -89,6 +97,9 @@
     /** Number of flows by the upstream that their last packet was sent to. */
     std::map<upstream_id, std::uint64_t> countByUpstream() const;
 
+    /** The same numbers by upstream, without a copy. */
+    const flow_count &flowCount() const { return m_flowCount; }
+
 private:
     struct key_hash
     {
@@ -97,6 +108,7 @@
 
     std::size_t m_capacity;
     std::unordered_map<flow_key, flow_entry, key_hash> m_entries;
+    flow_count m_flowCount; ///< agrees with the entries that have an upstream
 };
 
 } // namespace chicoryhead
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -5,6 +5,8 @@
 
 #pragma once
 
+#include "admission/admission_controller_base.h"
+#include "admission/refused_openings_base.h"
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
 #include "directory/directory_base.h"
@@ -51,6 +53,7 @@
     Repeated,        ///< retransmitted opening packet, forwarded to the same upstream
     NoRoute,         ///< no route for the service address
     NoUpstream,      ///< the service has no upstream that takes new flows
+    NoCapacity,      ///< the service is overloaded, or its upstreams have enough connections
     NoTag,           ///< packet of an open flow without a steering tag
     UnknownTag,      ///< the tag names no upstream for this service address
     FromUpstream,    ///< looks like an answer of an upstream
@@ -63,7 +66,7 @@
 };
 
 /** Number of reasons, for counter tables. */
-inline constexpr std::size_t packetReasonCount = 16;
+inline constexpr std::size_t packetReasonCount = 17;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -89,6 +92,9 @@
     monotonic_time evidenceAge {0};
     /// Latency of the request whose answer this packet acknowledges; 0 for none.
     monotonic_time latency {0};
+    /// For NoCapacity, the service; valid until the configuration changes. Null otherwise.
+    const std::string *service = nullptr;
+    service_load load {}; ///< of that service
 };
 
 /** An opening packet to be sent to a second upstream. */
@@ -221,6 +227,15 @@
 
     double hedgeBudgetPercent() const { return m_hedgeBudget.percent(); }
 
+    /** Turns admission control and the limit on connections on or off. */
+    void setAdmissionPolicy(const admission_policy &policy);
+
+    /** Load of the services, as observed by this instance. */
+    const admission_controller &admission() const { return m_admission; }
+
+    /** Discards observations of load: the process was suspended, and answers waited for it. */
+    void noteResumed(monotonic_time now) { m_admission.noteResumed(now); }
+
     /** Stops tracking idle flows; called about once per second. */
     void expire(monotonic_time now);
 
@@ -242,6 +257,8 @@
                                              monotonic_time now);
     static const std::string &serviceOf(const route &selected, const flow_key &flow,
                                         std::uint32_t openingSequence);
+    packet_decision refuseForCapacity(const caller_packet &packet, const std::string &service,
+                                      bool isStateFresh, monotonic_time now);
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
     /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
@@ -263,6 +280,8 @@
     /** Whether the callers of a flow may repeat its requests. */
     bool isRepeatable(const flow_key &flow) const;
     packet_decision endStalled(const upstream_record *upstream, monotonic_time now) const;
+    void recordRequestInProgress(const watched_request &request, upstream_id upstream,
+                                 monotonic_time now);
 
     const routing_table &m_routes;
     const upstream_directory &m_directory;
@@ -281,6 +300,8 @@
     opening_hedger m_hedger; ///< enabled if and only if m_hedgeBudget is
     overload_check m_isOverloaded;
     std::uint64_t m_hedgesRefused = 0; ///< by the budget
+    admission_controller m_admission;
+    refused_openings m_refusedOpenings;
     monotonic_time m_lastAnswerAt {0}; ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
     /// so answers to earlier requests may be acknowledged through another instance.
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -7,6 +7,7 @@
 
 #include "balancing/expected_wait_weight_base.h"
 #include "balancing/speed_tracker_base.h"
+#include "connection_limit_base.h"
 #include "latency_tracker_base.h"
 #include "placement_base.h"
 #include "placement_rule_base.h"
@@ -46,6 +47,8 @@
     std::optional<upstream_id> chooseUnsuspected(const std::string &service,
                                                  std::span<const upstream_id> tried,
                                                  monotonic_time now) override;
+    void setFlowCount(const flow_count *counts) override;
+    bool hasReachedConnectionLimit(const std::string &service) const override;
     bool recordConnectFailure(upstream_id upstream, monotonic_time now) override;
     bool recordConnectSuccess(upstream_id upstream) override;
     bool recordUnansweredRequest(upstream_id upstream, monotonic_time age,
@@ -80,6 +83,9 @@
      */
     placement_trace trace(const std::string &service, monotonic_time now) const;
 
+    /** Sets the connection limits of upstreams, which apply once setFlowCount() was called. */
+    void setConnectionLimits(connection_limits limits);
+
     /** Whether an upstream is avoided because it did not answer. */
     bool isSuspected(upstream_id upstream, monotonic_time now) const;
 
@@ -110,6 +116,7 @@
     upstream_suspicion m_suspicion;
     path_suspicion m_pathSuspicion;
     warmup_limit m_warmupLimit;
+    connection_limit m_connectionLimit;
     latency_tracker m_latencies;
     weighted_round_robin m_roundRobin;
     std::vector<const tier_rule *> m_tierRules; ///< the least preferred tier of all rules applies
