Stalled upstreams: rolling restarts no longer discard all evidence

Cause: flows from other instances arrive for seconds after each step of a rolling restart, and each arrival discarded all evidence of requests that were in progress. Change: a request from before such an arrival counts if a flow that was tracked before it got an answer here in the second half of its waiting time; the fabric moves nearly all flows at once.

--- a/src/forward/flow_table.cpp
+++ b/src/forward/flow_table.cpp
@@ -19,6 +19,7 @@
         return nullptr;
     flow_entry &added = m_entries[flow];
     reset(added);
+    added.trackedSince = now;
     added.lastSeenAt = now;
     return &added;
 }
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -42,7 +42,8 @@
     bool isAccepted = false;
     /// Upstream that the last packet was sent to; set by flow_table::assign().
     upstream_id upstream = noUpstream;
-    monotonic_time placedAt {0}; ///< when an upstream was last selected for the flow
+    monotonic_time placedAt {0};     ///< when an upstream was last selected for the flow
+    monotonic_time trackedSince {0}; ///< when its first packet arrived here
     monotonic_time lastSeenAt {0};
     /// When the first transmission of the opening packet was forwarded; 0 if it was not seen.
     monotonic_time openingSeenAt {0};
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -364,10 +364,13 @@
     m_lastAnswerAt = now;
     // Only a packet without data is a timely answer: the acknowledgement in a new request may refer
     // to an answer from long before.
-    if (packet.dataBytes == 0)
+    if (packet.dataBytes == 0) {
         m_health.noteAnswered(upstream, now);
-    else
+        if (m_hedgeBudget.isEnabled())
+            m_answerHistory.add(now, flow.trackedSince);
+    } else {
         m_health.noteEarlierAnswer(upstream, now);
+    }
     const auto latency = now - flow.requestStartedAt;
     if (flow.requestStartedAt.count() > 0 && latency < m_settings.maxLatency) {
         m_latencies.noteAnswered(upstream, latency, now);
@@ -474,8 +477,7 @@
         if (flow == nullptr)
             continue;
         const bool isStalled = request->nextAge >= request->maxAge;
-        // The answers to requests from before a takeover may be acknowledged elsewhere.
-        if (flow->isRequestSentOnce && request->startedAt > m_lastTakeoverAt && !m_isStopping)
+        if (flow->isRequestSentOnce && !m_isStopping && !mayHaveMoved(*request, now))
             m_health.noteStalledRequest(flow->upstream, request->startedAt,
                                         isStalled ? stall_level::Stalled : stall_level::Waiting,
                                         now);
@@ -488,6 +490,17 @@
     }
 }
 
+/// Whether the fabric may have moved the flow of a request to another instance, which then sees the
+/// acknowledgement of the answer. Packets of flows from elsewhere show that it moves flows. In a
+/// rolling restart they arrive for seconds after each move, so the request counts nevertheless if a
+/// flow from before it got an answer here in the second half of its waiting time.
+bool forwarder::mayHaveMoved(const watched_request &request, monotonic_time now) const
+{
+    const auto middle = request.startedAt + (now - request.startedAt) / 2;
+    return request.startedAt <= m_lastTakeoverAt
+        && !m_answerHistory.hasAnswer(request.startedAt, middle);
+}
+
 const flow_entry *forwarder::findInProgress(const watched_request &request)
 {
     const flow_entry *flow = m_flowTable.find(request.flow);
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -7,6 +7,7 @@
 
 #include "admission/admission_controller_base.h"
 #include "admission/refused_openings_base.h"
+#include "answer_history_base.h"
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
 #include "directory/directory_base.h"
@@ -277,6 +278,7 @@
     /** The flow of a watched request; null if the request is no longer in progress. */
     const flow_entry *findInProgress(const watched_request &request);
     void noteStalledRequests(monotonic_time now);
+    bool mayHaveMoved(const watched_request &request, monotonic_time now) const;
     /** Whether the callers of a flow may repeat its requests. */
     bool isRepeatable(const flow_key &flow) const;
     packet_decision endStalled(const upstream_record *upstream, monotonic_time now) const;
@@ -295,6 +297,7 @@
     /// stalled, the latter at their maxAge. Empty while hedging is off.
     request_watch_list m_possiblyStalled;
     std::vector<watched_request> m_stalledRequests; ///< in progress beyond that age
+    answer_history m_answerHistory;                 ///< empty while hedging is off
     bool m_isStopping = false;
     hedge_budget m_hedgeBudget;
     opening_hedger m_hedger; ///< enabled if and only if m_hedgeBudget is
--- a/tests/test_stalled_upstreams.cpp
+++ b/tests/test_stalled_upstreams.cpp
@@ -240,6 +240,36 @@
     CHECK_FALSE(fixture.isAnyAvoiding());
 }
 
+TEST_CASE("A rolling restart does not hide an upstream that hangs", "[stall]")
+{
+    // Guards against flows that arrive from other instances all the time and discard all evidence.
+    stall_fixture fixture;
+    std::vector<open_flow> lasting;
+    for (data_path *instance : fixture.instances)
+        lasting.push_back(instance->open(working, fixture.now));
+    fixture.run(1050ms);
+    fixture.hang();
+    const bool isAnswered = GENERATE(true, false);
+    for (std::uint16_t i = 0; fixture.now < 2800ms; ++i) {
+        for (std::size_t j = 0; j < lasting.size(); ++j) {
+            const auto moved =
+                makeData(static_cast<std::uint16_t>(60000 + i), lasting[j].tag, 1, 1, 0);
+            fixture.instances[j]->path.decide(moved, true, fixture.now);
+            const auto sequence = 1U + i;
+            if (!isAnswered)
+                continue;
+            fixture.instances[j]->path.decide(
+                makeData(lasting[j].port, lasting[j].tag, sequence, 500 + i * 10U, 1), true,
+                fixture.now);
+            fixture.instances[j]->path.decide(
+                makeData(lasting[j].port, lasting[j].tag, sequence + 1, 505 + i * 10U, 0), true,
+                fixture.now);
+        }
+        fixture.run(fixture.now + 50ms);
+    }
+    CHECK(fixture.first.isStalled() == isAnswered);
+}
+
 TEST_CASE("An upstream that is full and still answers is never stalled", "[stall]")
 {
     // Guards against resets of working flows under overload: the waiting requests are forwarded
