Stalled upstreams: flows are reset only if another upstream takes new flows

Cause: if all upstreams of a service hang, each attempt of a caller was reset within milliseconds, although a request that waits may still be answered late. Found in review. Change: resets need an upstream of the service that takes new flows and is not suspected.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -225,7 +225,7 @@
     // A flow that another instance handled before needs no token either: a stalled upstream
     // acknowledges requests, so data that arrives here is the start of a new one.
     if (isStalled && decision.isFirstRequestPacket && isRepeatable(packet.flow)
-        && m_health.isStalled(upstream->id)) {
+        && m_health.isStalled(upstream->id) && hasAlternative(*upstream, now)) {
         m_flowTable.remove(packet.flow);
         return endStalled(upstream, now);
     }
@@ -274,7 +274,8 @@
         if (flow == nullptr || now - request.startedAt > m_settings.maxStalledRequestAge)
             return true;
         const bool isEnded = m_hedgeBudget.isEnabled() && m_health.isStalled(flow->upstream)
-            && isRepeatable(request.flow) && m_hedgeBudget.tryTake();
+            && isRepeatable(request.flow) && hasAlternative(*m_directory.find(flow->upstream), now)
+            && m_hedgeBudget.tryTake();
         if (!isEnded)
             return false;
         stalled_flow ended;
@@ -490,6 +491,13 @@
     }
 }
 
+/// Whether the caller of a flow that is reset finds another upstream. If all upstreams of a service
+/// are stalled, its requests may still be answered late.
+bool forwarder::hasAlternative(const upstream_record &upstream, monotonic_time now) const
+{
+    return m_placement.hasUnsuspected(upstream.announced.service, now);
+}
+
 /// Whether the fabric may have moved the flow of a request to another instance, which then sees the
 /// acknowledgement of the answer. Packets of flows from elsewhere show that it moves flows. In a
 /// rolling restart they arrive for seconds after each move, so the request counts nevertheless if a
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -279,6 +279,7 @@
     const flow_entry *findInProgress(const watched_request &request);
     void noteStalledRequests(monotonic_time now);
     bool mayHaveMoved(const watched_request &request, monotonic_time now) const;
+    bool hasAlternative(const upstream_record &upstream, monotonic_time now) const;
     /** Whether the callers of a flow may repeat its requests. */
     bool isRepeatable(const flow_key &flow) const;
     packet_decision endStalled(const upstream_record *upstream, monotonic_time now) const;
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -273,6 +273,13 @@
     return capacity;
 }
 
+bool domain_first_placement::hasUnsuspected(const std::string &service, monotonic_time now) const
+{
+    const auto tiers = groupByTier(m_directory.findByService(service), {}, now);
+    return !tiers.of(upstream_tier::LocalDomain).empty()
+        || !tiers.of(upstream_tier::RemoteDomain).empty();
+}
+
 bool domain_first_placement::recordConnectFailure(upstream_id upstream, monotonic_time now)
 {
     const auto *record = m_directory.find(upstream);
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -49,6 +49,7 @@
                                                  monotonic_time now) override;
     void setFlowCount(const flow_count *counts) override;
     bool hasReachedConnectionLimit(const std::string &service) const override;
+    bool hasUnsuspected(const std::string &service, monotonic_time now) const override;
     bool recordConnectFailure(upstream_id upstream, monotonic_time now) override;
     bool recordConnectSuccess(upstream_id upstream) override;
     bool recordUnansweredRequest(upstream_id upstream, monotonic_time age,
--- a/tests/test_stalled_upstreams.cpp
+++ b/tests/test_stalled_upstreams.cpp
@@ -358,6 +358,22 @@
     CHECK(fixture.first.path.extractStalledFlows(fixture.now).size() == 2);
 }
 
+TEST_CASE("Flows are left alone if no other upstream of the service takes them", "[stall]")
+{
+    // Guards against callers whose attempts are all reset within milliseconds when every upstream
+    // of a service hangs.
+    stall_fixture fixture;
+    const auto idle = fixture.first.open(hung, fixture.now);
+    fixture.first.requestFrom(hung, fixture.now, 15);
+    fixture.second.requestFrom(hung, fixture.now, 1);
+    fixture.run(2300ms);
+    REQUIRE(fixture.first.isStalled());
+    fixture.first.placement.markSuspected(fixture.first.idOf(hung), true, fixture.now);
+    fixture.first.placement.markSuspected(fixture.first.idOf(working), true, fixture.now);
+    CHECK(fixture.first.path.extractStalledFlows(fixture.now).empty());
+    CHECK(fixture.first.request(idle, fixture.now).reason == packet_reason::Steered);
+}
+
 TEST_CASE("Evidence from before a restart under the same name tells nothing", "[stall]")
 {
     stall_fixture fixture;
