Stalled upstreams: review fixes of evidence, avoidance and replies

Cause (found in review): requests of flows that may have moved, and of a stopping instance, were no evidence but could still be reset; avoiding an upstream bypassed the limit on suspected upstreams; replies had no limit of size; a test section could not fail for retransmissions. Change: only requests that are evidence are kept for resets; avoidance respects the limit, a stalled upstream does not; replies stop before the limit of a message; the section covers both cases.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -319,7 +319,7 @@
         m_placement.recordConnectSuccess(change.upstream);
         break;
     case health_state::Silent:
-        m_placement.markSuspected(change.upstream, change.isAvoidedForStalls, now);
+        m_placement.markSuspected(change.upstream, false, now);
         break;
     case health_state::Stalled:
         m_placement.markSuspected(change.upstream, true, now);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -223,7 +223,8 @@
     const bool isStalled = m_hedgeBudget.isEnabled() && m_health.isStalled(upstream->id);
     trackOpenFlow(packet, now, decision);
     // A flow that another instance handled before needs no token either: a stalled upstream
-    // acknowledges requests, so data that arrives here is the start of a new one.
+    // acknowledges requests, so its data starts a new one unless a packet was lost or the flow
+    // moved in the middle of a request.
     if (isStalled && decision.isFirstRequestPacket && isRepeatable(packet.flow)
         && m_health.isStalled(upstream->id) && hasAlternative(*upstream, now)) {
         m_flowTable.remove(packet.flow);
@@ -271,7 +272,8 @@
     std::vector<stalled_flow> extracted;
     std::erase_if(m_stalledRequests, [&](const watched_request &request) {
         const flow_entry *flow = findInProgress(request);
-        if (flow == nullptr || now - request.startedAt > m_settings.maxStalledRequestAge)
+        if (flow == nullptr || m_isStopping
+            || now - request.startedAt > m_settings.maxStalledRequestAge)
             return true;
         const bool isEnded = m_hedgeBudget.isEnabled() && m_health.isStalled(flow->upstream)
             && isRepeatable(request.flow) && hasAlternative(*m_directory.find(flow->upstream), now)
@@ -478,14 +480,16 @@
         if (flow == nullptr)
             continue;
         const bool isStalled = request->nextAge >= request->maxAge;
-        if (flow->isRequestSentOnce && !m_isStopping && !mayHaveMoved(*request, now))
+        const bool isEvidence =
+            flow->isRequestSentOnce && !m_isStopping && !mayHaveMoved(*request, now);
+        if (isEvidence)
             m_health.noteStalledRequest(flow->upstream, request->startedAt,
                                         isStalled ? stall_level::Stalled : stall_level::Waiting,
                                         now);
         if (!isStalled) {
             request->nextAge = request->maxAge;
             m_possiblyStalled.add(*request);
-        } else if (m_stalledRequests.size() < m_settings.maxTrackedFlows) {
+        } else if (isEvidence && m_stalledRequests.size() < m_settings.maxTrackedFlows) {
             m_stalledRequests.push_back(*request);
         }
     }
--- a/src/health/upstream_health.cpp
+++ b/src/health/upstream_health.cpp
@@ -652,9 +652,10 @@
                                                       monotonic_time now) const
 {
     std::vector<liveness_report> replies;
+    std::size_t reporters = 0;
     for (const liveness_report &report : reports) {
         const auto *record = m_directory.findByTag(report.upstream);
-        if (record == nullptr || report.reporters.empty())
+        if (record == nullptr || report.reporters.empty() || reporters > maxReplyReporters())
             continue;
         const auto entry = m_entries.find(record->id);
         if (entry == m_entries.end())
@@ -678,8 +679,10 @@
                                      && requestReporters < m_limits.minDeadReporters)
             || (entry->second.state == health_state::Stalled
                 && stallReporters < m_limits.minStallReporters);
-        if (isRefutation || isConfirmation)
+        if (isRefutation || isConfirmation) {
             replies.push_back(makeReport(*record, entry->second, now));
+            reporters += replies.back().reporters.size();
+        }
     }
     return replies;
 }
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -330,6 +330,12 @@
         monotonic_time lastAt {0}; ///< latest of all reporters; 0 if there is none
     };
 
+    /// A report has at most maxReporters + maxStallReporters, so that replies stay below the limit
+    /// of a message.
+    std::size_t maxReplyReporters() const
+    {
+        return m_limits.maxReportersWithStalls - m_limits.maxReporters - m_limits.maxStallReporters;
+    }
     static stall_summary summarizeStalls(const health_entry &entry);
     void addStall(const upstream_record &record, health_entry &entry, const stall_reporter &seen);
     bool makeRoomForStall(health_entry &entry, const stall_reporter &seen) const;
--- a/tests/test_stalled_upstreams.cpp
+++ b/tests/test_stalled_upstreams.cpp
@@ -191,11 +191,11 @@
     }
     SECTION("requests were sent again, or have several packets")
     {
+        const std::uint32_t sequence = GENERATE(1, 91);
         for (data_path *instance : {&fixture.first, &fixture.second}) {
             for (int i = 0; i < 3; ++i) {
                 const auto flow = instance->open(hung, fixture.now);
                 instance->request(flow, fixture.now);
-                const std::uint32_t sequence = i == 0 ? 1 : 91;
                 instance->path.decide(makeData(flow.port, flow.tag, sequence, 500, 90), true,
                                       fixture.now + 100ms);
             }
