Admission control: review fixes

Cause (found in review): flows that spill over to an idle domain were refused for the load of the local one; at the connection limit, flows went to upstreams that don't answer; refusals were dropped while the state was old; a configuration from an older build kept the limits out until the next version; ages below the best latency counted as delay; a small limit rounded to no flow at all; a copy of an admitted opening packet could be refused; a flow table entry kept a fourth upstream also without hedging. Change: only flows that are placed in the local domain are refused for load; suspected upstreams get no flow for want of connections elsewhere; refusals for capacity are resets; an equal version adds missing limits. A test for the limits of learned speeds is new, since the share alone could not tell 4 from 5.

--- a/src/admission/overload_detector.cpp
+++ b/src/admission/overload_detector.cpp
@@ -29,6 +29,10 @@
 void overload_detector::addInProgress(monotonic_time age, monotonic_time targetLatency,
                                       monotonic_time now)
 {
+    // Below the best latency an age is no delay, whatever it is doubled to.
+    const auto baseline = m_baselines.find(targetLatency);
+    if (baseline != m_baselines.end() && static_cast<double>(age.count()) <= baseline->second.best)
+        return;
     const auto sample = measure(2 * static_cast<double>(age.count()), targetLatency);
     if (!sample || sample->ratio < m_settings.calmRatio)
         return;
--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -56,6 +56,9 @@
     std::uint32_t requestSequence = 0; ///< sequence number of the first data of the latest request
     std::uint32_t acknowledged = 0;    ///< highest acknowledgement number from the caller
 
+    /** Upstreams that the opening packet may be recorded for. */
+    std::size_t maxTriedCount() const { return isHedged ? maxTried : maxTried - 1; }
+
     std::span<const upstream_id> triedUpstreams() const { return {tried.data(), triedCount}; }
 
     /** Whether the opening packet was sent to an upstream. */
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -119,9 +119,8 @@
         flow != nullptr && flow->openingSequence == packet.sequence && flow->triedCount > 0;
     // A copy whose first transmission was not seen here was admitted by another instance.
     const bool isFirst = !isRetransmission && packet.acknowledged == 0;
-    if (m_refusedOpenings.contains(packet.flow, packet.sequence, now)
-        || (isFirst && !m_admission.admits(service, selected->priority, now)))
-        return refuseForCapacity(packet, service, isStateFresh, now);
+    if (m_refusedOpenings.contains(packet.flow, packet.sequence, now))
+        return refuseForCapacity(packet, service, now);
     const upstream_record *unansweredBy = nullptr;
     bool isNewlySuspected = false;
     if (isRetransmission) {
@@ -134,10 +133,21 @@
         unansweredBy = m_directory.find(flow->upstream);
     }
     const auto chosen = chooseUpstream(service, isRetransmission ? flow : nullptr, now);
-    if (!chosen && m_placement.hasReachedConnectionLimit(service))
-        return refuseForCapacity(packet, service, isStateFresh, now);
+    if (!chosen && m_placement.hasReachedConnectionLimit(service)) {
+        // An upstream may have accepted an earlier transmission.
+        const upstream_record *earlier =
+            isRetransmission ? m_directory.find(flow->upstream) : nullptr;
+        return earlier != nullptr ? forwardTo(packet, *earlier, packet_reason::Repeated)
+                                  : refuseForCapacity(packet, service, now);
+    }
     if (!chosen)
         return makeRefusal(packet_reason::NoUpstream, isStateFresh);
+    // The observed load is mostly that of the local domain. Flows that spill over leave it because
+    // remote upstreams answer faster.
+    const bool isAdmitted = !isFirst || !m_placement.isLocal(*chosen)
+        || m_admission.admits(service, selected->priority, now);
+    if (!isAdmitted)
+        return refuseForCapacity(packet, service, now);
 
     if (!isRetransmission) {
         m_flowTable.remove(packet.flow);
@@ -151,7 +161,7 @@
         flow->lastSeenAt = now;
         flow->placedAt = now;
         m_flowTable.assign(*flow, *chosen);
-        if (flow->triedCount < flow_entry::maxTried)
+        if (flow->triedCount < flow->maxTriedCount())
             flow->tried[flow->triedCount++] = *chosen;
     }
     const auto *upstream = m_directory.find(*chosen);
@@ -186,11 +196,11 @@
 }
 
 packet_decision forwarder::refuseForCapacity(const caller_packet &packet,
-                                             const std::string &service, bool isStateFresh,
-                                             monotonic_time now)
+                                             const std::string &service, monotonic_time now)
 {
     m_refusedOpenings.add(packet.flow, packet.sequence, now);
-    auto decision = makeRefusal(packet_reason::NoCapacity, isStateFresh);
+    // Unlike a missing route or upstream, the load doesn't depend on the age of the state.
+    packet_decision decision {packet_action::Reset, packet_reason::NoCapacity, nullptr, noTag};
     decision.service = &service;
     decision.load = m_admission.loadOf(service, now);
     return decision;
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -259,7 +259,7 @@
     static const std::string &serviceOf(const route &selected, const flow_key &flow,
                                         std::uint32_t openingSequence);
     packet_decision refuseForCapacity(const caller_packet &packet, const std::string &service,
-                                      bool isStateFresh, monotonic_time now);
+                                      monotonic_time now);
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
     /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
--- a/src/placement/connection_limit.cpp
+++ b/src/placement/connection_limit.cpp
@@ -38,7 +38,11 @@
     if (share <= 0)
         return false;
     const double rounding = hashToUnitInterval(mixHash(m_locality.seed, record.tag));
-    return count >= static_cast<std::uint64_t>(share + rounding);
+    const auto allowed = static_cast<std::uint64_t>(share + rounding);
+    // With fewer connections than instances, a local share may be 0 at every upstream, and the
+    // instance would refuse all flows of an idle service.
+    const bool isLocal = record.announced.domain == m_locality.domain;
+    return count >= (isLocal ? std::max<std::uint64_t>(allowed, 1) : allowed);
 }
 
 upstream_tier connection_limit::tierOf(const upstream_record &record, upstream_tier defaultTier,
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -102,6 +102,18 @@
     m_connectionLimit.setFlowCount(counts);
 }
 
+/// Whether an upstream that is not suspected gets no new flows because of the connection limit.
+bool domain_first_placement::isLimitedByConnections(const std::string &service,
+                                                    monotonic_time now) const
+{
+    const auto upstreams = m_directory.findByService(service);
+    return std::any_of(upstreams.begin(), upstreams.end(), [&](upstream_id id) {
+        const upstream_record &record = *m_directory.find(id);
+        return takesNewFlows(record) && !m_suspicion.isSuspected(id, now)
+            && m_connectionLimit.isReached(record);
+    });
+}
+
 bool domain_first_placement::hasReachedConnectionLimit(const std::string &service) const
 {
     const auto upstreams = m_directory.findByService(service);
@@ -117,6 +129,11 @@
 {
     auto tiers = groupByTier(m_directory.findByService(service), tried, now);
     m_suspicion.limitSuspected(tiers);
+    // Refusing a flow at once is better than placing it on an upstream that does not answer.
+    const bool hasTrusted = !tiers.of(upstream_tier::LocalDomain).empty()
+        || !tiers.of(upstream_tier::RemoteDomain).empty();
+    if (!hasTrusted && tried.empty() && isLimitedByConnections(service, now))
+        return std::nullopt;
     return selectFrom(tiers, service, now);
 }
 
@@ -273,6 +290,12 @@
     return capacity;
 }
 
+bool domain_first_placement::isLocal(upstream_id upstream) const
+{
+    const auto *record = m_directory.find(upstream);
+    return record != nullptr && record->announced.domain == m_locality.domain;
+}
+
 bool domain_first_placement::hasUnsuspected(const std::string &service, monotonic_time now) const
 {
     const auto tiers = groupByTier(m_directory.findByService(service), {}, now);
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -49,6 +49,7 @@
                                                  monotonic_time now) override;
     void setFlowCount(const flow_count *counts) override;
     bool hasReachedConnectionLimit(const std::string &service) const override;
+    bool isLocal(upstream_id upstream) const override;
     bool hasUnsuspected(const std::string &service, monotonic_time now) const override;
     bool recordConnectFailure(upstream_id upstream, monotonic_time now) override;
     bool recordConnectSuccess(upstream_id upstream) override;
@@ -96,6 +97,7 @@
 private:
     std::optional<upstream_id> selectFrom(const tiered_upstreams &tiers, const std::string &service,
                                           monotonic_time now);
+    bool isLimitedByConnections(const std::string &service, monotonic_time now) const;
     tiered_upstreams groupByTier(std::span<const upstream_id> upstreams,
                                  std::span<const upstream_id> tried, monotonic_time now) const;
     upstream_tier tierOf(const upstream_record &record, std::span<const upstream_id> tried,
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -50,6 +50,9 @@
     /** Whether an upstream of a service gets no new flows because that limit is reached. */
     virtual bool hasReachedConnectionLimit(const std::string &service) const = 0;
 
+    /** Whether an upstream is in the failure domain of this instance. */
+    virtual bool isLocal(upstream_id upstream) const = 0;
+
     /** Whether a service has an upstream that takes new flows and is not suspected. */
     virtual bool hasUnsuspected(const std::string &service, monotonic_time now) const = 0;
 
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -12,6 +12,9 @@
 
 bool routing_table::apply(routing_config config, monotonic_time now)
 {
+    // Instances of older releases pass configurations on without connection limits.
+    if (config.version == m_config.version && m_config.maxConnections.empty())
+        m_config.maxConnections = std::move(config.maxConnections);
     if (config.version <= m_config.version)
         return false;
     m_config = std::move(config);
--- a/src/routing/routing_base.h
+++ b/src/routing/routing_base.h
@@ -57,7 +57,8 @@
 public:
     /**
      * Applies a configuration.
-     * @return false if it is not newer than the one in effect, which is then kept.
+     * @return false if it is not newer than the one in effect, which is then kept; one of the same
+     * version adds connection limits that are not known yet.
      */
     bool apply(routing_config config, monotonic_time now);
 
--- a/tests/test_balancing.cpp
+++ b/tests/test_balancing.cpp
@@ -274,6 +274,23 @@
     }
 }
 
+TEST_CASE("Speeds stay from a quarter of the median to 4 times it", "[balancing]")
+{
+    // Guards against an upstream that rejects at once and attracts most of the new flows.
+    upstream_directory directory;
+    speed_tracker speeds(directory);
+    const std::array<monotonic_time, 5> latencies {1ms, 60ms, 60ms, 60ms, 900ms};
+    for (std::size_t i = 0; i < latencies.size(); ++i)
+        directory.announce(makeUpstream("i-" + std::to_string(i), "desk", "a"), 0s);
+    for (auto now = monotonic_time(1s); now < 5s; now += 100ms) {
+        for (std::size_t i = 0; i < latencies.size(); ++i)
+            speeds.addSample(directory.find("i-" + std::to_string(i))->id, latencies.at(i), now);
+    }
+    CHECK(speeds.speedOf(directory.find("i-0")->id, 5s) == 4);
+    CHECK(speeds.speedOf(directory.find("i-1")->id, 5s) == 1);
+    CHECK(speeds.speedOf(directory.find("i-4")->id, 5s) == 0.25);
+}
+
 TEST_CASE("An upstream that fails fast gets at most 4 times its share", "[balancing]")
 {
     queueing_fleet fleet(std::vector<double>(12, 1));
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -54,6 +54,22 @@
     CHECK(counts["unused"] == 0);
 }
 
+TEST_CASE("Connection limits that an older build left out are added later", "[routing]")
+{
+    // Guards against a fleet that stays without limits after an upgrade until the next version.
+    routing_table routes;
+    routing_config config;
+    config.version = 7;
+    REQUIRE(routes.apply(config, 1s));
+    config.maxConnections = {{"desk", 40}};
+    CHECK_FALSE(routes.apply(config, 2s));
+    CHECK(routes.config().maxConnections == config.maxConnections);
+    config.maxConnections = {{"desk", 50}};
+    CHECK_FALSE(routes.apply(config, 3s));
+    CHECK(routes.config().maxConnections.at("desk") == 40);
+    CHECK(routes.appliedAt() == 1s);
+}
+
 TEST_CASE("A route whose weights are all 0 uses its first service", "[routing]")
 {
     route split;
