Explain: load and connection limit of a service

Cause: explain named an upstream while admission control refused new flows (found in review). Change: the document has the service's queueing delay and refused fraction, no_capacity where the connection limit refuses, and the selection without trusted upstreams as the data path makes it.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -482,12 +482,13 @@
     if (!parsed)
         return {400, message + '\n'};
     const auto now = m_clock.now();
-    return {200,
-            renderExplanation(*parsed,
-                              {m_routes, m_directory, m_placement, m_health,
-                               m_state.isSynchronised(), now - m_state.confirmedAt()},
-                              now),
-            jsonType};
+    return {
+        200,
+        renderExplanation(*parsed,
+                          {m_routes, m_directory, m_placement, m_health, m_state.isSynchronised(),
+                           now - m_state.confirmedAt(), &m_forwarder.admission()},
+                          now),
+        jsonType};
 }
 
 std::vector<upstream_status> entry_process::collectUpstreamStatuses() const
--- a/src/entry/explain_document.cpp
+++ b/src/entry/explain_document.cpp
@@ -13,6 +13,8 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cmath>
+#include <sstream>
 #include <system_error>
 
 namespace chicoryhead {
@@ -79,8 +81,10 @@
     writeOptionalText(writer, "upstream",
                       trace.selected ? sources.directory.find(*trace.selected)->announced.name
                                      : std::string());
-    writeOptionalText(writer, "reason",
-                      trace.selected ? std::string_view() : toString(packet_reason::NoUpstream));
+    const auto refusal = sources.placement.hasReachedConnectionLimit(target.service)
+        ? packet_reason::NoCapacity
+        : packet_reason::NoUpstream;
+    writeOptionalText(writer, "reason", trace.selected ? std::string_view() : toString(refusal));
     writeNumber(writer, "spilled_share", trace.spilledShare);
     writeNumber(writer, "spillover_credit", trace.spilloverCredit);
     writer.Key("candidates");
@@ -103,6 +107,21 @@
     return routing_table::selectService(selected, mixHash(hashFlow(flow), *query.sequence));
 }
 
+/// Load of a service and what follows for its new flows; empty if it is not known.
+std::string admissionOf(const std::string &service, const explain_sources &sources,
+                        monotonic_time now)
+{
+    if (sources.admission == nullptr || service.empty())
+        return {};
+    const service_load load = sources.admission->loadOf(service, now);
+    std::ostringstream text;
+    text << (load.isOverloaded ? "overloaded" : "not overloaded") << ", queueing delay "
+         << std::chrono::duration_cast<std::chrono::milliseconds>(load.queueingDelay).count()
+         << " ms, refuses " << std::llround(load.refusedFraction * 100)
+         << "% of the new flows of the lowest priority in the local domain";
+    return text.str();
+}
+
 /// Reason for which all flows to the service address are refused; empty if there is none.
 std::string_view refusalOf(const route *selected, const explain_sources &sources)
 {
@@ -202,7 +221,9 @@
     writeOptionalText(writer, "service",
                       selected == nullptr ? std::string() : serviceOf(*selected, query));
     writeOptionalText(writer, "reason", refusalOf(selected, sources));
-    writeOptionalText(writer, "admission", {});
+    writeOptionalText(writer, "admission",
+                      selected == nullptr ? std::string()
+                                          : admissionOf(serviceOf(*selected, query), sources, now));
     writer.Key("targets");
     writer.StartArray();
     if (selected != nullptr) {
--- a/src/entry/explain_document.h
+++ b/src/entry/explain_document.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "admission/admission_controller_base.h"
 #include "directory/directory_base.h"
 #include "health/upstream_health_base.h"
 #include "placement/domain_first_placement_base.h"
@@ -46,6 +47,8 @@
     const upstream_health &health;
     bool isSynchronised = false; ///< the configuration is known
     monotonic_time stateAge {0};
+    /// Load of the services; null if it is not known.
+    const admission_controller *admission = nullptr;
 };
 
 /** Renders the document; changes nothing that affects later flows. */
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -191,7 +191,8 @@
     }
     const auto bestTier = std::find_if(tiers.begin(), tiers.end(),
                                        [](const auto &members) { return !members.empty(); });
-    if (bestTier == tiers.end())
+    const bool hasTrusted = bestTier - tiers.begin() < 2;
+    if (bestTier == tiers.end() || (!hasTrusted && isLimitedByConnections(service, now)))
         return trace;
     trace.rule = placement_rule::Tier;
     const auto *members = &*bestTier;
--- a/tests/test_explain.cpp
+++ b/tests/test_explain.cpp
@@ -215,3 +215,28 @@
     CHECK(runCli({"explain", "--instance", "10.0.0.1", "--service_address", "1"}, environment)
           == exit_code::Usage);
 }
+
+TEST_CASE("An explanation names the load and the connection limit that refuse a flow", "[explain]")
+{
+    // Guards against an explanation that names an upstream while new flows are refused.
+    explain_fixture fixture;
+    CHECK(fixture.explain("service=198.18.0.1:443", 1s).at("admission").is_null());
+    admission_controller admission(fixture.routes);
+    std::string message;
+    const auto query = parseExplainQuery("service=198.18.0.1:443", message);
+    REQUIRE(query);
+    const explain_sources sources {
+        fixture.routes, fixture.directory, fixture.placement, fixture.health, true,
+        120ms,          &admission};
+    const auto document = json::parse(renderExplanation(*query, sources, 1s));
+    CHECK(document.at("admission").get<std::string>().find("not overloaded") == 0);
+
+    flow_count counts;
+    for (const char *name : {"i-a0", "i-a1", "i-b0", "i-b1"})
+        counts.add(fixture.directory.find(name)->id);
+    fixture.placement.setFlowCount(&counts);
+    fixture.placement.setConnectionLimits({{{"desk", 1}}, {{"a", 1}, {"b", 1}}});
+    const auto limited = json::parse(renderExplanation(*query, sources, 1s));
+    CHECK(limited.at("targets").at(0).at("reason") == "no_capacity");
+    CHECK(limited.at("targets").at(0).at("upstream").is_null());
+}
