--- a/src/entry/explain_document.cpp
+++ b/src/entry/explain_document.cpp
@@ -6,9 +6,7 @@
 #include "explain_document.h"
 
 #include "forward/forwarder_base.h"
-
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
+#include "json_writer_func.h"
 
 #include <algorithm>
 #include <charconv>
@@ -21,13 +19,9 @@
 
 namespace {
 
-using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
-void writeText(json_writer &writer, const char *key, std::string_view text)
-{
-    writer.Key(key);
-    writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
-}
+using detail::json_writer;
+using detail::writeCount;
+using detail::writeText;
 
 /// Writes null instead of an empty text.
 void writeOptionalText(json_writer &writer, const char *key, std::string_view text)
@@ -46,12 +40,6 @@
     writer.Double(number);
 }
 
-void writeCount(json_writer &writer, const char *key, std::uint64_t count)
-{
-    writer.Key(key);
-    writer.Uint64(count);
-}
-
 void writeCandidate(json_writer &writer, const candidate_trace &candidate,
                     const explain_sources &sources)
 {
--- a/src/entry/status_documents.cpp
+++ b/src/entry/status_documents.cpp
@@ -5,8 +5,7 @@
 
 #include "status_documents.h"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
+#include "json_writer_func.h"
 
 #include <algorithm>
 #include <tuple>
@@ -15,19 +14,9 @@
 
 namespace {
 
-using json_writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
-void writeText(json_writer &writer, const char *key, std::string_view text)
-{
-    writer.Key(key);
-    writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
-}
-
-void writeCount(json_writer &writer, const char *key, std::uint64_t count)
-{
-    writer.Key(key);
-    writer.Uint64(count);
-}
+using detail::json_writer;
+using detail::writeCount;
+using detail::writeText;
 
 void writeFlag(json_writer &writer, const char *key, bool value)
 {
