--- a/src/admission/overload_detector.cpp
+++ b/src/admission/overload_detector.cpp
@@ -23,7 +23,7 @@
 }
 
 /// A request that is observed in progress has on average run for half of its latency, so it counts
-/// as twice its age. An age that even then is calm says nothing about the delay. While the delay is
+/// as twice its age. An age that even then is calm is ignored. While the delay is
 /// constant, each request has an answer as well, and the median is the lower of two. While the
 /// delay grows, ages come before the answers.
 void overload_detector::addInProgress(monotonic_time age, monotonic_time targetLatency,
--- a/src/forward/forwarder_hedging.cpp
+++ b/src/forward/forwarder_hedging.cpp
@@ -44,7 +44,7 @@
         if (second == nullptr)
             continue;
         // flow->upstream and placedAt still describe the first upstream: the caller's next copy
-        // says as much about it as without the hedge, and nothing about the second.
+        // is the same evidence against it as without the hedge, and none against the second.
         flow->tried.at(flow->triedCount++) = second->id;
         flow->isHedged = true;
         caller_packet packet;
--- a/src/gossip/gossip_codec.cpp
+++ b/src/gossip/gossip_codec.cpp
@@ -135,7 +135,7 @@
     loadBounded(archive, value.reporters, maxReports * maxReporters);
 }
 
-/// Empty if no report tells about answers to requests.
+/// Empty if no report has the age of an answer to a request.
 std::optional<stalls_extension> stallsOf(const std::vector<liveness_report> &reports)
 {
     stalls_extension extension;
--- a/src/health/liveness_report_type.h
+++ b/src/health/liveness_report_type.h
@@ -45,8 +45,8 @@
     steering_tag upstream = noTag;
     std::optional<std::uint32_t> answeredAgeMs; ///< since the last known answer; empty if none
     std::vector<failure_reporter> reporters;
-    /// The sender tells answers to requests from accepted flows. If it does not, any answer counts
-    /// as one to a request.
+    /// The sender distinguishes answers to requests from accepted flows. If it does not, any answer
+    /// counts as one to a request.
     bool tellsRequestAnswers = false;
     /// Since the last known answer to a request; empty if none.
     std::optional<std::uint32_t> requestAnsweredAgeMs {};
--- a/src/health/stalled_requests.cpp
+++ b/src/health/stalled_requests.cpp
@@ -55,7 +55,7 @@
     return found != m_entries.end() && found->second.isAvoidedForStalls;
 }
 
-/// Like addReporter(). Requests from before the upstream's last restart tell nothing about it.
+/// Like addReporter(). Requests from before the upstream's last restart are no evidence.
 void upstream_health::addStall(const upstream_record &record, health_entry &entry,
                                const stall_reporter &seen)
 {
--- a/src/health/upstream_health_base.h
+++ b/src/health/upstream_health_base.h
@@ -107,13 +107,13 @@
     /// have gone cannot declare an upstream stalled.
     unsigned minStallReporters = 2;
     /// How long answers may refute these requests. Longer than refutationTime: a slow upstream
-    /// answers rarely, and many instances must hear of it. In trials with 50 instances per failure
+    /// answers rarely, and many instances must receive it. In trials with 50 instances per failure
     /// domain and an answer every 500 ms, 200 ms gave false verdicts, 300 ms none.
     monotonic_time stallRefutationTime = std::chrono::milliseconds(300);
     std::size_t maxReporters = 4;      ///< of unanswered packets, kept per upstream
     std::size_t maxStallReporters = 3; ///< of stalled requests, kept per upstream
     std::size_t maxReports = 16;       ///< per message, so that a message fits into one datagram
-    /// Reporters per message that tells of stalled requests; up to 24 bytes each.
+    /// Reporters per message with stalled requests; up to 24 bytes each.
     std::size_t maxReportersWithStalls = 40;
     /// Number of messages in which each update is sent. With a fan-out of three, this reaches all
     /// instances of a failure domain.
--- a/src/hedging/opening_hedger_base.h
+++ b/src/hedging/opening_hedger_base.h
@@ -26,7 +26,7 @@
 struct pending_hedge
 {
     flow_key flow;
-    std::uint32_t openingSequence = 0; ///< tells the flow from others on the same port
+    std::uint32_t openingSequence = 0; ///< distinguishes the flow from others on the same port
     upstream_id first = noUpstream;    ///< upstream that the packet was forwarded to
     monotonic_time placedAt {0};       ///< when it was forwarded
     std::array<std::byte, openingPacketBytes> bytes {};
--- a/src/placement/weighted_round_robin_base.h
+++ b/src/placement/weighted_round_robin_base.h
@@ -33,7 +33,7 @@
     upstream_id selectNext(std::span<const upstream_id> candidates,
                            const weight_function &weightOf);
 
-    /** A copy that knows only some upstreams, to find out what it would select. */
+    /** A copy with some of the upstreams, to find out what it would select. */
     weighted_round_robin copyOf(std::span<const upstream_id> candidates) const;
 
     void forget(upstream_id upstream) { m_credits.erase(upstream); }
