--- a/review/scenario-2/deployment.cpp
+++ b/review/scenario-2/deployment.cpp
@@ -137,6 +137,7 @@
     const std::string logPath = m_folder + '/' + started.name + ".out";
     const char *const arguments[] = {m_program.c_str(), settings.c_str(), port.c_str(), nullptr};
     started.isStopping = false;
+    started.disturbedAt = m_log.now();
     started.process = ::fork();
     if (started.process < 0)
         throw std::runtime_error("fork failed");
@@ -157,6 +158,7 @@
     if (stopped.process == 0)
         return;
     stopped.isStopping = true;
+    stopped.disturbedAt = m_log.now();
     ::kill(stopped.process, signal);
     m_log.write("signal " + std::to_string(signal) + ": " + stopped.name);
 }
@@ -196,6 +198,14 @@
                        [this](const auto &checked) { return isInRotation(*checked); });
 }
 
+bool deployment::isUndisturbed(const endpoint &address, monotonic_time since) const
+{
+    return std::any_of(m_instances.begin(), m_instances.end(), [&](const auto &known) {
+        return m_addresses.instance(known->number, m_addresses.dataPort()) == address
+            && known->disturbedAt <= since;
+    });
+}
+
 std::optional<endpoint> deployment::route(const std::string &domain, const flow_key &flow) const
 {
     std::vector<const instance *> own;
--- a/review/scenario-2/deployment.h
+++ b/review/scenario-2/deployment.h
@@ -67,6 +67,7 @@
     pid_t process = 0; ///< 0 while none runs
     bool isStopping = false;
     unsigned failedChecks = 2;                      ///< in a row; not in rotation at first
+    monotonic_time disturbedAt {0};                 ///< of its last signal or start
     std::unique_ptr<standin::tcp_proxy> storeProxy; ///< between it and the store
     std::unique_ptr<http_connection> check;
 };
@@ -98,6 +99,9 @@
     bool isInRotation(const instance &checked) const { return checked.failedChecks < 2; }
     bool areAllReady() const;
 
+    /** Whether the instance with a data address got no signal and was not started lately. */
+    bool isUndisturbed(const endpoint &address, monotonic_time since) const;
+
     /** The instance that a packet of a flow goes to; std::nullopt without instances. */
     std::optional<endpoint> route(const std::string &domain, const flow_key &flow) const;
 
