--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays a rolling restart while callers keep flows open. TROUBLE=0: the same without the restart.
+# Plays the planned removal of a machine while callers keep flows open. TROUBLE=0: without it.
 # Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
@@ -13,6 +13,6 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 cd "$root" || exit 2
-timeout --kill-after=5 110 "$scenario" rolling-restart "$program" "$folder" "$here/record.txt"
+timeout --kill-after=5 110 "$scenario" machine-removal "$program" "$folder" "$here/record.txt"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
