Send the first copy of an opening packet to the same upstream

Cause: a copy of an opening packet that came 150 ms after the first went to another upstream, on the evidence of this one packet. If only the answer was lost, both upstreams have accepted the flow, and each repeats its answer for seconds. The caller sends the tag of the last answer, and an instance that takes the flow over follows it to the wrong upstream.

Change: the first copy goes to the same upstream, which answers again, unless it takes no new flows, another flow's opening packet to it or over the same path is unanswered, or it is known to be silent or dead. The failure is still recorded at once, so new flows avoid the upstream until it answers. A hedged opening packet, which two upstreams left unanswered, goes to a third as before.

--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -35,15 +35,17 @@
     std::uint32_t openingSequence = 0;
     std::array<upstream_id, maxTried> tried {}; ///< upstreams that the opening packet was sent to
     std::uint8_t triedCount = 0;
-    bool isHedged = false; ///< tried[1] got the opening packet as a hedge
-    bool isOpen = false;   ///< a packet with a steering tag was seen
+    bool isHedged = false;   ///< tried[1] got the opening packet as a hedge
+    bool isRepeated = false; ///< tried[0] got a copy of the opening packet that it left unanswered
+    bool isOpen = false;     ///< a packet with a steering tag was seen
     /// The upstream has accepted the flow: it answered a request, or another instance saw the flow
     /// being opened.
     bool isAccepted = false;
     /// Upstream that the last packet was sent to; set by flow_table::assign().
     upstream_id upstream = noUpstream;
-    monotonic_time placedAt {0};     ///< when an upstream was last selected for the flow
-    monotonic_time trackedSince {0}; ///< when its first packet arrived here
+    monotonic_time placedAt {0};      ///< when an upstream was last selected for the flow
+    monotonic_time openingSentAt {0}; ///< when that upstream last got the opening packet
+    monotonic_time trackedSince {0};  ///< when its first packet arrived here
     monotonic_time lastSeenAt {0};
     /// When the first transmission of the opening packet was forwarded; 0 if it was not seen.
     monotonic_time openingSeenAt {0};
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -127,10 +127,19 @@
         flow->lastSeenAt = now;
         if (const upstream_record *upstream = retransmissionTarget(*flow, now))
             return forwardTo(packet, *upstream, packet_reason::Repeated);
+        const bool isRepeated = mayRepeatOpening(*flow, now);
         isNewlySuspected = m_placement.recordConnectFailure(flow->upstream, now);
-        m_health.noteRetransmission(flow->upstream,
-                                    {packet_kind::Opening, flow->placedAt, flow->placedAt}, now);
+        m_health.noteRetransmission(
+            flow->upstream, {packet_kind::Opening, flow->placedAt, flow->openingSentAt}, now);
         unansweredBy = m_directory.find(flow->upstream);
+        if (isRepeated) {
+            flow->isRepeated = true;
+            flow->openingSentAt = now;
+            auto decision = forwardTo(packet, *unansweredBy, packet_reason::Repeated);
+            decision.unansweredBy = unansweredBy;
+            decision.isNewlySuspected = isNewlySuspected;
+            return decision;
+        }
     }
     const auto chosen = chooseUpstream(service, isRetransmission ? flow : nullptr, now);
     if (!chosen && m_placement.hasReachedConnectionLimit(service)) {
@@ -160,6 +169,7 @@
         flow->openingSequence = packet.sequence;
         flow->lastSeenAt = now;
         flow->placedAt = now;
+        flow->openingSentAt = now;
         m_flowTable.assign(*flow, *chosen);
         if (flow->triedCount < flow->maxTriedCount())
             flow->tried[flow->triedCount++] = *chosen;
@@ -212,10 +222,22 @@
     const upstream_record *upstream = m_directory.find(flow.upstream);
     if (upstream == nullptr || flow.isOpen)
         return upstream;
-    const bool mayAnswer = now - flow.placedAt < m_settings.connectTimeout;
+    const bool mayAnswer = now - flow.openingSentAt < m_settings.connectTimeout;
     return mayAnswer && takesNewFlows(*upstream) ? upstream : nullptr;
 }
 
+/// Whether the upstream of an unanswered opening packet gets the caller's copy as well. If only its
+/// answer was lost, another upstream would be a second one that accepts the flow, and the caller
+/// sends the tag of whichever answered last. Unanswered packets of other flows show that it is the
+/// upstream that does not answer.
+bool forwarder::mayRepeatOpening(const flow_entry &flow, monotonic_time now) const
+{
+    const upstream_record *upstream = m_directory.find(flow.upstream);
+    return upstream != nullptr && takesNewFlows(*upstream) && flow.triedCount == 1
+        && !flow.isRepeated && !m_placement.isUnreliable(flow.upstream, now)
+        && m_health.healthOf(flow.upstream) == health_state::Answering;
+}
+
 packet_decision forwarder::decideOpenFlow(const caller_packet &packet, monotonic_time now)
 {
     if (packet.tag == noTag)
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -113,11 +113,10 @@
 /** Times and capacities of the data path. */
 struct forwarder_settings
 {
-    /// A retransmitted opening packet goes to another upstream only if the previous one was
-    /// forwarded at least this long ago. An upstream answers within milliseconds, so by then the
-    /// packet or its answer was lost. A shorter interval may mean that both packets were queued in
-    /// this instance, and two upstreams would answer. Callers of all deployments retransmit after
-    /// 200 and 600 ms.
+    /// An opening packet counts as unanswered if its caller retransmits it at least this long after
+    /// it was last forwarded. An upstream answers within milliseconds, so by then the packet or its
+    /// answer was lost. A shorter interval may mean that both packets were queued in this instance.
+    /// Callers of all deployments retransmit after 200 and 600 ms.
     monotonic_time connectTimeout = std::chrono::milliseconds(150);
     std::size_t maxTrackedFlows = 16384; ///< about 2 MB
     /// Flows that are idle for longer are no longer tracked.
@@ -265,6 +264,7 @@
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
     /** Upstream for a retransmitted opening packet; null if another one must be selected. */
     const upstream_record *retransmissionTarget(const flow_entry &flow, monotonic_time now) const;
+    bool mayRepeatOpening(const flow_entry &flow, monotonic_time now) const;
     packet_decision forwardTo(const caller_packet &packet, const upstream_record &upstream,
                               packet_reason reason) const;
     void trackOpenFlow(const caller_packet &packet, monotonic_time now, packet_decision &decision);
--- a/src/forward/forwarder_hedging.cpp
+++ b/src/forward/forwarder_hedging.cpp
@@ -43,8 +43,9 @@
         const upstream_record *second = chooseHedgeTarget(*opening, *flow, now);
         if (second == nullptr)
             continue;
-        // flow->upstream and placedAt still describe the first upstream: the caller's next copy
-        // is the same evidence against it as without the hedge, and none against the second.
+        // flow->upstream, placedAt and openingSentAt still describe the first upstream: the
+        // caller's next copy is the same evidence against it as without the hedge, and none against
+        // the second.
         flow->tried.at(flow->triedCount++) = second->id;
         flow->isHedged = true;
         caller_packet packet;
@@ -58,14 +59,14 @@
     return std::nullopt;
 }
 
-/// The entry of a flow that is still waiting for its first upstream; null if it has opened, ended,
-/// was replaced by another flow or was placed again.
+/// The entry of a flow that is still waiting for its first upstream; null if it has opened, ended
+/// or was replaced by another flow, or a copy of its opening packet was forwarded.
 flow_entry *forwarder::findUnopened(const pending_hedge &opening)
 {
     flow_entry *flow = m_flowTable.find(opening.flow);
     const bool isWaiting = flow != nullptr && !flow->isOpen
         && flow->openingSequence == opening.openingSequence && flow->triedCount == 1
-        && flow->tried.front() == opening.first;
+        && flow->tried.front() == opening.first && !flow->isRepeated;
     return isWaiting ? flow : nullptr;
 }
 
--- a/src/placement/domain_first_placement.cpp
+++ b/src/placement/domain_first_placement.cpp
@@ -352,6 +352,13 @@
     m_suspicion.markSuspected(upstream, isDead, now);
 }
 
+bool domain_first_placement::isUnreliable(upstream_id upstream, monotonic_time now) const
+{
+    const upstream_record *record = m_directory.find(upstream);
+    return m_suspicion.isSuspected(upstream, now)
+        || (record != nullptr && m_pathSuspicion.isSuspected(record->announced.domain, now));
+}
+
 std::size_t domain_first_placement::countSuspected(monotonic_time now) const
 {
     return m_suspicion.count(now);
--- a/src/placement/domain_first_placement_base.h
+++ b/src/placement/domain_first_placement_base.h
@@ -58,6 +58,7 @@
     void recordLatency(upstream_id upstream, monotonic_time latency, monotonic_time now) override;
     void forget(upstream_id upstream) override;
     void markSuspected(upstream_id upstream, bool isDead, monotonic_time now) override;
+    bool isUnreliable(upstream_id upstream, monotonic_time now) const override;
     std::size_t countSuspected(monotonic_time now) const override;
 
     /**
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -79,6 +79,12 @@
      */
     virtual void markSuspected(upstream_id upstream, bool isDead, monotonic_time now) = 0;
 
+    /**
+     * Whether an upstream, or the path to its failure domain, left an opening packet unanswered
+     * lately and has answered none since.
+     */
+    virtual bool isUnreliable(upstream_id upstream, monotonic_time now) const = 0;
+
     /** Number of upstreams that are currently suspected, for metrics. */
     virtual std::size_t countSuspected(monotonic_time now) const = 0;
 };
--- a/src/placement/suspicion.cpp
+++ b/src/placement/suspicion.cpp
@@ -120,10 +120,13 @@
 upstream_tier path_suspicion::tierOf(const upstream_record &record, upstream_tier defaultTier,
                                      monotonic_time now) const
 {
-    const auto found = m_pathSuspicion.find(record.announced.domain);
-    return found != m_pathSuspicion.end() && found->second.isActive(now)
-        ? upstream_tier::SuspectedPath
-        : defaultTier;
+    return isSuspected(record.announced.domain, now) ? upstream_tier::SuspectedPath : defaultTier;
+}
+
+bool path_suspicion::isSuspected(const std::string &domain, monotonic_time now) const
+{
+    const auto found = m_pathSuspicion.find(domain);
+    return found != m_pathSuspicion.end() && found->second.isActive(now);
 }
 
 } // namespace chicoryhead
--- a/src/placement/suspicion_base.h
+++ b/src/placement/suspicion_base.h
@@ -103,6 +103,8 @@
     void recordConnectFailure(const std::string &domain, monotonic_time now);
     void recordConnectSuccess(const std::string &domain) { m_pathSuspicion.erase(domain); }
 
+    bool isSuspected(const std::string &domain, monotonic_time now) const;
+
     upstream_tier tierOf(const upstream_record &record, upstream_tier defaultTier,
                          monotonic_time now) const override;
 
