Confirm the upstream that a flow is open at before its tag is ignored

Cause: an instance took the tag of a flow's first packet for the upstream that the flow is open at. It is the tag of the second answer if both arrived before. An instance that had not placed the flow followed every tag, also after answers had shown the holder.

Change: a flow is confirmed at an upstream once its caller acknowledges new data from there, at any instance that sees it, and its packets go there whatever their tag. Until then the first packet's tag stands, unless the caller sends the same data a second time again. Both ends' sequence numbers must continue, so a reused port is told apart by 64 bits instead of 32.

--- a/src/forward/flow_table_base.h
+++ b/src/forward/flow_table_base.h
@@ -57,6 +57,13 @@
     bool isRequestSentOnce = false;
     std::uint32_t requestSequence = 0; ///< sequence number of the first data of the latest request
     std::uint32_t acknowledged = 0;    ///< highest acknowledgement number from the caller
+    std::uint32_t dataEnd = 0;         ///< highest sequence number after data from the caller
+    /// Packets with data that was sent before, since the caller last sent or acknowledged new data.
+    unsigned repeatedData = 0;
+    /// The flow is known to be open at `upstream`, from which its caller acknowledged data.
+    bool isConfirmed = false;
+    /// The tag changed before the flow was confirmed, so its data went to more than one upstream.
+    bool isDisputed = false;
 
     /** Upstreams that the opening packet may be recorded for. */
     std::size_t maxTriedCount() const { return isHedged ? maxTried : maxTried - 1; }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -271,20 +271,41 @@
     return ended;
 }
 
-/// If the answer to an opening packet was lost, two upstreams answer its copies, and each repeats
-/// its answer until it is acknowledged. A caller sends the tag of the answer that it received last,
-/// but acknowledges the data of the upstream that the flow is open at.
+/// If the answer to an opening packet was lost, two upstreams may answer its copies, and each
+/// repeats its answer until it is acknowledged. A caller sends the tag of the answer that it
+/// received last, but acknowledges the data of the upstream that the flow is open at. Until that is
+/// confirmed, the first packet tells best where the flow is open; it may be wrong if both answers
+/// arrived before it.
 const upstream_record *forwarder::findOtherHolder(const caller_packet &packet, upstream_id tagged)
 {
     const flow_entry *flow = m_flowTable.find(packet.flow);
-    if (flow == nullptr || !flow->isOpen || flow->upstream == tagged)
+    if (flow == nullptr || !flow->isOpen || flow->upstream == tagged
+        || !isContinuation(packet, *flow))
         return nullptr;
-    const auto distance = static_cast<std::int32_t>(packet.acknowledged - flow->acknowledged);
-    const bool isContinued = distance <= m_settings.maxAcknowledgedDistance
-        && distance >= -m_settings.maxAcknowledgedDistance;
-    if (!isContinued || !flow->hasTried(tagged) || !flow->hasTried(flow->upstream))
-        return nullptr;
-    return m_directory.find(flow->upstream);
+    const bool isLikelyHolder = flow->triedCount > 0 && !flow->isDisputed
+        && flow->repeatedData < m_settings.maxRepeatedData;
+    return flow->isConfirmed || isLikelyHolder ? m_directory.find(flow->upstream) : nullptr;
+}
+
+bool forwarder::isContinuation(const caller_packet &packet, const flow_entry &flow) const
+{
+    const auto isNear = [&](std::uint32_t sequence, std::uint32_t other) {
+        const auto distance = static_cast<std::int32_t>(sequence - other);
+        return distance <= m_settings.maxSequenceDistance
+            && distance >= -m_settings.maxSequenceDistance;
+    };
+    return isNear(packet.acknowledged, flow.acknowledged) && isNear(packet.sequence, flow.dataEnd);
+}
+
+/// Called for a packet that acknowledges new data. If all data went to one upstream, that one has
+/// answered. Otherwise a packet without data tells: the caller sends it when it receives an answer,
+/// whose tag it has.
+void forwarder::confirmHolder(const caller_packet &packet, flow_entry &flow,
+                              const packet_decision &decision)
+{
+    const bool isOnlyHolder = flow.triedCount > 0 && !flow.isDisputed;
+    const bool isTagOfAnswer = packet.dataBytes == 0 && decision.reason == packet_reason::Steered;
+    flow.isConfirmed = flow.isConfirmed || isOnlyHolder || isTagOfAnswer;
 }
 
 std::vector<caller_packet> forwarder::extractFlowsOf(upstream_id upstream)
@@ -366,9 +387,13 @@
     }
     // The caller reused its port, and this is a late packet of the former flow or the first packet
     // seen of the new one.
-    if (flow->isOpen && flow->upstream != upstream) {
+    if (flow->isOpen && flow->upstream != upstream && !isContinuation(packet, *flow)) {
         m_flowTable.reset(*flow);
         flow->acknowledged = packet.acknowledged;
+    } else if (flow->isOpen && flow->upstream != upstream) {
+        flow->isDisputed = true;
+        flow->requestStartedAt = monotonic_time {0};
+        flow->requestSequence = 0;
     }
     flow->lastSeenAt = now;
     if (!flow->isOpen && flow->triedCount > 0) {
@@ -380,8 +405,16 @@
         if (flow->openingSeenAt.count() > 0)
             m_hedger.recordOpeningTime(now - flow->openingSeenAt);
     }
-    if (!flow->isOpen)
+    const std::uint32_t dataEnd = packet.sequence + packet.dataBytes;
+    if (!flow->isOpen) {
         flow->acknowledged = packet.acknowledged;
+        flow->dataEnd = dataEnd;
+    } else if (isSequenceAfter(dataEnd, flow->dataEnd)) {
+        flow->dataEnd = dataEnd;
+        flow->repeatedData = 0;
+    } else if (packet.dataBytes > 0) {
+        ++flow->repeatedData;
+    }
     flow->isOpen = true;
     m_flowTable.assign(*flow, upstream);
     trackAcknowledgement(packet, *flow, now, decision);
@@ -393,8 +426,10 @@
 {
     if (!isSequenceAfter(packet.acknowledged, flow.acknowledged))
         return;
+    confirmHolder(packet, flow, decision);
     const upstream_id upstream = decision.upstream->id;
     flow.acknowledged = packet.acknowledged;
+    flow.repeatedData = 0;
     flow.isAccepted = true;
     m_lastAnswerAt = now;
     // Only a packet without data is a timely answer: the acknowledgement in a new request may refer
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -134,8 +134,11 @@
     /// Requests that are older by then are no longer reset for a stalled upstream: the deadlines of
     /// most routes have passed.
     monotonic_time maxStalledRequestAge = std::chrono::seconds(10);
-    /// Acknowledgement numbers that are further apart, in bytes, belong to different flows.
-    std::int32_t maxAcknowledgedDistance = 1 << 20;
+    /// Sequence numbers that are further apart, in bytes, belong to different flows.
+    std::int32_t maxSequenceDistance = 1 << 20;
+    /// Times that the data of a flow that is not confirmed is sent again before its tag is followed
+    /// instead of the upstream that its first packet went to.
+    unsigned maxRepeatedData = 1;
     /// Longer latencies are ignored: they indicate a lost packet rather than a slow upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
@@ -262,6 +265,10 @@
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
     /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
+    /** Whether a packet continues the sequence numbers of both ends of an open flow. */
+    bool isContinuation(const caller_packet &packet, const flow_entry &flow) const;
+    static void confirmHolder(const caller_packet &packet, flow_entry &flow,
+                              const packet_decision &decision);
     /** Upstream for a retransmitted opening packet; null if another one must be selected. */
     const upstream_record *retransmissionTarget(const flow_entry &flow, monotonic_time now) const;
     bool mayRepeatOpening(const flow_entry &flow, monotonic_time now) const;
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -251,6 +251,64 @@
     }
 }
 
+TEST_CASE("Two answers before the first request: it reaches the upstream that the flow is open at",
+          "[forwarder]")
+{
+    // Guards against a flow that stays at the wrong upstream: its first packet has the tag of the
+    // second answer, but acknowledges the first one.
+    forwarder_fixture fixture;
+    const auto holder = fixture.decide(makeOpening(1), 1s);
+    fixture.placement.recordConnectFailure(holder.upstream->id, 1100ms);
+    const auto other = fixture.decide(makeOpening(1, 1), 1200ms);
+    REQUIRE(other.upstream != holder.upstream);
+    fixture.decide(makeData(1, other.tag, 1001, 500, 90), 1210ms);
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1410ms);
+    const auto repeated = fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1810ms);
+    CHECK(repeated.upstream == holder.upstream);
+    const auto answered = fixture.decide(makeData(1, holder.tag, 1091, 900, 0), 1830ms);
+    CHECK(answered.upstream == holder.upstream);
+    const auto request = fixture.decide(makeData(1, other.tag, 1091, 900, 90), 4s);
+    CHECK(request.upstream == holder.upstream);
+    CHECK(request.reason == packet_reason::TagReplaced);
+}
+
+TEST_CASE("A repeated answer does not move a flow whose first request is lost", "[forwarder]")
+{
+    // Guards against a reset by the other upstream while the request is sent again.
+    forwarder_fixture fixture;
+    const auto holder = fixture.decide(makeOpening(1), 1s);
+    fixture.placement.recordConnectFailure(holder.upstream->id, 1100ms);
+    const auto other = fixture.decide(makeOpening(1, 1), 1200ms);
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 0), 1210ms);
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1211ms);
+    const auto repeated = fixture.decide(makeData(1, other.tag, 1001, 500, 90), 1411ms);
+    CHECK(repeated.upstream == holder.upstream);
+    CHECK(repeated.tag == holder.tag);
+}
+
+TEST_CASE("An instance that took a flow over keeps it at the upstream that answered", "[forwarder]")
+{
+    // Guards against a flow that follows a second answer because this instance did not see it being
+    // opened, or saw only a copy of its opening packet and sent that to another upstream.
+    forwarder_fixture fixture;
+    const auto holder = fixture.decide(makeOpening(7), 900ms);
+    auto other = fixture.decide(makeOpening(8), 900ms);
+    REQUIRE(other.upstream != holder.upstream);
+    if (GENERATE(false, true)) {
+        fixture.placement.recordConnectFailure(holder.upstream->id, 900ms);
+        other = fixture.decide(makeOpening(1, 1), 1s);
+        REQUIRE(other.upstream != holder.upstream);
+    }
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1010ms);
+    fixture.decide(makeData(1, holder.tag, 1091, 900, 0), 1030ms);
+    const auto request = fixture.decide(makeData(1, other.tag, 1091, 900, 90), 8s);
+    CHECK(request.upstream == holder.upstream);
+    CHECK(request.reason == packet_reason::TagReplaced);
+    // Another flow on the same port.
+    const auto late = fixture.decide(makeData(1, other.tag, 600'000'000, 900, 90), 9s);
+    CHECK(late.upstream == other.upstream);
+}
+
 TEST_CASE("A late retransmission of an opening packet goes to the open flow's upstream",
           "[forwarder]")
 {
