Give upstreams that a flow is not open at the tag of the one that it is

Callers could still see open flows reset or unanswered when two upstreams had accepted a flow (other flows made the first one look dead, two answers were lost, hedging, a copy at another instance) and its instance left.

Cause: the upstream that the flow is not open at repeats its answer for 9.4 s, and each answer replaces the tag at the caller. The instance that knew better corrected each packet, and its knowledge left with it.

Change: once the flow is confirmed, its opening packet goes once more to the other upstreams, with the tag of the one that it is open at, so their repeated answers carry that tag. Upstreams that look dead or full get it only once they answer again or a packet has their tag. At most two packets a flow; none to upstreams that take no new flows or that the route no longer leads to.

--- a/src/entry/packet_log.cpp
+++ b/src/entry/packet_log.cpp
@@ -74,6 +74,14 @@
                  {"delay_ms", formatMilliseconds(hedge.delay)}});
 }
 
+void packet_log::logCorrection(const tag_correction &correction)
+{
+    m_log.write("tag_corrected",
+                {{"flow", toString(correction.packet.flow)},
+                 {"upstream", correction.decision.upstream->announced.name},
+                 {"holder", correction.holder->announced.name}});
+}
+
 void packet_log::logFlow(const caller_packet &packet, const packet_decision &decision,
                          monotonic_time now)
 {
--- a/src/entry/packet_log_base.h
+++ b/src/entry/packet_log_base.h
@@ -38,6 +38,9 @@
     /** Logs an opening packet that is sent to a second upstream. */
     void logHedge(const hedged_opening &hedge);
 
+    /** Logs an opening packet that gives an upstream another one's tag. */
+    void logCorrection(const tag_correction &correction);
+
 private:
     void logFlow(const caller_packet &packet, const packet_decision &decision, monotonic_time now);
     void logSuspicion(const caller_packet &packet, const packet_decision &decision);
--- a/src/entry/packet_processor_base.h
+++ b/src/entry/packet_processor_base.h
@@ -64,6 +64,9 @@
      */
     void sendDueHedges(bool isSocketRead);
 
+    /** Sends the opening packets of forwarder::takeCorrections(). */
+    void sendCorrections();
+
     /** Whether packets are held until the configuration is known. */
     bool hasHeldPackets() const { return !m_arrivals.isEmpty(); }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -20,6 +20,7 @@
     {packet_reason::PlacedAgain, "placed_again"},
     {packet_reason::Hedged, "hedged"},
     {packet_reason::Repeated, "repeated"},
+    {packet_reason::TagCorrected, "tag_corrected"},
     {packet_reason::NoRoute, "no_route"},
     {packet_reason::NoUpstream, "no_upstream"},
     {packet_reason::NoCapacity, "no_capacity"},
@@ -96,6 +97,8 @@
 {
     m_flowTable.expire(m_settings.flowIdleTimeout, now);
     m_refusedOpenings.expire(now);
+    m_duplicateOpenings.expire(now);
+    correctReliable(now);
 }
 
 void forwarder::setAdmissionPolicy(const admission_policy &policy)
@@ -248,6 +251,9 @@
         return makeDrop(packet_reason::UnknownTag);
     auto reason = packet_reason::Steered;
     if (const upstream_record *holder = findOtherHolder(packet, upstream->id)) {
+        const flow_entry &flow = *m_flowTable.find(packet.flow);
+        if (flow.isConfirmed)
+            correctTag(packet.flow, flow, upstream->id);
         upstream = holder;
         reason = packet_reason::TagReplaced;
     }
@@ -301,11 +307,15 @@
 /// answered. Otherwise a packet without data tells: the caller sends it when it receives an answer,
 /// whose tag it has.
 void forwarder::confirmHolder(const caller_packet &packet, flow_entry &flow,
-                              const packet_decision &decision)
+                              const packet_decision &decision, monotonic_time now)
 {
+    if (flow.isConfirmed)
+        return;
     const bool isOnlyHolder = flow.triedCount > 0 && !flow.isDisputed;
     const bool isTagOfAnswer = packet.dataBytes == 0 && decision.reason == packet_reason::Steered;
-    flow.isConfirmed = flow.isConfirmed || isOnlyHolder || isTagOfAnswer;
+    flow.isConfirmed = isOnlyHolder || isTagOfAnswer;
+    if (flow.isConfirmed)
+        correctUnopened(packet.flow, flow, now);
 }
 
 std::vector<caller_packet> forwarder::extractFlowsOf(upstream_id upstream)
@@ -426,7 +436,7 @@
 {
     if (!isSequenceAfter(packet.acknowledged, flow.acknowledged))
         return;
-    confirmHolder(packet, flow, decision);
+    confirmHolder(packet, flow, decision, now);
     const upstream_id upstream = decision.upstream->id;
     flow.acknowledged = packet.acknowledged;
     flow.repeatedData = 0;
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -11,6 +11,7 @@
 #include "core/caller_packet_type.h"
 #include "core/core_type.h"
 #include "directory/directory_base.h"
+#include "duplicate_openings_base.h"
 #include "flow_table_base.h"
 #include "health/latency_exchange_base.h"
 #include "health/upstream_health_base.h"
@@ -45,21 +46,23 @@
 
 /** Reason of a forwarding decision. */
 enum class packet_reason : std::uint8_t {
-    Steered,         ///< forwarded to the upstream that its tag names
-    TagReplaced,     ///< forwarded to the upstream that the flow is open at; the tag names another
-                     ///< one that answered its opening packet too
-    Placed,          ///< opening packet, forwarded to a newly selected upstream
-    PlacedAgain,     ///< retransmitted opening packet, forwarded to another upstream
-    Hedged,          ///< opening packet, sent once more to a second upstream
-    Repeated,        ///< retransmitted opening packet, forwarded to the same upstream
-    NoRoute,         ///< no route for the service address
-    NoUpstream,      ///< the service has no upstream that takes new flows
-    NoCapacity,      ///< the service is overloaded, or its upstreams have enough connections
-    NoTag,           ///< packet of an open flow without a steering tag
-    UnknownTag,      ///< the tag names no upstream for this service address
-    FromUpstream,    ///< looks like an answer of an upstream
-    StaleOpening,    ///< opening packet queued while this process was suspended
-    UpstreamDead,    ///< the flow's upstream is dead; the caller is reset so that it can retry
+    Steered,      ///< forwarded to the upstream that its tag names
+    TagReplaced,  ///< forwarded to the upstream that the flow is open at; the tag names another
+                  ///< one that answered its opening packet too
+    Placed,       ///< opening packet, forwarded to a newly selected upstream
+    PlacedAgain,  ///< retransmitted opening packet, forwarded to another upstream
+    Hedged,       ///< opening packet, sent once more to a second upstream
+    Repeated,     ///< retransmitted opening packet, forwarded to the same upstream
+    TagCorrected, ///< opening packet, sent again to an upstream that the flow is not open at, with
+                  ///< the tag of the one that it is open at
+    NoRoute,      ///< no route for the service address
+    NoUpstream,   ///< the service has no upstream that takes new flows
+    NoCapacity,   ///< the service is overloaded, or its upstreams have enough connections
+    NoTag,        ///< packet of an open flow without a steering tag
+    UnknownTag,   ///< the tag names no upstream for this service address
+    FromUpstream, ///< looks like an answer of an upstream
+    StaleOpening, ///< opening packet queued while this process was suspended
+    UpstreamDead, ///< the flow's upstream is dead; the caller is reset so that it can retry
     UpstreamStalled, ///< the upstream answers no requests; the caller is reset so that it can
                      ///< repeat the request elsewhere
     NotSynchronised, ///< this instance has no configuration yet
@@ -67,7 +70,7 @@
 };
 
 /** Number of reasons, for counter tables. */
-inline constexpr std::size_t packetReasonCount = 17;
+inline constexpr std::size_t packetReasonCount = 18;
 
 /** Name of a reason for logs and metrics. */
 std::string_view toString(packet_reason reason);
@@ -107,6 +110,15 @@
     monotonic_time delay {0};               ///< since the packet was forwarded to the first
 };
 
+/** An opening packet for an upstream that may have accepted a flow that is open at another one. */
+struct tag_correction
+{
+    caller_packet packet;
+    opening_bytes bytes {};
+    packet_decision decision;                ///< with the tag of the upstream that holds the flow
+    const upstream_record *holder = nullptr; ///< never null
+};
+
 /** Whether a service has more requests than it can run. */
 using overload_check = std::function<bool(const std::string &service)>;
 
@@ -138,7 +150,7 @@
     std::int32_t maxSequenceDistance = 1 << 20;
     /// Times that the data of a flow that is not confirmed is sent again before its tag is followed
     /// instead of the upstream that its first packet went to.
-    unsigned maxRepeatedData = 1;
+    unsigned maxRepeatedData = 2;
     /// Longer latencies are ignored: they indicate a lost packet rather than a slow upstream.
     monotonic_time maxLatency = std::chrono::seconds(10);
 };
@@ -219,6 +231,16 @@
      */
     std::optional<hedged_opening> takeHedge(bool isTimingReliable, monotonic_time now);
 
+    /**
+     * Keeps an opening packet that was sent to a further upstream, so that all but the one that the
+     * flow opens at can be given its tag.
+     */
+    void keepOpening(const caller_packet &packet, std::span<const std::byte> bytes,
+                     monotonic_time now);
+
+    /** Takes the opening packets to be sent after a call of decide() or expire(). */
+    std::vector<tag_correction> takeCorrections();
+
     /** Hedges that were not sent because the budget was used up. */
     std::uint64_t hedgesRefused() const { return m_hedgesRefused; }
 
@@ -267,8 +289,11 @@
     const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
     /** Whether a packet continues the sequence numbers of both ends of an open flow. */
     bool isContinuation(const caller_packet &packet, const flow_entry &flow) const;
-    static void confirmHolder(const caller_packet &packet, flow_entry &flow,
-                              const packet_decision &decision);
+    void confirmHolder(const caller_packet &packet, flow_entry &flow,
+                       const packet_decision &decision, monotonic_time now);
+    void correctUnopened(const flow_key &key, const flow_entry &flow, monotonic_time now);
+    void correctReliable(monotonic_time now);
+    void correctTag(const flow_key &key, const flow_entry &flow, upstream_id other);
     /** Upstream for a retransmitted opening packet; null if another one must be selected. */
     const upstream_record *retransmissionTarget(const flow_entry &flow, monotonic_time now) const;
     bool mayRepeatOpening(const flow_entry &flow, monotonic_time now) const;
@@ -313,7 +338,18 @@
     std::uint64_t m_hedgesRefused = 0; ///< by the budget
     admission_controller m_admission;
     refused_openings m_refusedOpenings;
-    monotonic_time m_lastAnswerAt {0}; ///< of any upstream
+    duplicate_openings m_duplicateOpenings;
+    /** An upstream that got the opening packet of a flow that is open at another one. */
+    struct unopened_upstream
+    {
+        flow_key flow;
+        std::uint32_t openingSequence = 0;
+        upstream_id upstream = noUpstream;
+        monotonic_time since {0}; ///< when the flow was confirmed
+    };
+    std::vector<unopened_upstream> m_unopened; ///< to be corrected once they are reliable
+    std::vector<tag_correction> m_corrections; ///< not yet taken
+    monotonic_time m_lastAnswerAt {0};         ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
     /// so answers to earlier requests may be acknowledged through another instance.
     monotonic_time m_lastTakeoverAt {0};
--- a/tests/test_forwarder.cpp
+++ b/tests/test_forwarder.cpp
@@ -263,9 +263,10 @@
     REQUIRE(other.upstream != holder.upstream);
     fixture.decide(makeData(1, other.tag, 1001, 500, 90), 1210ms);
     fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1410ms);
-    const auto repeated = fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1810ms);
+    fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1810ms);
+    const auto repeated = fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 2610ms);
     CHECK(repeated.upstream == holder.upstream);
-    const auto answered = fixture.decide(makeData(1, holder.tag, 1091, 900, 0), 1830ms);
+    const auto answered = fixture.decide(makeData(1, holder.tag, 1091, 900, 0), 2630ms);
     CHECK(answered.upstream == holder.upstream);
     const auto request = fixture.decide(makeData(1, other.tag, 1091, 900, 90), 4s);
     CHECK(request.upstream == holder.upstream);
@@ -281,9 +282,11 @@
     const auto other = fixture.decide(makeOpening(1, 1), 1200ms);
     fixture.decide(makeData(1, holder.tag, 1001, 500, 0), 1210ms);
     fixture.decide(makeData(1, holder.tag, 1001, 500, 90), 1211ms);
-    const auto repeated = fixture.decide(makeData(1, other.tag, 1001, 500, 90), 1411ms);
-    CHECK(repeated.upstream == holder.upstream);
-    CHECK(repeated.tag == holder.tag);
+    for (const auto at : {1411ms, 1811ms}) {
+        const auto repeated = fixture.decide(makeData(1, other.tag, 1001, 500, 90), at);
+        CHECK(repeated.upstream == holder.upstream);
+        CHECK(repeated.tag == holder.tag);
+    }
 }
 
 TEST_CASE("An instance that took a flow over keeps it at the upstream that answered", "[forwarder]")
