Keep the deadline of an HTTP request that is repeated on a new connection

Cause: a GET whose reused connection is closed is sent again on a new one. Closing advances the counter that invalidates handlers of earlier attempts; the deadline's timer used it too and was ignored, so the second attempt had no bound, and the store's only call never ended.

Change: the deadline has a counter of its own that ends with the request. It covers all attempts; the second gets what the first has left.

--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -59,6 +59,7 @@
 http_connection::~http_connection()
 {
     ++*m_epoch;
+    ++*m_requestEpoch;
 }
 
 void http_connection::start(const http_request &request, handler done)
@@ -72,10 +73,11 @@
     m_isComplete = false;
     m_isReadingHeaderValue = true;
     m_deadline.expires_after(request.timeout);
-    m_deadline.async_wait([this, epoch = m_epoch, current = *m_epoch](std::error_code code) {
-        if (!code && *epoch == current)
-            fail(error::Timeout);
-    });
+    m_deadline.async_wait(
+        [this, epoch = m_requestEpoch, current = *m_requestEpoch](std::error_code code) {
+            if (!code && *epoch == current)
+                fail(error::Timeout);
+        });
     m_isReused = m_socket.is_open();
     if (m_isReused)
         sendRequest();
@@ -86,6 +88,8 @@
 void http_connection::abandon()
 {
     m_done = nullptr;
+    m_deadline.cancel();
+    ++*m_requestEpoch;
     close();
 }
 
@@ -226,6 +230,7 @@
 {
     m_deadline.cancel();
     ++*m_epoch;
+    ++*m_requestEpoch;
     const handler done = std::exchange(m_done, nullptr);
     if (done)
         done(std::move(response));
--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -59,8 +59,8 @@
 
 /**
  * A connection that is opened on the first request and reused as long as the server keeps it open.
- * The timeout of a request includes the time to connect. The connection is closed when a request
- * times out, so an unresponsive connection is not reused.
+ * The timeout of a request includes the time to connect and all attempts, so each request ends. The
+ * connection is closed when a request times out, so an unresponsive connection is not reused.
  */
 class http_connection
 {
@@ -119,8 +119,11 @@
     bool m_isComplete = false;
     bool m_isReadingHeaderValue = false; ///< of the last header; its name is complete
     /// Incremented when a request ends or the connection is closed, so that completion handlers of
-    /// earlier requests are ignored.
+    /// earlier attempts are ignored.
     std::shared_ptr<int> m_epoch = std::make_shared<int>(0);
+    /// Incremented when a request ends. The deadline outlives the attempts of its request, so it
+    /// doesn't use m_epoch.
+    std::shared_ptr<int> m_requestEpoch = std::make_shared<int>(0);
 };
 
 } // namespace chicoryhead
