--- a/src/forward/duplicate_openings_base.h
+++ b/src/forward/duplicate_openings_base.h
@@ -18,7 +18,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <unordered_map>
 
