Correct the tag at other upstreams as soon as a flow is confirmed

Callers could still see a reset or no answer when the instance left within a second or so after a flow had opened at one of two upstreams.

Cause: an upstream that looked dead or full got the correction only once it answered again, half a second later or more. The order test had its changes of the instance after that time, so it did not show this.

Change: the correction is sent at once, and the list of waiting ones and its timer are gone. An upstream that never accepted the flow opens it for at most the 9.4 s of its repeated answers.

Also: one lookup of the flow for each packet instead of two for replaced tags.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -350,7 +350,6 @@
 {
     m_nextSecondTickAt = m_suspensionDetector.lastActivityAt() + std::chrono::seconds(1);
     m_forwarder.expire(m_suspensionDetector.lastActivityAt());
-    m_packetProcessor.sendCorrections();
     m_state.expire(m_suspensionDetector.lastActivityAt());
     m_health.noteAddressReused(m_directory.upstreamsWithReusedAddress());
     if (!m_shutdown.isStopping())
--- a/src/entry/packet_processor.cpp
+++ b/src/entry/packet_processor.cpp
@@ -59,7 +59,7 @@
     // A copy of a packet that another instance received may be at another upstream than the first.
     const bool isCopy = packet.acknowledged > 0 && decision.reason == packet_reason::Placed;
     if (isCopy || decision.reason == packet_reason::PlacedAgain)
-        m_dependencies.packetForwarder.keepOpening(packet, bytes, now);
+        m_dependencies.packetForwarder.keepOpening(packet.flow, packet.sequence, bytes, now);
     m_dependencies.log.logDecision(packet, bytes, decision, now);
     sendCorrections();
 }
@@ -83,10 +83,8 @@
     while (const auto hedge = m_dependencies.packetForwarder.takeHedge(isReliable, now)) {
         ++m_dependencies.metrics.packets[static_cast<std::size_t>(packet_reason::Hedged)];
         forward(hedge->opening.bytes, hedge->decision);
-        caller_packet packet;
-        packet.flow = hedge->opening.flow;
-        packet.sequence = hedge->opening.openingSequence;
-        m_dependencies.packetForwarder.keepOpening(packet, hedge->opening.bytes, now);
+        m_dependencies.packetForwarder.keepOpening(
+            hedge->opening.flow, hedge->opening.openingSequence, hedge->opening.bytes, now);
         m_dependencies.log.logHedge(*hedge);
     }
 }
--- a/src/entry/packet_processor_base.h
+++ b/src/entry/packet_processor_base.h
@@ -64,9 +64,6 @@
      */
     void sendDueHedges(bool isSocketRead);
 
-    /** Sends the opening packets of forwarder::takeCorrections(). */
-    void sendCorrections();
-
     /** Whether packets are held until the configuration is known. */
     bool hasHeldPackets() const { return !m_arrivals.isEmpty(); }
 
@@ -92,6 +89,7 @@
     bool canDecide(const caller_packet &packet) const;
     void processPacket(const caller_packet &packet, std::span<const std::byte> bytes);
     packet_decision decide(const caller_packet &packet, monotonic_time now);
+    void sendCorrections();
     void execute(const caller_packet &packet, std::span<const std::byte> bytes,
                  const packet_decision &decision);
     void forward(std::span<const std::byte> bytes, const packet_decision &decision);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -98,7 +98,6 @@
     m_flowTable.expire(m_settings.flowIdleTimeout, now);
     m_refusedOpenings.expire(now);
     m_duplicateOpenings.expire(now);
-    correctReliable(now);
 }
 
 void forwarder::setAdmissionPolicy(const admission_policy &policy)
@@ -250,10 +249,12 @@
     if (upstream == nullptr)
         return makeDrop(packet_reason::UnknownTag);
     auto reason = packet_reason::Steered;
-    if (const upstream_record *holder = findOtherHolder(packet, upstream->id)) {
-        const flow_entry &flow = *m_flowTable.find(packet.flow);
-        if (flow.isConfirmed)
-            correctTag(packet.flow, flow, upstream->id);
+    const flow_entry *flow = m_flowTable.find(packet.flow);
+    const upstream_record *holder =
+        flow != nullptr ? findOtherHolder(packet, *flow, upstream->id) : nullptr;
+    if (holder != nullptr) {
+        if (flow->isConfirmed)
+            correctTag(packet.flow, *flow, upstream->id);
         upstream = holder;
         reason = packet_reason::TagReplaced;
     }
@@ -282,15 +283,14 @@
 /// received last, but acknowledges the data of the upstream that the flow is open at. Until that is
 /// confirmed, the first packet tells best where the flow is open; it may be wrong if both answers
 /// arrived before it.
-const upstream_record *forwarder::findOtherHolder(const caller_packet &packet, upstream_id tagged)
+const upstream_record *forwarder::findOtherHolder(const caller_packet &packet,
+                                                  const flow_entry &flow, upstream_id tagged) const
 {
-    const flow_entry *flow = m_flowTable.find(packet.flow);
-    if (flow == nullptr || !flow->isOpen || flow->upstream == tagged
-        || !isContinuation(packet, *flow))
+    if (!flow.isOpen || flow.upstream == tagged || !isContinuation(packet, flow))
         return nullptr;
-    const bool isLikelyHolder = flow->triedCount > 0 && !flow->isDisputed
-        && flow->repeatedData < m_settings.maxRepeatedData;
-    return flow->isConfirmed || isLikelyHolder ? m_directory.find(flow->upstream) : nullptr;
+    const bool isLikelyHolder =
+        flow.triedCount > 0 && !flow.isDisputed && flow.repeatedData < m_settings.maxRepeatedData;
+    return flow.isConfirmed || isLikelyHolder ? m_directory.find(flow.upstream) : nullptr;
 }
 
 bool forwarder::isContinuation(const caller_packet &packet, const flow_entry &flow) const
@@ -307,7 +307,7 @@
 /// answered. Otherwise a packet without data tells: the caller sends it when it receives an answer,
 /// whose tag it has.
 void forwarder::confirmHolder(const caller_packet &packet, flow_entry &flow,
-                              const packet_decision &decision, monotonic_time now)
+                              const packet_decision &decision)
 {
     if (flow.isConfirmed)
         return;
@@ -315,7 +315,7 @@
     const bool isTagOfAnswer = packet.dataBytes == 0 && decision.reason == packet_reason::Steered;
     flow.isConfirmed = isOnlyHolder || isTagOfAnswer;
     if (flow.isConfirmed)
-        correctUnopened(packet.flow, flow, now);
+        correctOthers(packet.flow, flow);
 }
 
 std::vector<caller_packet> forwarder::extractFlowsOf(upstream_id upstream)
@@ -436,7 +436,7 @@
 {
     if (!isSequenceAfter(packet.acknowledged, flow.acknowledged))
         return;
-    confirmHolder(packet, flow, decision, now);
+    confirmHolder(packet, flow, decision);
     const upstream_id upstream = decision.upstream->id;
     flow.acknowledged = packet.acknowledged;
     flow.repeatedData = 0;
--- a/src/forward/forwarder_base.h
+++ b/src/forward/forwarder_base.h
@@ -130,7 +130,7 @@
     /// answer was lost. A shorter interval may mean that both packets were queued in this instance.
     /// Callers of all deployments retransmit after 200 and 600 ms.
     monotonic_time connectTimeout = std::chrono::milliseconds(150);
-    std::size_t maxTrackedFlows = 16384; ///< about 2 MB
+    std::size_t maxTrackedFlows = 16384; ///< about 2.5 MB
     /// Flows that are idle for longer are no longer tracked.
     monotonic_time flowIdleTimeout = std::chrono::seconds(15);
     /// A request that its caller aborts after at least this time counts as a latency sample;
@@ -235,10 +235,10 @@
      * Keeps an opening packet that was sent to a further upstream, so that all but the one that the
      * flow opens at can be given its tag.
      */
-    void keepOpening(const caller_packet &packet, std::span<const std::byte> bytes,
+    void keepOpening(const flow_key &flow, std::uint32_t sequence, std::span<const std::byte> bytes,
                      monotonic_time now);
 
-    /** Takes the opening packets to be sent after a call of decide() or expire(). */
+    /** Takes the opening packets to be sent after a call of decide(). */
     std::vector<tag_correction> takeCorrections();
 
     /** Hedges that were not sent because the budget was used up. */
@@ -286,13 +286,13 @@
                                       monotonic_time now);
     packet_decision decideOpenFlow(const caller_packet &packet, monotonic_time now);
     /** The upstream that a flow is open at, if its packet has the tag of another one by mistake. */
-    const upstream_record *findOtherHolder(const caller_packet &packet, upstream_id tagged);
+    const upstream_record *findOtherHolder(const caller_packet &packet, const flow_entry &flow,
+                                           upstream_id tagged) const;
     /** Whether a packet continues the sequence numbers of both ends of an open flow. */
     bool isContinuation(const caller_packet &packet, const flow_entry &flow) const;
     void confirmHolder(const caller_packet &packet, flow_entry &flow,
-                       const packet_decision &decision, monotonic_time now);
-    void correctUnopened(const flow_key &key, const flow_entry &flow, monotonic_time now);
-    void correctReliable(monotonic_time now);
+                       const packet_decision &decision);
+    void correctOthers(const flow_key &key, const flow_entry &flow);
     void correctTag(const flow_key &key, const flow_entry &flow, upstream_id other);
     /** Upstream for a retransmitted opening packet; null if another one must be selected. */
     const upstream_record *retransmissionTarget(const flow_entry &flow, monotonic_time now) const;
@@ -339,15 +339,6 @@
     admission_controller m_admission;
     refused_openings m_refusedOpenings;
     duplicate_openings m_duplicateOpenings;
-    /** An upstream that got the opening packet of a flow that is open at another one. */
-    struct unopened_upstream
-    {
-        flow_key flow;
-        std::uint32_t openingSequence = 0;
-        upstream_id upstream = noUpstream;
-        monotonic_time since {0}; ///< when the flow was confirmed
-    };
-    std::vector<unopened_upstream> m_unopened; ///< to be corrected once they are reliable
     std::vector<tag_correction> m_corrections; ///< not yet taken
     monotonic_time m_lastAnswerAt {0};         ///< of any upstream
     /// When an open flow's packets last began to arrive here. The fabric moves many flows at once,
