--- /dev/null
+++ b/review/scenario-3/cases.h
@@ -0,0 +1,28 @@
+/**
+ * @file cases.h
+ * The cases of the review that are scripts.
+ */
+
+#pragma once
+
+#include "fleet.h"
+
+namespace chicoryhead::review {
+
+/** Outcome of a case, as the exit status of its script. */
+enum class case_outcome : int { Held = 0, Broken = 1, NotRun = 2 };
+
+/** Two backends whose names have the same steering tag, and a rolling restart. */
+case_outcome runTags(const fleet_plan &plan, recorder &record, bool hasTrouble);
+
+/** The settings give the store another address, and the former one refuses requests. */
+case_outcome runAddresses(const fleet_plan &plan, recorder &record, bool hasTrouble);
+
+/** All instances are killed after a series of configurations that exceeds a limit when watched. */
+case_outcome runOversizedWatch(const fleet_plan &plan, recorder &record, bool hasTrouble);
+
+/** Idle store connections went silent some time before the instances that read the store are lost.
+ */
+case_outcome runSilentConnections(const fleet_plan &plan, recorder &record, bool hasTrouble);
+
+} // namespace chicoryhead::review
