--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Runs the case; exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# With TROUBLE=0 there is no disruption. Needs the build of the deploy file and review/build-3.sh.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+program=target/review-3/chicoryhead-review-3
+[ -x "$program" ] || exit 2
+"$program" oversized-watch "$PWD" "$folder" review/13/record.txt
