--- a/review/scenario-3/cases.h
+++ b/review/scenario-3/cases.h
@@ -25,4 +25,7 @@
  */
 case_outcome runSilentConnections(const fleet_plan &plan, recorder &record, bool hasTrouble);
 
+/** Opening answers are lost now and then during a rolling restart. */
+case_outcome runLostAnswers(const fleet_plan &plan, recorder &record, bool hasTrouble);
+
 } // namespace chicoryhead::review
--- a/review/scenario-3/fleet.cpp
+++ b/review/scenario-3/fleet.cpp
@@ -356,6 +356,8 @@
 {
     for (const auto &caller : m_callers)
         caller->tick();
+    for (const auto &server : m_backends)
+        server->tick(m_record.seconds());
     m_tick.expires_after(tickInterval);
     m_tick.async_wait([this](std::error_code code) {
         if (!code)
